Skeleton: package, tools, clock, outcomes and peer messages

Cause: the repository is empty; parts written side by side need common words for outcomes, messages and time before they start. Ruled out: a lock tool of its own; a constraints file is enough for pip. Before: nothing. Conclusion: the frame is ready for the thin path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: help install format lint types unit test demo clean
+
+help:
+	@echo 'make install  install the project and its tools into .venv'
+	@echo 'make demo     run a whole fleet on stand-ins and show what happens'
+	@echo 'make test     formatter, linter, types and every test'
+	@echo 'make format   rewrite the code in the house format'
+	@echo 'make clean    remove .venv and caches'
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+install: $(STAMP)
+
+format: install
+	$(BIN)/ruff format lavenderledge tests
+
+lint: install
+	$(BIN)/ruff format --check lavenderledge tests
+	$(BIN)/flake8 lavenderledge tests
+
+types: install
+	$(BIN)/mypy
+
+unit: install
+	$(BIN)/python -m pytest
+
+test: lint types unit
+
+demo: install
+	$(BIN)/python -m lavenderledge.standins demo
+
+clean:
+	rm -rf $(VENV) build *.egg-info .hypothesis .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/lavenderledge/__init__.py
@@ -0,0 +1,3 @@
+"""A request scheduler for unlike engines."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/lavenderledge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line: options, parsing and commands."""
--- /dev/null
+++ b/lavenderledge/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that keep shared state true over time."""
--- /dev/null
+++ b/lavenderledge/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, start and graceful stop."""
--- /dev/null
+++ b/lavenderledge/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a caller's request passes through, in order."""
--- /dev/null
+++ b/lavenderledge/outcomes.py
@@ -0,0 +1,135 @@
+"""What became of a request, and how its caller is told.
+
+This module alone builds refusals, so that "not run" is only ever said of a
+request whose first byte has not gone to an upstream.
+"""
+
+import enum
+import typing
+from http import HTTPStatus
+
+OUTCOME_HEADER = 'X-Request-Outcome'
+
+
+@enum.unique
+class Outcome(enum.StrEnum):
+    """What is known of a request that has no whole answer."""
+
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+@enum.unique
+class Reason(enum.StrEnum):
+    """Why a request was refused or ended without its whole answer."""
+
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too_large'
+    NO_SUCH_POOL = 'no_such_pool'
+    NO_SUCH_ROW = 'no_such_row'
+    NO_SUCH_RESPONSE = 'no_such_response'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    CUSTOMER_MISSING = 'customer_missing'
+    KEY_MISSING = 'idempotency_key_missing'
+    KEY_REUSED = 'idempotency_key_reused'
+    KEY_IN_USE = 'idempotency_key_in_use'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    TABLE_UNAVAILABLE = 'table_unavailable'
+    RATE_LIMITED = 'rate_limited'
+    QUEUE_FULL = 'queue_full'
+    CALLER_LIMIT = 'caller_limit'
+    DISPLACED = 'displaced'
+    OVERLOADED = 'overloaded'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    DEADLINE_UNREACHABLE = 'deadline_unreachable'
+    NO_UPSTREAM = 'no_upstream'
+    CONNECT_FAILED = 'connect_failed'
+    UPSTREAM_REFUSED = 'upstream_refused'
+    UPSTREAM_FAILED = 'upstream_failed'
+    UPSTREAM_LOST = 'upstream_lost'
+    ANSWER_INCOMPLETE = 'answer_incomplete'
+    PREEMPTED = 'preempted'
+    STOPPING = 'stopping'
+    CALLER_GONE = 'caller_gone'
+    INTERNAL = 'internal'
+
+
+_STATUSES: typing.Final = {
+    Reason.MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.NO_SUCH_POOL: HTTPStatus.NOT_FOUND,
+    Reason.NO_SUCH_ROW: HTTPStatus.FORBIDDEN,
+    Reason.NO_SUCH_RESPONSE: HTTPStatus.NOT_FOUND,
+    Reason.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    Reason.CUSTOMER_MISSING: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_MISSING: HTTPStatus.BAD_REQUEST,
+    Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.KEY_IN_USE: HTTPStatus.CONFLICT,
+    Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.CALLER_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.UPSTREAM_REFUSED: HTTPStatus.BAD_GATEWAY,
+    Reason.UPSTREAM_FAILED: HTTPStatus.BAD_GATEWAY,
+    Reason.UPSTREAM_LOST: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.ANSWER_INCOMPLETE: HTTPStatus.BAD_GATEWAY,
+    Reason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+class Refusal(typing.NamedTuple):
+    """A request's end without its whole answer."""
+
+    reason: Reason
+    outcome: Outcome
+    detail: str
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> HTTPStatus:
+        """Return the HTTP status that callers are given."""
+        return _STATUSES.get(self.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+class Dispatch:
+    """Whether the first byte of one request has gone to an upstream."""
+
+    def __init__(self) -> None:
+        """Start with nothing written."""
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Return whether the first byte may have been written."""
+        return self._started
+
+    def start(self) -> None:
+        """Record that the first byte is about to be written.
+
+        Raises ``RuntimeError`` on a second call: a request is dispatched at
+        most once.
+        """
+        if self._started:
+            raise RuntimeError('a request is dispatched at most once')
+        self._started = True
+
+    def refuse(
+        self,
+        reason: Reason,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        failed: bool = False,
+    ) -> Refusal:
+        """Build the refusal that is true of this request now.
+
+        Before the first byte the outcome is "not run". After it the outcome
+        is "failed" where the upstream itself said so, and else "unknown".
+        """
+        return Refusal(reason, self._tell(failed), detail, retry_after_s)
+
+    def _tell(self, failed: bool) -> Outcome:
+        if self._started:
+            return Outcome.FAILED if failed else Outcome.UNKNOWN
+        return Outcome.NOT_RUN
--- /dev/null
+++ b/lavenderledge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between instances and the links that carry them."""
--- /dev/null
+++ b/lavenderledge/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets and no clock reads."""
--- /dev/null
+++ b/lavenderledge/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the model engines and plain services."""
