--- /dev/null
+++ b/lavenderledge/peers/sockets.py
@@ -0,0 +1,63 @@
+"""Options of the sockets between instances."""
+
+import datetime
+import typing
+
+import zmq
+
+from lavenderledge.peers import codec, keys
+
+ZAP_DOMAIN = 'lavenderledge'
+HEARTBEAT_INTERVAL = datetime.timedelta(seconds=1)
+HEARTBEAT_TIMEOUT = datetime.timedelta(seconds=3)
+HEARTBEAT_LIFETIME = datetime.timedelta(seconds=4)
+HANDSHAKE_TIMEOUT = datetime.timedelta(seconds=3)
+RECONNECT_FIRST = datetime.timedelta(milliseconds=100)
+RECONNECT_MAX = datetime.timedelta(seconds=1)
+_MAX_QUEUED_MESSAGES = 1000
+_BACKLOG = 1024
+
+_AnySocket: typing.TypeAlias = zmq.Socket[typing.Any]
+
+
+def configure_server(pull: _AnySocket, pair: keys.KeyPair) -> None:
+    """Set the options of the PULL socket that peers connect to."""
+    _configure(pull, pair)
+    pull.curve_server = True
+    pull.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN.encode())
+    pull.setsockopt(zmq.BACKLOG, _BACKLOG)
+
+
+def configure_client(
+    push: _AnySocket, pair: keys.KeyPair, server_key: bytes
+) -> None:
+    """Set the options of a PUSH socket to one peer."""
+    _configure(push, pair)
+    push.setsockopt(zmq.CURVE_SERVERKEY, server_key)
+    push.setsockopt(zmq.IMMEDIATE, 1)
+    push.setsockopt(zmq.RECONNECT_IVL, _count_ms(RECONNECT_FIRST))
+    push.setsockopt(zmq.RECONNECT_IVL_MAX, _count_ms(RECONNECT_MAX))
+    push.setsockopt(zmq.CONNECT_TIMEOUT, _count_ms(HANDSHAKE_TIMEOUT))
+
+
+def read_address(socket: _AnySocket) -> str:
+    """Return the ``host:port`` that a socket was last bound to."""
+    endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
+    return endpoint.rstrip('\0').removeprefix('tcp://')
+
+
+def _configure(socket: _AnySocket, pair: keys.KeyPair) -> None:
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, _MAX_QUEUED_MESSAGES)
+    socket.setsockopt(zmq.MAXMSGSIZE, codec.MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, _count_ms(HEARTBEAT_INTERVAL))
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _count_ms(HEARTBEAT_TIMEOUT))
+    socket.setsockopt(zmq.HEARTBEAT_TTL, _count_ms(HEARTBEAT_LIFETIME))
+    socket.setsockopt(zmq.HANDSHAKE_IVL, _count_ms(HANDSHAKE_TIMEOUT))
+    socket.setsockopt(zmq.CURVE_PUBLICKEY, pair.public)
+    socket.setsockopt(zmq.CURVE_SECRETKEY, pair.secret)
+
+
+def _count_ms(duration: datetime.timedelta) -> int:
+    return duration // datetime.timedelta(milliseconds=1)
