Stand-ins: key-value service, instance list, engine and plain service

Cause: nothing to serve a request against. Each kind runs as its own process (python -m lavenderledge.standins KIND), with switches, a log and counts under /standin.

--- /dev/null
+++ b/lavenderledge/standins/definition.py
@@ -0,0 +1,228 @@
+"""The kinds of stand-ins and their options, as data."""
+
+import argparse
+import datetime
+import typing
+from collections import abc
+
+from starlette import types
+
+from lavenderledge import clock as clocks
+from lavenderledge.standins import (
+    batch,
+    engine,
+    engineapp,
+    instancelist,
+    keyvalue,
+    plain,
+)
+
+Build: typing.TypeAlias = abc.Callable[[argparse.Namespace], types.ASGIApp]
+
+
+class Option(typing.NamedTuple):
+    """One flag; ``parse`` turns its text into a value or raises."""
+
+    flag: str
+    parse: abc.Callable[[str], typing.Any]
+    default: typing.Any
+    summary: str
+    choices: tuple[str, ...] | None = None
+
+
+class Kind(typing.NamedTuple):
+    """One kind of stand-in that is served as an application."""
+
+    name: str
+    summary: str
+    options: tuple[Option, ...]
+    build: Build
+
+
+class Address(typing.NamedTuple):
+    """Where to listen."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in HOST:PORT; raises ``ValueError``."""
+    host, found, port = text.rpartition(':')
+    if not found or not host:
+        raise ValueError('not HOST:PORT')
+    return Address(host, int(port))
+
+
+def parse_seconds(text: str) -> datetime.timedelta:
+    """Return a duration of seconds, zero or more; raises ``ValueError``."""
+    seconds = float(text)
+    if seconds < 0:
+        raise ValueError('negative')
+    return datetime.timedelta(seconds=seconds)
+
+
+def parse_count(text: str) -> int:
+    """Return a number of one or more; raises ``ValueError``."""
+    number = int(text)
+    if number < 1:
+        raise ValueError('not positive')
+    return number
+
+
+def parse_rate(text: str) -> float:
+    """Return a number greater than zero; raises ``ValueError``."""
+    number = float(text)
+    if number <= 0:
+        raise ValueError('not positive')
+    return number
+
+
+def _build_keyvalue(args: argparse.Namespace) -> types.ASGIApp:
+    return keyvalue.build_app(
+        keyvalue.KeyValue(
+            clock=clocks.SystemClock(),
+            progress_interval=args.progress_interval_s,
+        )
+    )
+
+
+def _build_instancelist(args: argparse.Namespace) -> types.ASGIApp:
+    return instancelist.build_app(
+        instancelist.InstanceList(
+            clock=clocks.SystemClock(), lag_s=args.lag_s.total_seconds()
+        )
+    )
+
+
+def _build_engine(args: argparse.Namespace) -> types.ASGIApp:
+    settings = engine.Settings(
+        model=args.model,
+        replica=args.replica,
+        speed=batch.Speed(
+            token_gap_s=args.token_gap_s,
+            knee=args.knee,
+            prefill_rate=args.prefill_rate,
+            max_running=args.max_running,
+        ),
+        cache_blocks=args.cache_blocks,
+        block_tokens=args.block_tokens,
+        load_lag=args.load_lag_s,
+        cache_event_lag=args.cache_event_lag_s,
+        orphan_limit=args.orphan_s,
+        fencing=args.fencing,
+    )
+    return engineapp.build_app(
+        engine.Engine(clock=clocks.SystemClock(), settings=settings)
+    )
+
+
+def _build_plain(args: argparse.Namespace) -> types.ASGIApp:
+    return plain.build_app(
+        plain.Plain(
+            clock=clocks.SystemClock(), name=args.name, work=args.work_s
+        )
+    )
+
+
+LISTEN = Option(
+    '--listen',
+    parse_address,
+    Address('127.0.0.1', 0),
+    'HOST:PORT to listen on; port 0 takes a free one',
+)
+
+KINDS = (
+    Kind(
+        'keyvalue',
+        "key-value service with etcd v3's JSON gateway",
+        (
+            Option(
+                '--progress-interval-s',
+                parse_seconds,
+                datetime.timedelta(seconds=1),
+                'seconds between progress notices of an idle watch',
+            ),
+        ),
+        _build_keyvalue,
+    ),
+    Kind(
+        'instancelist',
+        'instance list as EndpointSlice JSON',
+        (
+            Option(
+                '--lag-s',
+                parse_seconds,
+                datetime.timedelta(),
+                'seconds until a change is seen',
+            ),
+        ),
+        _build_instancelist,
+    ),
+    Kind(
+        'engine',
+        'model engine that batches continuously',
+        (
+            Option('--model', str, 'calculator', 'name of the model'),
+            Option('--replica', str, 'calculator-0', 'name of the replica'),
+            Option(
+                '--token-gap-s',
+                parse_rate,
+                0.01,
+                'seconds between tokens of a lone request',
+            ),
+            Option(
+                '--knee',
+                parse_count,
+                16,
+                'batch up to which the gap is about constant',
+            ),
+            Option(
+                '--prefill-rate', parse_rate, 8000, 'prompt tokens a second'
+            ),
+            Option('--max-running', parse_count, 256, 'largest batch'),
+            Option('--cache-blocks', parse_count, 4096, 'blocks in the cache'),
+            Option('--block-tokens', parse_count, 16, 'tokens of a block'),
+            Option(
+                '--load-lag-s',
+                parse_seconds,
+                datetime.timedelta(seconds=1),
+                'age of the reported load in seconds',
+            ),
+            Option(
+                '--cache-event-lag-s',
+                parse_seconds,
+                datetime.timedelta(seconds=0.5),
+                'age of the published cache events in seconds',
+            ),
+            Option(
+                '--orphan-s',
+                parse_seconds,
+                datetime.timedelta(seconds=5),
+                'seconds that a request runs on without a connection',
+            ),
+            Option(
+                '--fencing',
+                str,
+                'checked',
+                'whether an old fencing number is refused',
+                ('checked', 'ignored'),
+            ),
+        ),
+        _build_engine,
+    ),
+    Kind(
+        'plain',
+        'plain service that echoes and counts the runs of each key',
+        (
+            Option('--name', str, 'orders', 'name of the service'),
+            Option(
+                '--work-s',
+                parse_seconds,
+                datetime.timedelta(seconds=0.01),
+                'seconds that each call takes',
+            ),
+        ),
+        _build_plain,
+    ),
+)
--- /dev/null
+++ b/lavenderledge/standins/delivery.py
@@ -0,0 +1,140 @@
+"""The connections on which the engine stand-in delivers its answers.
+
+A connection that has been silenced delivers nothing more, and the engine
+takes it for open even when the other end has gone, since neither end sees
+the other any longer.
+"""
+
+import asyncio
+import contextlib
+from collections import abc
+
+import msgspec
+from starlette import types
+
+from lavenderledge.standins import connection, engine, generation
+
+_STREAM_HEADERS = (
+    (b'content-type', b'text/event-stream'),
+    (b'cache-control', b'no-cache'),
+)
+_JSON_HEADERS = ((b'content-type', b'application/json'),)
+
+
+def stream(
+    served: engine.Engine,
+    made: generation.Generation,
+    *,
+    first: int = 0,
+    silent: bool = False,
+) -> types.ASGIApp:
+    """Return an answer that streams a request's events from a number on."""
+
+    async def respond(
+        scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        async with _listening(served, made, receive, silent) as listener:
+            if not listener.silent:
+                await _start(send, _STREAM_HEADERS)
+                await _send_events(served, made, listener, send, first)
+            await _end(scope, receive, listener)
+
+    return respond
+
+
+def answer(
+    served: engine.Engine,
+    made: generation.Generation,
+    *,
+    silent: bool = False,
+) -> types.ASGIApp:
+    """Return an answer that gives the whole response at its end."""
+
+    async def respond(
+        scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        async with _listening(served, made, receive, silent) as listener:
+            while not made.sequence.ended and not _is_over(listener):
+                await listener.wait()
+            if not _is_over(listener):
+                await _start(send, _JSON_HEADERS)
+                body = msgspec.json.encode(made.build_response())
+                await send({'type': 'http.response.body', 'body': body})
+            await _end(scope, receive, listener)
+
+    return respond
+
+
+@contextlib.asynccontextmanager
+async def _listening(
+    served: engine.Engine,
+    made: generation.Generation,
+    receive: types.Receive,
+    silent: bool,
+) -> abc.AsyncGenerator[generation.Listener, None]:
+    listener = generation.Listener(silent=silent)
+    served.attach(made, listener)
+    closing = asyncio.create_task(connection.wait_closed(receive))
+    closing.add_done_callback(lambda done: listener.close())
+    try:
+        yield listener
+    finally:
+        closing.cancel()
+        if not listener.silent:
+            served.detach(made, listener)
+
+
+async def _send_events(
+    served: engine.Engine,
+    made: generation.Generation,
+    listener: generation.Listener,
+    send: types.Send,
+    first: int,
+) -> None:
+    following = first
+    while not _is_over(listener):
+        last = made.last_event
+        if following <= last:
+            body = b''.join(map(made.render, range(following, last + 1)))
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': body,
+                    'more_body': True,
+                }
+            )
+            following = last + 1
+        if made.sequence.ended and following > made.last_event:
+            await send({'type': 'http.response.body', 'body': b''})
+            return
+        limit = served.panel.switches.cut_after_events
+        if limit and following - first >= limit:
+            listener.cut = True
+            return
+        await listener.wait()
+
+
+async def _start(
+    send: types.Send, headers: abc.Iterable[tuple[bytes, bytes]]
+) -> None:
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': list(headers),
+        }
+    )
+
+
+async def _end(
+    scope: types.Scope, receive: types.Receive, listener: generation.Listener
+) -> None:
+    if listener.silent:
+        while not listener.closed:
+            await listener.wait()
+    elif listener.cut:
+        connection.abort(scope)
+
+
+def _is_over(listener: generation.Listener) -> bool:
+    return listener.silent or listener.cut or listener.closed
--- /dev/null
+++ b/lavenderledge/standins/instancelist.py
@@ -0,0 +1,181 @@
+"""The instance-list stand-in: EndpointSlices, seen with a lag."""
+
+import typing
+
+import msgspec
+from starlette import applications, requests, responses, routing, types
+
+from lavenderledge import clock as clocks
+from lavenderledge.standins import admin, lag
+
+_PATH = '/apis/discovery.k8s.io/v1/endpointslices'
+_LABEL_POOL = 'kubernetes.io/service-name'
+_LABEL_KIND = 'lavenderledge/kind'
+_LABEL_FENCING = 'lavenderledge/fencing'
+_NOT_MODIFIED = 304
+_BAD_REQUEST = 400
+
+
+class Switches(typing.NamedTuple):
+    """How late a change is seen, in seconds."""
+
+    lag_s: float = 0
+
+
+class _EndpointFields(typing.TypedDict):
+    pool: str
+    kind: typing.Literal['instance', 'engine', 'plain']
+    zone: str
+    address: str
+    ports: dict[str, int]
+
+
+class Endpoint(_EndpointFields, total=False):
+    """One endpoint as it is put: ready and not terminating by default."""
+
+    ready: bool
+    terminating: bool
+    fencing: typing.Literal['checked', 'ignored'] | None
+
+
+class Change(typing.NamedTuple):
+    """One change in the log; ``endpoint`` is absent for a removal."""
+
+    name: str
+    version: int
+    endpoint: Endpoint | None
+    time_s: float
+
+
+class Listing(typing.NamedTuple):
+    """The whole list at one version."""
+
+    version: int
+    slices: tuple[dict[str, typing.Any], ...]
+
+
+class InstanceList:
+    """The endpoints and the lag with which they are seen."""
+
+    def __init__(self, *, clock: clocks.Clock, lag_s: float = 0) -> None:
+        """Start with an empty list at version 1."""
+        self.panel = admin.Panel(switches=Switches(lag_s=lag_s))
+        self._clock = clock
+        self._endpoints: dict[str, Endpoint] = {}
+        self._version = 1
+        self._listing = lag.Lagging(first=Listing(1, ()))
+
+    def put(self, name: str, endpoint: Endpoint) -> None:
+        """Add or replace one endpoint."""
+        self._endpoints[name] = endpoint
+        self._record(name, endpoint)
+
+    def remove(self, name: str) -> None:
+        """Remove one endpoint; an unknown name changes nothing."""
+        if self._endpoints.pop(name, None) is not None:
+            self._record(name, None)
+
+    def read(self) -> Listing:
+        """Return the list as it is seen now."""
+        return self._listing.read(
+            self._clock.read_monotonic(), self.panel.switches.lag_s
+        )
+
+    def _record(self, name: str, endpoint: Endpoint | None) -> None:
+        self._version += 1
+        self.panel.journal.append(
+            Change(
+                name=name,
+                version=self._version,
+                endpoint=endpoint,
+                time_s=self._clock.read_wall().timestamp(),
+            )
+        )
+        slices = tuple(
+            _build_slice(each, self._endpoints[each], self._version)
+            for each in sorted(self._endpoints)
+        )
+        self._listing.set(
+            self._clock.read_monotonic(), Listing(self._version, slices)
+        )
+
+
+def build_app(service: InstanceList) -> types.ASGIApp:
+    """Return the list's application."""
+
+    async def show(request: requests.Request) -> responses.Response:
+        service.panel.counts['list'] += 1
+        listing = service.read()
+        tag = f'"{listing.version}"'
+        if request.headers.get('if-none-match') == tag:
+            return responses.Response(
+                status_code=_NOT_MODIFIED, headers={'ETag': tag}
+            )
+        answer = admin.reply(_build_list(listing))
+        answer.headers['ETag'] = tag
+        return answer
+
+    async def put(request: requests.Request) -> responses.Response:
+        try:
+            endpoint = msgspec.json.decode(await request.body(), type=Endpoint)
+        except msgspec.MsgspecError as error:
+            return admin.reply({'error': str(error)}, _BAD_REQUEST)
+        service.put(request.path_params['name'], endpoint)
+        return admin.reply(endpoint)
+
+    async def remove(request: requests.Request) -> responses.Response:
+        service.remove(request.path_params['name'])
+        return admin.reply({})
+
+    path = '/standin/endpoints/{name}'
+    return applications.Starlette(
+        routes=[
+            routing.Route(_PATH, show, methods=['GET']),
+            routing.Route(path, put, methods=['PUT']),
+            routing.Route(path, remove, methods=['DELETE']),
+            *admin.list_routes(service.panel),
+        ]
+    )
+
+
+def _build_list(listing: Listing) -> dict[str, typing.Any]:
+    return {
+        'kind': 'EndpointSliceList',
+        'apiVersion': 'discovery.k8s.io/v1',
+        'metadata': {'resourceVersion': str(listing.version)},
+        'items': listing.slices,
+    }
+
+
+def _build_slice(
+    name: str, endpoint: Endpoint, version: int
+) -> dict[str, typing.Any]:
+    labels = {_LABEL_POOL: endpoint['pool'], _LABEL_KIND: endpoint['kind']}
+    fencing = endpoint.get('fencing')
+    if fencing:
+        labels[_LABEL_FENCING] = fencing
+    terminating = endpoint.get('terminating', False)
+    return {
+        'metadata': {
+            'name': name,
+            'labels': labels,
+            'resourceVersion': str(version),
+        },
+        'addressType': 'IPv4',
+        'endpoints': [
+            {
+                'addresses': [endpoint['address']],
+                'conditions': {
+                    'ready': endpoint.get('ready', True) and not terminating,
+                    'serving': endpoint.get('ready', True),
+                    'terminating': terminating,
+                },
+                'targetRef': {'kind': 'Pod', 'name': name},
+                'zone': endpoint['zone'],
+            }
+        ],
+        'ports': [
+            {'name': port, 'port': number, 'protocol': 'TCP'}
+            for port, number in sorted(endpoint['ports'].items())
+        ],
+    }
--- /dev/null
+++ b/lavenderledge/standins/limits.py
@@ -0,0 +1,120 @@
+"""The checks that the key-value service makes before it runs a request."""
+
+import itertools
+import typing
+
+from lavenderledge.standins import protocol
+
+MAX_OPERATIONS = 128
+VALUE_LIMIT_BYTES = 1024 * 1024
+REQUEST_LIMIT_BYTES = 3 * VALUE_LIMIT_BYTES // 2
+
+
+def check_txn(request: protocol.TxnRequest) -> protocol.StoreError | None:
+    """Return why a transaction is refused, or nothing.
+
+    A nested transaction may hold as many operations as its parent left over.
+    """
+    if measure_txn(request) > REQUEST_LIMIT_BYTES:
+        return protocol.TOO_LARGE
+    return _check_level(request, MAX_OPERATIONS) or _check_keys(request)
+
+
+def check_put(request: protocol.PutRequest) -> protocol.StoreError | None:
+    """Return why a write is refused, or nothing."""
+    if not request.get('key'):
+        return protocol.KEY_MISSING
+    if len(request.get('value', b'')) > VALUE_LIMIT_BYTES:
+        return protocol.TOO_LARGE
+    return None
+
+
+def list_puts(
+    request: protocol.TxnRequest,
+) -> typing.Iterator[protocol.PutRequest]:
+    """Yield every write of a transaction, whichever branch it is in."""
+    for step in _list_steps(request):
+        if 'request_put' in step:
+            yield step['request_put']
+        if 'request_txn' in step:
+            yield from list_puts(step['request_txn'])
+
+
+def measure_txn(request: protocol.TxnRequest) -> int:
+    """Return the bytes of a transaction's keys and values."""
+    size = sum(
+        len(test.get('key', b'')) + len(test.get('value', b''))
+        for test in request.get('compare', [])
+    )
+    return size + sum(
+        len(put.get('key', b'')) + len(put.get('value', b''))
+        for put in list_puts(request)
+    )
+
+
+def _list_steps(
+    request: protocol.TxnRequest,
+) -> typing.Iterator[protocol.Operation]:
+    return itertools.chain(
+        request.get('success', []), request.get('failure', [])
+    )
+
+
+def _check_level(
+    request: protocol.TxnRequest, allowed: int
+) -> protocol.StoreError | None:
+    used = max(
+        len(request.get('compare', [])),
+        len(request.get('success', [])),
+        len(request.get('failure', [])),
+    )
+    if used > allowed:
+        return protocol.TOO_MANY_OPERATIONS
+    if not all(test.get('key') for test in request.get('compare', [])):
+        return protocol.KEY_MISSING
+    for step in _list_steps(request):
+        error = _check_step(step, allowed - used)
+        if error is not None:
+            return error
+    return None
+
+
+def _check_step(
+    step: protocol.Operation, allowed: int
+) -> protocol.StoreError | None:
+    if 'request_txn' in step:
+        return _check_level(step['request_txn'], allowed)
+    if 'request_put' in step:
+        return check_put(step['request_put'])
+    if 'request_range' in step:
+        found = step['request_range'].get('key')
+    else:
+        found = step.get('request_delete_range', {}).get('key')
+    return None if found else protocol.KEY_MISSING
+
+
+def _check_keys(
+    request: protocol.TxnRequest,
+) -> protocol.StoreError | None:
+    for branch in (request.get('success', []), request.get('failure', [])):
+        if _repeats_key(branch):
+            return protocol.DUPLICATE_KEY
+    return None
+
+
+def _repeats_key(branch: list[protocol.Operation]) -> bool:
+    seen: set[bytes] = set()
+    for step in branch:
+        keys = _list_step_keys(step)
+        if not seen.isdisjoint(keys):
+            return True
+        seen.update(keys)
+    return False
+
+
+def _list_step_keys(step: protocol.Operation) -> set[bytes]:
+    if 'request_put' in step:
+        return {step['request_put']['key']}
+    if 'request_txn' in step:
+        return {put['key'] for put in list_puts(step['request_txn'])}
+    return set()
--- /dev/null
+++ b/lavenderledge/standins/plain.py
@@ -0,0 +1,139 @@
+"""The plain stand-in: echoes any call and counts the runs of each key."""
+
+import collections
+import datetime
+import hashlib
+import typing
+
+from starlette import applications, requests, responses, routing, types
+
+from lavenderledge import clock as clocks
+from lavenderledge.standins import admin, connection
+
+_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+
+class Switches(typing.NamedTuple):
+    """How the service misbehaves.
+
+    ``refuse`` answers 503 before running and ``fail`` answers 500 after.
+    ``close_before`` and ``close_after`` count the next calls whose connection
+    is closed unanswered, without or with a run; ``silent`` leaves calls
+    unanswered that have run.
+    """
+
+    slowdown_s: float = 0
+    refuse: bool = False
+    fail: bool = False
+    close_before: int = 0
+    close_after: int = 0
+    silent: bool = False
+    unhealthy: bool = False
+
+
+class Run(typing.NamedTuple):
+    """One run in the log; ``run`` counts the runs of its key so far."""
+
+    method: str
+    path: str
+    key: str
+    request_id: str
+    customer: str
+    run: int
+    time_s: float
+    monotonic_s: float
+
+
+class Echo(typing.TypedDict):
+    """The answer to a call that ran."""
+
+    service: str
+    method: str
+    path: str
+    key: str
+    run: int
+    body_sha256: str
+
+
+class Plain:
+    """The service's state: its switches and the runs of each key."""
+
+    def __init__(
+        self, *, clock: clocks.Clock, name: str, work: datetime.timedelta
+    ) -> None:
+        """Take the time that each call works for."""
+        self.panel = admin.Panel(switches=Switches())
+        self.runs: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._name = name
+        self._work = work
+
+    async def serve(self, request: requests.Request) -> types.ASGIApp:
+        """Answer one call as the switches say."""
+        body = await request.body()
+        self.panel.counts['call'] += 1
+        if self.panel.take('close_before'):
+            return connection.drop
+        if self.panel.switches.refuse:
+            refusal = admin.reply({'error': 'refused'}, 503)
+            refusal.headers['Retry-After'] = '1'
+            return refusal
+        run = self._record(request)
+        await self._clock.sleep(
+            self._work
+            + datetime.timedelta(seconds=self.panel.switches.slowdown_s)
+        )
+        if self.panel.switches.silent:
+            return connection.keep_silent
+        if self.panel.take('close_after'):
+            return connection.drop
+        if self.panel.switches.fail:
+            return admin.reply({'error': 'failed'}, 500)
+        return admin.reply(self._build_echo(run, body))
+
+    def _record(self, request: requests.Request) -> Run:
+        key = request.headers.get('idempotency-key', '')
+        request_id = request.headers.get('x-request-id', '')
+        for name in filter(None, (key, request_id)):
+            self.runs[name] += 1
+        run = Run(
+            method=request.method,
+            path=request.url.path,
+            key=key,
+            request_id=request_id,
+            customer=request.headers.get('x-customer', ''),
+            run=self.runs[key or request_id],
+            time_s=self._clock.read_wall().timestamp(),
+            monotonic_s=self._clock.read_monotonic(),
+        )
+        self.panel.journal.append(run)
+        return run
+
+    def _build_echo(self, run: Run, body: bytes) -> Echo:
+        return {
+            'service': self._name,
+            'method': run.method,
+            'path': run.path,
+            'key': run.key,
+            'run': run.run,
+            'body_sha256': hashlib.sha256(body).hexdigest(),
+        }
+
+
+def build_app(service: Plain) -> types.ASGIApp:
+    """Return the service's application."""
+
+    async def show_runs(request: requests.Request) -> responses.Response:
+        return admin.reply(service.runs)
+
+    async def show_health(request: requests.Request) -> responses.Response:
+        return admin.reply({}, 503 if service.panel.switches.unhealthy else 200)
+
+    return applications.Starlette(
+        routes=[
+            *admin.list_routes(service.panel),
+            routing.Route('/standin/runs', show_runs, methods=['GET']),
+            routing.Route('/health', show_health, methods=['GET']),
+            routing.Route('/{path:path}', service.serve, methods=_METHODS),
+        ]
+    )
--- /dev/null
+++ b/lavenderledge/standins/server.py
@@ -0,0 +1,94 @@
+"""Serving a stand-in's application, in a process or inside a test."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import typing
+from collections import abc
+
+import uvicorn
+from starlette import types
+
+from lavenderledge.standins import connection
+
+_BACKLOG = 1024
+_STOP_LIMIT_S = 1
+_POLL_S = 0.01
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> abc.Generator[None, None, None]:
+        yield
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a listening socket; port 0 takes a free one.
+
+    Raises ``OSError`` where the address can't be had.
+    """
+    return socket.create_server((host, port), backlog=_BACKLOG)
+
+
+def name_address(listener: socket.socket) -> str:
+    """Return the HOST:PORT of a listening socket."""
+    host, port = listener.getsockname()[:2]
+    return f'{host}:{port}'
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: types.ASGIApp, listener: socket.socket | None = None
+) -> abc.AsyncGenerator[str, None]:
+    """Serve an application and give its HOST:PORT; stop on leaving."""
+    listener = listener or bind('127.0.0.1', 0)
+    address = name_address(listener)
+    server = _Server(
+        uvicorn.Config(
+            connection.expose_transport(app),
+            access_log=False,
+            log_level='critical',
+            proxy_headers=False,
+            ws='none',
+            timeout_graceful_shutdown=_STOP_LIMIT_S,
+        )
+    )
+    serving_task = asyncio.create_task(server.serve(sockets=[listener]))
+    while not server.started and not serving_task.done():
+        await asyncio.sleep(_POLL_S)
+    try:
+        yield address
+    finally:
+        server.should_exit = True
+        _abort_connections(server)
+        await serving_task
+
+
+def run(
+    app: types.ASGIApp, listener: socket.socket, stdout: typing.TextIO
+) -> None:
+    """Serve until SIGTERM or SIGINT; tell the address once it listens."""
+    asyncio.run(_run(app, listener, stdout))
+
+
+async def _run(
+    app: types.ASGIApp, listener: socket.socket, stdout: typing.TextIO
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with serving(app, listener) as address:
+        stdout.write(f'ready address={address}\n')
+        stdout.flush()
+        await stopping.wait()
+
+
+def _abort_connections(server: uvicorn.Server) -> None:
+    for opened in list(server.server_state.connections):
+        transport = getattr(opened, 'transport', None)
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/lavenderledge/standins/store.py
@@ -0,0 +1,364 @@
+"""The state of the key-value stand-in: keys, revisions, leases, watches.
+
+It runs in process, without sockets, and behaves as etcd v3 does: one new
+revision for each request that writes, transactions that run as one, leases
+that take their keys along, and watches that replay from a revision.
+"""
+
+import bisect
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import clock as clocks
+from lavenderledge.standins import leases, limits, protocol
+
+_HISTORY_EVENTS = 100_000
+
+Notify: typing.TypeAlias = abc.Callable[[protocol.WatchResponse], None]
+Answer = typing.TypeVar('Answer')
+Outcome: typing.TypeAlias = expression.Result[Answer, protocol.StoreError]
+
+
+class Watch(typing.NamedTuple):
+    """One open watch and where its changes go."""
+
+    key: bytes
+    range_end: bytes
+    notify: Notify
+
+
+class Store:
+    """All keys of the service; every method is one atomic call."""
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        """Start empty at revision 1."""
+        self.revision = 1
+        self.history: list[protocol.Event] = []
+        self._pairs: dict[bytes, protocol.KeyValue] = {}
+        self._keys: list[bytes] = []
+        self._leases = leases.Leases(clock=clock)
+        self._watches: list[Watch] = []
+        self._pending: list[protocol.Event] = []
+        self._compacted = 0
+
+    @property
+    def header(self) -> protocol.Header:
+        """Return the present revision."""
+        return {'revision': self.revision}
+
+    def range(
+        self, request: protocol.RangeRequest
+    ) -> Outcome[protocol.RangeResponse]:
+        """Read one key or a range of keys, in the order of the keys."""
+        self.expire()
+        if not request.get('key'):
+            return expression.Error(protocol.KEY_MISSING)
+        return expression.Ok(self._read(request))
+
+    def put(
+        self, request: protocol.PutRequest
+    ) -> Outcome[protocol.PutResponse]:
+        """Write one key."""
+        outcome = self.txn({'success': [{'request_put': request}]})
+        return outcome.map(lambda done: done['responses'][0]['response_put'])
+
+    def delete_range(
+        self, request: protocol.DeleteRequest
+    ) -> Outcome[protocol.DeleteResponse]:
+        """Remove one key or a range of keys."""
+        outcome = self.txn({'success': [{'request_delete_range': request}]})
+        return outcome.map(
+            lambda done: done['responses'][0]['response_delete_range']
+        )
+
+    def txn(
+        self, request: protocol.TxnRequest
+    ) -> Outcome[protocol.TxnResponse]:
+        """Run a transaction; nothing of a refused one takes effect."""
+        self.expire()
+        error = limits.check_txn(request) or self._check_leases(request)
+        if error is not None:
+            return expression.Error(error)
+        answer = self._run(request)
+        self._commit()
+        return expression.Ok(answer)
+
+    def grant_lease(
+        self, request: protocol.GrantRequest
+    ) -> Outcome[protocol.LeaseResponse]:
+        """Create a lease."""
+        self.expire()
+        granted = self._leases.grant(
+            request.get('ID', 0), request.get('TTL', 0)
+        )
+        if granted is None:
+            return expression.Error(protocol.LEASE_EXISTS)
+        return expression.Ok(
+            protocol.LeaseResponse(
+                header=self.header, ID=granted.number, TTL=granted.ttl_s
+            )
+        )
+
+    def keep_lease(
+        self, request: protocol.LeaseRequest
+    ) -> Outcome[protocol.LeaseResponse]:
+        """Renew a lease; an unknown one is answered with ``TTL`` 0."""
+        self.expire()
+        number = request.get('ID', 0)
+        return expression.Ok(
+            protocol.LeaseResponse(
+                header=self.header, ID=number, TTL=self._leases.renew(number)
+            )
+        )
+
+    def describe_lease(
+        self, request: protocol.LeaseRequest
+    ) -> Outcome[protocol.LeaseResponse]:
+        """Tell a lease's remaining time; ``TTL`` -1 for an unknown one."""
+        self.expire()
+        number = request.get('ID', 0)
+        answer = protocol.LeaseResponse(header=self.header, ID=number, TTL=-1)
+        found = self._leases.find(number)
+        if found is not None:
+            answer['TTL'] = self._leases.measure(number)
+            answer['grantedTTL'] = found.ttl_s
+            answer['keys'] = self._list_attached(number)
+        return expression.Ok(answer)
+
+    def revoke_lease(
+        self, request: protocol.LeaseRequest
+    ) -> Outcome[protocol.LeaseResponse]:
+        """End a lease and remove its keys."""
+        self.expire()
+        number = request.get('ID', 0)
+        if self._leases.find(number) is None:
+            return expression.Error(protocol.LEASE_UNKNOWN)
+        self._end_lease(number)
+        return expression.Ok(protocol.LeaseResponse(header=self.header))
+
+    def watch(
+        self, request: protocol.WatchRequest, notify: Notify
+    ) -> Watch | None:
+        """Open a watch; ``notify`` gets each answer as it comes.
+
+        A start before the oldest change still kept is cancelled at once, and
+        nothing is returned.
+        """
+        self.expire()
+        start = request.get('start_revision', 0)
+        opened = Watch(request['key'], request.get('range_end', b''), notify)
+        notify({'header': self.header, 'created': True})
+        if start and start <= self._compacted:
+            notify(
+                {
+                    'header': self.header,
+                    'canceled': True,
+                    'compact_revision': self._compacted,
+                }
+            )
+            return None
+        if start and start <= self.revision:
+            self._send(opened, _list_since(self.history, start))
+        self._watches.append(opened)
+        return opened
+
+    def close_watch(self, opened: Watch) -> None:
+        """Close a watch; closing twice does nothing."""
+        self._watches = [kept for kept in self._watches if kept is not opened]
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        for number in self._leases.list_expired():
+            self._end_lease(number)
+
+    def _check_leases(
+        self, request: protocol.TxnRequest
+    ) -> protocol.StoreError | None:
+        for put in limits.list_puts(request):
+            number = put.get('lease', 0)
+            if number and self._leases.find(number) is None:
+                return protocol.LEASE_UNKNOWN
+        return None
+
+    def _run(self, request: protocol.TxnRequest) -> protocol.TxnResponse:
+        succeeded = all(
+            compare_pair(self._pairs.get(test['key']), test)
+            for test in request.get('compare', [])
+        )
+        branch: typing.Literal['success', 'failure'] = (
+            'success' if succeeded else 'failure'
+        )
+        steps = request.get(branch, [])
+        responses = [self._run_step(step) for step in steps]
+        return {
+            'header': self._header_after(),
+            'succeeded': succeeded,
+            'responses': responses,
+        }
+
+    def _run_step(self, step: protocol.Operation) -> protocol.OperationResponse:
+        if 'request_put' in step:
+            return {'response_put': self._write(step['request_put'])}
+        if 'request_range' in step:
+            return {'response_range': self._read(step['request_range'])}
+        if 'request_txn' in step:
+            return {'response_txn': self._run(step['request_txn'])}
+        return {
+            'response_delete_range': self._remove(step['request_delete_range'])
+        }
+
+    def _header_after(self) -> protocol.Header:
+        return {'revision': self.revision + bool(self._pending)}
+
+    def _read(self, request: protocol.RangeRequest) -> protocol.RangeResponse:
+        keys = self._select(request['key'], request.get('range_end', b''))
+        limit = request.get('limit', 0) or len(keys)
+        pairs = [] if request.get('count_only') else keys[:limit]
+        kvs = [self._pairs[key].copy() for key in pairs]
+        if request.get('keys_only'):
+            for pair in kvs:
+                pair['value'] = b''
+        return {
+            'header': self._header_after(),
+            'kvs': kvs,
+            'more': len(keys) > limit,
+            'count': len(keys),
+        }
+
+    def _write(self, request: protocol.PutRequest) -> protocol.PutResponse:
+        key = request['key']
+        revision = self.revision + 1
+        before = self._pairs.get(key)
+        if before is None:
+            bisect.insort(self._keys, key)
+        pair: protocol.KeyValue = {
+            'key': key,
+            'create_revision': before['create_revision']
+            if before
+            else revision,
+            'mod_revision': revision,
+            'version': before['version'] + 1 if before else 1,
+            'value': request.get('value', b''),
+            'lease': request.get('lease', 0),
+        }
+        self._pairs[key] = pair
+        self._pending.append({'type': 'PUT', 'kv': pair})
+        return {'header': self._header_after()}
+
+    def _remove(
+        self, request: protocol.DeleteRequest
+    ) -> protocol.DeleteResponse:
+        keys = self._select(request['key'], request.get('range_end', b''))
+        self._drop(keys)
+        return {'header': self._header_after(), 'deleted': len(keys)}
+
+    def _drop(self, keys: list[bytes]) -> None:
+        for key in keys:
+            self._pairs.pop(key)
+            self._keys.pop(bisect.bisect_left(self._keys, key))
+            self._pending.append(
+                {
+                    'type': 'DELETE',
+                    'kv': {
+                        'key': key,
+                        'create_revision': 0,
+                        'mod_revision': self.revision + 1,
+                        'version': 0,
+                        'value': b'',
+                        'lease': 0,
+                    },
+                }
+            )
+
+    def _commit(self) -> None:
+        if not self._pending:
+            return
+        events, self._pending = self._pending, []
+        self.revision += 1
+        self.history.extend(events)
+        self._compact()
+        for opened in list(self._watches):
+            self._send(opened, events)
+
+    def _compact(self) -> None:
+        surplus = len(self.history) - _HISTORY_EVENTS
+        if surplus > _HISTORY_EVENTS // 10:
+            self._compacted = self.history[surplus - 1]['kv']['mod_revision']
+            self.history = self.history[surplus:]
+
+    def _send(self, opened: Watch, events: list[protocol.Event]) -> None:
+        wanted = [
+            event
+            for event in events
+            if contains_key(opened.key, opened.range_end, event['kv']['key'])
+        ]
+        if wanted:
+            opened.notify({'header': self.header, 'events': wanted})
+
+    def _select(self, key: bytes, end: bytes) -> list[bytes]:
+        if not end:
+            return [key] if key in self._pairs else []
+        first = bisect.bisect_left(self._keys, key)
+        if end == b'\0':
+            return self._keys[first:]
+        return self._keys[first : bisect.bisect_left(self._keys, end)]
+
+    def _list_attached(self, number: int) -> list[bytes]:
+        return [
+            key for key in self._keys if self._pairs[key]['lease'] == number
+        ]
+
+    def _end_lease(self, number: int) -> None:
+        self._leases.remove(number)
+        self._drop(self._list_attached(number))
+        self._commit()
+
+
+def contains_key(start: bytes, end: bytes, key: bytes) -> bool:
+    """Return whether a range that begins at ``start`` holds the key."""
+    if not end:
+        return key == start
+    return key >= start and (end == b'\0' or key < end)
+
+
+def compare_pair(
+    pair: protocol.KeyValue | None, test: protocol.Compare
+) -> bool:
+    """Return whether a condition holds; a missing key has revisions of 0."""
+    target = test.get('target', 'VERSION')
+    if target == 'VALUE':
+        return pair is not None and _relate(
+            pair['value'], test.get('value', b''), test
+        )
+    if target == 'CREATE':
+        found = pair['create_revision'] if pair else 0
+        return _relate(found, test.get('create_revision', 0), test)
+    if target == 'MOD':
+        found = pair['mod_revision'] if pair else 0
+        return _relate(found, test.get('mod_revision', 0), test)
+    found = pair['version'] if pair else 0
+    return _relate(found, test.get('version', 0), test)
+
+
+def _relate(
+    found: typing.Any, wanted: typing.Any, test: protocol.Compare
+) -> bool:
+    relation = test.get('result', 'EQUAL')
+    if relation == 'EQUAL':
+        return bool(found == wanted)
+    if relation == 'NOT_EQUAL':
+        return bool(found != wanted)
+    if relation == 'GREATER':
+        return bool(found > wanted)
+    return bool(found < wanted)
+
+
+def _list_since(
+    history: list[protocol.Event], revision: int
+) -> list[protocol.Event]:
+    first = bisect.bisect_left(
+        history, revision, key=lambda event: event['kv']['mod_revision']
+    )
+    return history[first:]
