--- /dev/null
+++ b/lavenderledge/platform/keyvalue.py
@@ -0,0 +1,283 @@
+"""A client of the key-value service, by etcd's JSON gateway.
+
+Every call has a connection of its own, so that a connection that has gone
+silent is never used again and no write is ever sent twice. A write that was
+sent and not answered is told as ``OutcomeUnknown``; only a failed connect is
+told as ``Unavailable``.
+"""
+
+import asyncio
+import datetime
+import http
+import typing
+from collections import abc
+
+import aiohttp
+import expression
+import msgspec
+
+from lavenderledge.platform import gateway, operations, shapes, watches
+
+CALL_TIMEOUT = datetime.timedelta(seconds=2)
+MAX_OPERATIONS = 128
+
+_DETAIL_BYTES = 200
+_CONNECT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_JSON_HEADERS: typing.Final = {'Content-Type': 'application/json'}
+
+_Body: typing.TypeAlias = expression.Result[bytes, operations.Failure]
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that makes a new connection for each call."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True, limit=0),
+    )
+
+
+class KeyValue:
+    """Calls the key-value service at one of its addresses.
+
+    ``addresses`` are base URLs such as ``http://10.0.0.1:2379``. ``calls``
+    counts every call made.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        addresses: abc.Sequence[str],
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+    ) -> None:
+        """Take an open session, which its owner closes."""
+        self._session = session
+        self._addresses = tuple(base.rstrip('/') for base in addresses)
+        self._preferred = 0
+        self._timeout = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(),
+            sock_connect=timeout.total_seconds() / 2,
+        )
+        self.calls = 0
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[operations.Snapshot, operations.Failure]:
+        """Read one key."""
+        return await self._range(gateway.build_range(key))
+
+    async def list_prefix(
+        self, prefix: str, *, limit: int = 0
+    ) -> expression.Result[operations.Snapshot, operations.Failure]:
+        """Read the keys that start with a prefix, last written first.
+
+        ``limit`` is the most entries to return; 0 is no limit.
+        """
+        request = gateway.build_range(prefix, prefix=True)
+        request['sort_order'] = 'DESCEND'
+        request['sort_target'] = 'MOD'
+        request['limit'] = str(limit)
+        return await self._range(request)
+
+    async def read_many(
+        self, keys: abc.Sequence[str]
+    ) -> expression.Result[operations.Snapshot, operations.Failure]:
+        """Read at most ``MAX_OPERATIONS`` keys at one revision."""
+        gets = [operations.Get(key) for key in keys]
+        answer = await self._call(
+            '/v3/kv/txn', gateway.build_transaction((), gets, ()), write=False
+        )
+        return answer.bind(_read_transaction).map(_gather_entries)
+
+    async def transact(
+        self,
+        compares: abc.Sequence[operations.Compare],
+        then: abc.Sequence[operations.Operation],
+        otherwise: abc.Sequence[operations.Operation] = (),
+    ) -> expression.Result[operations.TransactAnswer, operations.Failure]:
+        """Do ``then`` if all comparisons hold, and else ``otherwise``.
+
+        Each list holds at most ``MAX_OPERATIONS``.
+        """
+        answer = await self._call(
+            '/v3/kv/txn',
+            gateway.build_transaction(compares, then, otherwise),
+            write=True,
+        )
+        return answer.bind(_read_transaction).map_error(_doubt_write)
+
+    async def replace_if(
+        self,
+        key: str,
+        *,
+        expected: int | bytes,
+        value: bytes,
+    ) -> expression.Result[bool, operations.Failure]:
+        """Write a key if its value, or its mod revision, is as expected."""
+        answer = await self.transact(
+            [_expect(key, expected)], [operations.Put(key, value)]
+        )
+        return answer.map(lambda told: told.succeeded)
+
+    async def delete_if_value(
+        self, key: str, value: bytes
+    ) -> expression.Result[bool, operations.Failure]:
+        """Delete a key if it holds this value."""
+        answer = await self.transact(
+            [_expect(key, value)], [operations.Delete(key)]
+        )
+        return answer.map(lambda told: told.succeeded)
+
+    async def grant_lease(
+        self, ttl: datetime.timedelta
+    ) -> expression.Result[operations.Lease, operations.Failure]:
+        """Grant a lease; its time to live is in whole seconds."""
+        answer = await self._call(
+            '/v3/lease/grant',
+            {'TTL': str(round(ttl.total_seconds()))},
+            write=True,
+        )
+        return answer.bind(
+            lambda body: gateway.decode(body, shapes.LeaseAnswer),
+        ).map(_read_lease)
+
+    async def keep_alive(
+        self, lease: int
+    ) -> expression.Result[operations.Lease, operations.Failure]:
+        """Renew a lease; a time to live of 0 tells that it has lapsed."""
+        answer = await self._call(
+            '/v3/lease/keepalive', {'ID': str(lease)}, write=True
+        )
+        return answer.bind(
+            lambda body: gateway.decode(body, shapes.KeepAliveAnswer),
+        ).map(lambda told: _read_lease(told['result']))
+
+    async def revoke_lease(
+        self, lease: int
+    ) -> expression.Result[None, operations.Failure]:
+        """Revoke a lease, which deletes its keys."""
+        answer = await self._call(
+            '/v3/lease/revoke', {'ID': str(lease)}, write=True
+        )
+        return answer.map(lambda _: None)
+
+    def watch(
+        self,
+        key: str,
+        *,
+        start_revision: int,
+        idle_timeout: datetime.timedelta,
+    ) -> watches.Events:
+        """Yield a key's changes from a revision on.
+
+        The last item is a failure: the watch was refused or lost, or it was
+        silent for longer than the idle timeout.
+        """
+        self.calls += 1
+        return watches.stream_events(
+            self._session,
+            self._build_url('/v3/watch'),
+            watches.build_request(key, start_revision),
+            idle_timeout,
+        )
+
+    async def _range(
+        self, request: gateway.Json
+    ) -> expression.Result[operations.Snapshot, operations.Failure]:
+        answer = await self._call('/v3/kv/range', request, write=False)
+        return answer.bind(
+            lambda body: gateway.decode(body, shapes.RangeAnswer),
+        ).map(_read_range)
+
+    async def _call(
+        self, path: str, request: gateway.Json, *, write: bool
+    ) -> _Body:
+        body = msgspec.json.encode(request)
+        failed: _Body = expression.Error(operations.Unavailable('no address'))
+        for _ in self._addresses:
+            failed = await self._post(path, body, write=write)
+            if failed.is_ok():
+                return failed
+            if not isinstance(failed.error, operations.Unavailable):
+                return failed
+            self._preferred += 1
+        return failed
+
+    async def _post(self, path: str, body: bytes, *, write: bool) -> _Body:
+        self.calls += 1
+        lost = operations.OutcomeUnknown if write else operations.Unavailable
+        try:
+            return await self._receive(path, body, lost)
+        except _CONNECT_ERRORS as error:
+            return expression.Error(operations.Unavailable(str(error)))
+        except (aiohttp.ClientError, OSError) as error:
+            return expression.Error(lost(repr(error)))
+        except asyncio.TimeoutError:
+            return expression.Error(lost('no answer in time'))
+
+    async def _receive(
+        self,
+        path: str,
+        body: bytes,
+        lost: type[operations.OutcomeUnknown | operations.Unavailable],
+    ) -> _Body:
+        async with self._session.post(
+            self._build_url(path),
+            data=body,
+            headers=_JSON_HEADERS,
+            timeout=self._timeout,
+            allow_redirects=False,
+        ) as response:
+            answer = await response.read()
+            status = response.status
+        if status == http.HTTPStatus.OK:
+            return expression.Ok(answer)
+        detail = answer[:_DETAIL_BYTES].decode(errors='replace')
+        if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return expression.Error(lost(f'{status} {detail}'))
+        return expression.Error(operations.Rejected(status, detail))
+
+    def _build_url(self, path: str) -> str:
+        base = self._addresses[self._preferred % len(self._addresses)]
+        return f'{base}{path}'
+
+
+def _expect(key: str, expected: int | bytes) -> operations.Compare:
+    if isinstance(expected, bytes):
+        return operations.Compare(key, operations.Target.VALUE, expected)
+    return operations.Compare(key, operations.Target.MOD, expected)
+
+
+def _read_range(answer: shapes.RangeAnswer) -> operations.Snapshot:
+    return operations.Snapshot(
+        gateway.read_revision(answer.get('header')),
+        gateway.read_entries(answer),
+    )
+
+
+def _read_transaction(
+    body: bytes,
+) -> expression.Result[operations.TransactAnswer, operations.Failure]:
+    return gateway.decode(body, shapes.TransactionAnswer).map(
+        gateway.read_transaction,
+    )
+
+
+def _gather_entries(answer: operations.TransactAnswer) -> operations.Snapshot:
+    entries: list[operations.Entry] = []
+    for each in answer.answers:
+        if isinstance(each, operations.GetAnswer):
+            entries.extend(each.entries)
+    return operations.Snapshot(answer.revision, tuple(entries))
+
+
+def _read_lease(answer: shapes.LeaseAnswer) -> operations.Lease:
+    return operations.Lease(answer.get('ID', 0), answer.get('TTL', 0))
+
+
+def _doubt_write(failure: operations.Failure) -> operations.Failure:
+    if isinstance(failure, operations.Malformed):
+        return operations.OutcomeUnknown(failure.detail)
+    return failure
--- /dev/null
+++ b/lavenderledge/policy/problems.py
@@ -0,0 +1,118 @@
+"""What can be wrong with the operators' table, and where."""
+
+import typing
+
+MAX_ROWS = 5000
+LIMIT_BYTES = 1_000_000
+
+
+class BadCell(typing.NamedTuple):
+    """A cell whose content breaks its column's rule."""
+
+    row: str
+    column: str
+    content: str
+    expected: str
+
+
+class MissingCell(typing.NamedTuple):
+    """A required cell that is absent or blank."""
+
+    row: str
+    column: str
+
+
+class UnknownColumn(typing.NamedTuple):
+    """A column, or a cell beyond the last column, that the table lacks."""
+
+    row: str
+    column: str
+
+
+class RepeatedColumn(typing.NamedTuple):
+    """A column that is given twice."""
+
+    row: str
+    column: str
+
+
+class DuplicateRow(typing.NamedTuple):
+    """A row whose name another row already has."""
+
+    row: str
+    column: str = 'row'
+
+
+class DuplicateMatch(typing.NamedTuple):
+    """A row for the same customer, pool and kind as another row."""
+
+    row: str
+    other: str
+    column: str = 'customer'
+
+
+class TooManyRows(typing.NamedTuple):
+    """A table with more rows than ``MAX_ROWS``."""
+
+    rows: int
+    row: str = ''
+    column: str = ''
+
+
+class TooLarge(typing.NamedTuple):
+    """A table whose stored form is not under ``LIMIT_BYTES``."""
+
+    size_bytes: int
+    row: str = ''
+    column: str = ''
+
+
+class NotTable(typing.NamedTuple):
+    """A text that does not hold a table at all."""
+
+    detail: str
+    row: str = ''
+    column: str = ''
+
+
+Problem: typing.TypeAlias = (
+    BadCell
+    | MissingCell
+    | UnknownColumn
+    | RepeatedColumn
+    | DuplicateRow
+    | DuplicateMatch
+    | TooManyRows
+    | TooLarge
+    | NotTable
+)
+Problems: typing.TypeAlias = tuple[Problem, ...]
+
+
+def describe(problem: Problem) -> str:
+    """Return one line that says what is wrong, and where."""
+    match problem:
+        case TooManyRows():
+            return f'{problem.rows} rows; at most {MAX_ROWS}'
+        case TooLarge():
+            return f'{problem.size_bytes} bytes; must be under {LIMIT_BYTES}'
+        case NotTable():
+            return f'not a table: {problem.detail}'
+    place = f'column {problem.column}'
+    if problem.row:
+        place = f'row {problem.row}, {place}'
+    return f'{place}: {_explain(problem)}'
+
+
+def _explain(problem: Problem) -> str:
+    match problem:
+        case BadCell():
+            return f'{problem.content!r} is not {problem.expected}'
+        case MissingCell():
+            return 'missing'
+        case UnknownColumn():
+            return 'no such column'
+        case DuplicateMatch():
+            return f'same customer, pool and kind as row {problem.other}'
+        case _:
+            return 'given twice'
