Allocate: asks, grants and releases between instances

Cause: a request needs leave from one place per pool before it goes to a replica, so that tiers hold over the whole fleet. The asker's side resends all that it holds; the allocator's side keeps soft state and decides by tier, fair order, limits, finish time, and cancels lower work.

--- /dev/null
+++ b/lavenderledge/controllers/allocator.py
@@ -0,0 +1,254 @@
+"""The allocating side: every pool that this instance allocates."""
+
+import asyncio
+import datetime
+import typing
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge.peers import messages
+from lavenderledge.policy import (
+    allocation,
+    intake,
+    prefix,
+    replicas,
+    requests,
+    table,
+)
+
+TICK: typing.Final = datetime.timedelta(milliseconds=50)
+POLICIES: typing.Final = allocation.POLICIES
+
+ReplicaInfo: typing.TypeAlias = replicas.ReplicaInfo
+CacheEvent: typing.TypeAlias = prefix.CacheEvent
+Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
+AskerMessage: typing.TypeAlias = (
+    messages.Report | messages.NewAsk | messages.Release
+)
+
+_MICROSECONDS: typing.Final = 1_000_000
+
+
+class ReplicaStatus(typing.NamedTuple):
+    """What is known of one replica; the gap in seconds."""
+
+    replica: str
+    held: int
+    limit: int
+    state: str
+    gap_s: float
+    prefill_rate: float
+
+
+class PoolStatus(typing.NamedTuple):
+    """One pool's waiting and held requests by tier, and its replicas."""
+
+    pool: str
+    reporting: int
+    alive: int
+    waiting: dict[int, int]
+    held: dict[int, int]
+    replicas: tuple[ReplicaStatus, ...]
+
+
+class Allocator:
+    """Grants replicas to the asks of all instances.
+
+    All state is soft: it is rebuilt from the instances' next reports.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        clock: clocks.Clock,
+        send: Send,
+        list_replicas: abc.Callable[[str], abc.Sequence[ReplicaInfo]],
+        find_row: abc.Callable[[str], table.Row | None],
+        is_allocator: abc.Callable[[str], bool],
+        count_alive: abc.Callable[[], int],
+        decide: str = 'lavenderledge',
+    ) -> None:
+        """Allocate nothing yet; ``decide`` is one of ``POLICIES``.
+
+        Raises ``KeyError`` for another policy.
+        """
+        self._instance = instance
+        self._clock = clock
+        self._send = send
+        self._list_replicas = list_replicas
+        self._find_row = find_row
+        self._is_allocator = is_allocator
+        self._count_alive = count_alive
+        self._policy = allocation.make_policy(decide)
+        self._pools: dict[str, allocation.Pool] = {}
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._scheduled = False
+
+    def receive(self, message: AskerMessage) -> None:
+        """Take an instance's message; grants follow at the next tick.
+
+        While ``run`` runs, a tick follows each burst of messages.
+        """
+        if not self._is_allocator(message.pool):
+            return
+        pool = self._find_pool(message.pool)
+        now_s = self._clock.read_monotonic()
+        if isinstance(message, messages.Report):
+            self._take_report(pool, message, now_s)
+        elif isinstance(message, messages.NewAsk):
+            pool.intake.apply_ask(message, share=pool.fleet.share, now_s=now_s)
+        else:
+            pool.intake.apply_release(message, now_s=now_s)
+        self._schedule()
+
+    def note_load(
+        self, pool: str, replica: str, running: int, waiting: int
+    ) -> None:
+        """Take a replica's own, lagging report of its load."""
+        held = self._pools.get(pool)
+        if held is not None and replica in held.book.replicas:
+            held.book.replicas[replica].reported = running + waiting
+
+    def note_cache_events(
+        self,
+        pool: str,
+        replica: str,
+        events: abc.Iterable[CacheEvent],
+        gap: bool,
+    ) -> None:
+        """Take a replica's cache events; ``gap`` says that some are lost."""
+        held = self._pools.get(pool)
+        if held is not None:
+            held.prefixes.note_events(replica, events, gap=gap)
+
+    def tick(self) -> None:
+        """Decide for every pool and send what was decided."""
+        self._scheduled = False
+        now_s = self._clock.read_monotonic()
+        for name, pool in tuple(self._pools.items()):
+            if self._is_allocator(name):
+                self._decide(name, pool, now_s)
+            else:
+                self._pools.pop(name)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        self._loop = asyncio.get_running_loop()
+        while True:
+            self.tick()
+            await self._clock.sleep(TICK)
+
+    def describe(self) -> tuple[PoolStatus, ...]:
+        """Return the state of every pool that is allocated here."""
+        return tuple(
+            _describe_pool(name, pool) for name, pool in self._pools.items()
+        )
+
+    def _schedule(self) -> None:
+        if self._loop is not None and not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self.tick)
+
+    def _find_pool(self, name: str) -> allocation.Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = allocation.Pool(
+                policy=self._policy,
+                find_row=self._find_row,
+                now_s=self._clock.read_monotonic(),
+            )
+            # Sequences grow over restarts, as grants name no incarnation.
+            wall_s = self._clock.read_wall().timestamp()
+            pool.sequence = int(wall_s * _MICROSECONDS)
+            pool.list_replicas(self._list_replicas(name))
+            self._pools[name] = pool
+        return pool
+
+    def _take_report(
+        self, pool: allocation.Pool, report: messages.Report, now_s: float
+    ) -> None:
+        fresh = pool.intake.apply_report(
+            report, share=pool.fleet.share, now_s=now_s
+        )
+        if not fresh:
+            return
+        for reading in report.readings:
+            replica = pool.book.replicas.get(reading.replica)
+            if replica is not None:
+                replica.note_reading(reading, now_s=now_s)
+                pool.prefixes.note_cached(
+                    reading.replica, reading.cached_tokens
+                )
+        pool.judge_replicas(now_s)
+
+    def _decide(self, name: str, pool: allocation.Pool, now_s: float) -> None:
+        pool.list_replicas(self._list_replicas(name))
+        pool.intake.forget_silent(now_s)
+        pool.fleet = allocation.Fleet(
+            pool.intake.count_reporting(), self._count_alive()
+        )
+        decisions = pool.decide(now_s)
+        for refused in pool.intake.refused:
+            self._send_refusal(name, refused)
+        pool.intake.refused.clear()
+        for grant in decisions.granted:
+            self._send_grant(name, pool, grant)
+        for request in decisions.preempted:
+            self._send_preemption(name, request)
+
+    def _send_grant(
+        self, name: str, pool: allocation.Pool, granted: allocation.Granted
+    ) -> None:
+        request = granted.request
+        grant = messages.Grant(
+            sender=self._instance,
+            pool=name,
+            sequence=request.sequence,
+            request_id=request.request_id,
+            replica=granted.info.name,
+            address=granted.info.address,
+            stamp_s=pool.intake.senders[request.sender].stamp_s,
+        )
+        self._send(request.sender, grant)
+
+    def _send_refusal(self, name: str, refused: intake.Refused) -> None:
+        refuse = messages.Refuse(
+            sender=self._instance,
+            pool=name,
+            request_id=refused.request_id,
+            reason=refused.reason,
+            retry_after_s=refused.retry_after_s,
+        )
+        self._send(refused.sender, refuse)
+
+    def _send_preemption(self, name: str, request: requests.Request) -> None:
+        preempt = messages.Preempt(
+            sender=self._instance, pool=name, request_id=request.request_id
+        )
+        self._send(request.sender, preempt)
+
+
+def _describe_pool(name: str, pool: allocation.Pool) -> PoolStatus:
+    book = pool.book
+    return PoolStatus(
+        pool=name,
+        reporting=pool.fleet.reporting,
+        alive=pool.fleet.alive,
+        waiting={
+            tier: book.queue.count_tier(tier)
+            for tier in book.queue.list_tiers()
+        },
+        held={tier: len(held) for tier, held in book.held.items() if held},
+        replicas=tuple(
+            ReplicaStatus(
+                replica=replica,
+                held=state.load.held,
+                limit=state.limit.most,
+                state=state.standing.state.value,
+                gap_s=state.speed.gap_s(state.load.held),
+                prefill_rate=state.speed.prefill_rate,
+            )
+            for replica, state in book.replicas.items()
+        ),
+    )
--- /dev/null
+++ b/lavenderledge/policy/book.py
@@ -0,0 +1,215 @@
+"""Every outstanding request of one pool, with the counts that follow."""
+
+import typing
+
+from lavenderledge.peers import messages
+from lavenderledge.policy import queueing, replicas, requests
+
+# The cost of a prompt token to its flow, in output tokens.
+PREFILL_COST: typing.Final = 0.1
+# A running answer is taken to have at least this part of its estimate left.
+_LEAST_LEFT: typing.Final = 0.1
+
+
+class Book:
+    """Keeps requests, queue and loads in step; changes go through here."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.requests: requests.Requests = {}
+        self.queue = queueing.Queue()
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.held: dict[int, requests.Requests] = {}
+        self.pressed: requests.Requests = {}
+        self.freeing: requests.Requests = {}
+        self._row_held: dict[str, int] = {}
+
+    def add(self, request: requests.Request) -> None:
+        """Add a request that waits."""
+        self.requests[request.request_id] = request
+        self._wait(request)
+
+    def renew_ask(self, request: requests.Request, ask: messages.Ask) -> None:
+        """Take a newer ask for a request that waits."""
+        if not ask.prefix:
+            ask = ask._replace(prefix=request.ask.prefix)
+        old = request.ask
+        if (old.tier, old.row) == (ask.tier, ask.row):
+            request.ask = ask
+            self._mark_pressed(request)
+            return
+        self._leave_queue(request)
+        request.ask = ask
+        self._wait(request)
+
+    def grant(
+        self,
+        request: requests.Request,
+        *,
+        replica: str,
+        sequence: int,
+        cached_tokens: float,
+        now_s: float,
+    ) -> None:
+        """Grant a replica to a request that waits."""
+        self._leave_queue(request)
+        request.stage = requests.Stage.GRANTED
+        request.replica = replica
+        request.sequence = sequence
+        request.granted_s = now_s
+        request.output_done = 0
+        request.prefill_left = max(
+            0, request.ask.prompt_tokens - int(cached_tokens)
+        )
+        request.output_left = request.ask.output_tokens
+        self._charge(request)
+        self._hold(request, now_s)
+
+    def adopt(
+        self,
+        request: requests.Request,
+        held: messages.Running,
+        *,
+        now_s: float,
+    ) -> None:
+        """Take an instance's word that a request runs on a replica."""
+        if request.stage is requests.Stage.WAITING:
+            if request.request_id in self.requests:
+                self._leave_queue(request)
+            self.requests[request.request_id] = request
+            request.granted_s = now_s
+            request.replica = held.replica
+            request.prefill_left = held.prompt_tokens
+            request.output_left = held.output_tokens
+            self._charge(request)
+            self._hold(request, now_s)
+        request.stage = requests.Stage.RUNNING
+        self._note_progress(request, held)
+
+    def move(
+        self, request: requests.Request, replica: str, *, now_s: float
+    ) -> None:
+        """Count a request at another replica than it was granted."""
+        self._unload(request, now_s)
+        request.replica = replica
+        self._load(request, now_s)
+
+    def put_back(self, request: requests.Request, *, now_s: float) -> None:
+        """Let a request wait whose grant was lost or has expired."""
+        self._unhold(request, now_s)
+        self._settle(request, 0)
+        self._wait(request)
+
+    def drop(
+        self, request: requests.Request, *, output_done: int, now_s: float
+    ) -> None:
+        """Forget a request; its flow pays for what was done."""
+        self.requests.pop(request.request_id)
+        if request.stage is requests.Stage.WAITING:
+            self._leave_queue(request)
+            return
+        self._unhold(request, now_s)
+        done = max(output_done, request.output_done)
+        self._settle(request, _count_cost(request.ask.prompt_tokens, done))
+
+    def preempt(self, request: requests.Request, *, now_s: float) -> None:
+        """Record that a request is told to end."""
+        request.preempted_s = now_s
+        self.freeing[request.request_id] = request
+
+    def find_replica(self, name: str) -> replicas.Replica:
+        """Return a replica, listed or not."""
+        replica = self.replicas.get(name)
+        if replica is None:
+            replica = replicas.Replica(info=None)
+            self.replicas[name] = replica
+        return replica
+
+    def count_row_held(self, row: str) -> int:
+        """Return how many requests of a row hold grants."""
+        return self._row_held.get(row, 0)
+
+    def count_held(self) -> int:
+        """Return how many requests hold grants."""
+        return sum(map(len, self.held.values()))
+
+    def count_tier_held(self, tier: int) -> int:
+        """Return how many requests of a tier hold grants."""
+        return len(self.held.get(tier, ()))
+
+    def _wait(self, request: requests.Request) -> None:
+        request.stage = requests.Stage.WAITING
+        request.replica = ''
+        self.queue.add(request)
+        self._mark_pressed(request)
+
+    def _mark_pressed(self, request: requests.Request) -> None:
+        if request.ask.pressed:
+            self.pressed[request.request_id] = request
+
+    def _leave_queue(self, request: requests.Request) -> None:
+        self.queue.remove(request)
+        self.pressed.pop(request.request_id, None)
+
+    def _hold(self, request: requests.Request, now_s: float) -> None:
+        ask = request.ask
+        self.held.setdefault(ask.tier, {})[ask.request_id] = request
+        self._row_held[ask.row] = self._row_held.get(ask.row, 0) + 1
+        self._load(request, now_s)
+
+    def _unhold(self, request: requests.Request, now_s: float) -> None:
+        ask = request.ask
+        self.held[ask.tier].pop(ask.request_id)
+        self.freeing.pop(ask.request_id, None)
+        self._row_held[ask.row] -= 1
+        if not self._row_held[ask.row]:
+            self._row_held.pop(ask.row)
+        self._unload(request, now_s)
+
+    def _load(self, request: requests.Request, now_s: float) -> None:
+        self.find_replica(request.replica).load.add(
+            prefill=request.prefill_left,
+            output=request.output_left,
+            now_s=now_s,
+        )
+
+    def _unload(self, request: requests.Request, now_s: float) -> None:
+        replica = self.find_replica(request.replica)
+        replica.load.remove(
+            prefill=request.prefill_left,
+            output=request.output_left,
+            now_s=now_s,
+        )
+        if replica.info is None and not replica.load.held:
+            self.replicas.pop(request.replica)
+
+    def _note_progress(
+        self, request: requests.Request, held: messages.Running
+    ) -> None:
+        """Update what is left to do by an instance's report."""
+        load = self.find_replica(request.replica).load
+        prefill = 0 if held.output_done else request.prefill_left
+        output = max(
+            held.output_tokens - held.output_done,
+            int(held.output_tokens * _LEAST_LEFT),
+        )
+        load.prefill_left += prefill - request.prefill_left
+        load.output_left += output - request.output_left
+        request.prefill_left = prefill
+        request.output_left = output
+        request.output_done = held.output_done
+
+    def _charge(self, request: requests.Request) -> None:
+        request.cost = _count_cost(
+            request.ask.prompt_tokens, request.ask.output_tokens
+        )
+        self.queue.charge(request, request.cost)
+
+    def _settle(self, request: requests.Request, cost: float) -> None:
+        self.queue.correct(request, cost - request.cost)
+        request.cost = 0
+        request.preempted_s = None
+
+
+def _count_cost(prompt_tokens: int, output_tokens: int) -> float:
+    return prompt_tokens * PREFILL_COST + output_tokens
--- /dev/null
+++ b/lavenderledge/policy/placement.py
@@ -0,0 +1,162 @@
+"""Choosing a replica by the expected time of finishing there."""
+
+import enum
+import typing
+from collections import abc
+
+# A hold for a faster replica ends after this long.
+MOST_HOLD_S: typing.Final = 0.25
+# A faster replica must save this much, and this part of the time.
+_LEAST_GAIN_S: typing.Final = 0.25
+_LEAST_GAIN: typing.Final = 0.2
+# The part of the estimate that must fit before the deadline: an answer may
+# be shorter than its row's usual one.
+_MUST_FIT: typing.Final = 0.8
+
+
+class Wanted(typing.NamedTuple):
+    """One request's size in tokens, and its times in seconds."""
+
+    prompt_tokens: int
+    output_tokens: int
+    remaining_s: float
+    waited_s: float
+
+
+class Option(typing.NamedTuple):
+    """One replica as it stands for one request.
+
+    ``gap_s`` is the token gap to expect with the request in the batch, and
+    ``least_gap_s`` the one without the work that may be cancelled for it;
+    ``queued_tokens`` is the prefill granted before it; ``free_in_s`` the time
+    until a slot is expected where none is free.
+    """
+
+    replica: str
+    slots: int
+    gap_s: float
+    least_gap_s: float
+    prefill_rate: float
+    queued_tokens: int
+    cached_tokens: float
+    free_in_s: float
+    outstanding: int
+    reported: int
+
+
+@enum.unique
+class Verdict(enum.Enum):
+    """What to do with a request that is due."""
+
+    PLACE = 'place'
+    WAIT = 'wait'
+    UNREACHABLE = 'unreachable'
+
+
+class Choice(typing.NamedTuple):
+    """What to do, and the replica; with ``WAIT`` one not to fill meanwhile."""
+
+    verdict: Verdict
+    replica: str = ''
+
+
+Choose: typing.TypeAlias = abc.Callable[[Wanted, abc.Sequence[Option]], Choice]
+
+_WAIT: typing.Final = Choice(Verdict.WAIT)
+
+
+def estimate_first_s(wanted: Wanted, option: Option) -> float:
+    """Return the expected seconds to the first token once granted."""
+    uncached = max(wanted.prompt_tokens - option.cached_tokens, 1)
+    return (option.queued_tokens + uncached) / option.prefill_rate
+
+
+def estimate_finish_s(wanted: Wanted, option: Option) -> float:
+    """Return the expected seconds to the whole answer once granted."""
+    return (
+        estimate_first_s(wanted, option) + wanted.output_tokens * option.gap_s
+    )
+
+
+def estimate_least_s(wanted: Wanted, option: Option) -> float:
+    """Return the seconds to the whole answer without cancellable work."""
+    uncached = max(wanted.prompt_tokens - option.cached_tokens, 1)
+    return (
+        uncached / option.prefill_rate
+        + wanted.output_tokens * option.least_gap_s
+    )
+
+
+def choose_by_finish(wanted: Wanted, options: abc.Sequence[Option]) -> Choice:
+    """Place where the answer is expected first, and in time.
+
+    A request waits a little for a much faster replica, and as long as only
+    replicas are free that would be too slow for its deadline. It is
+    unreachable where no replica at all could finish it, if granted now.
+    """
+    if not options:
+        return _WAIT
+    least_s = min(estimate_least_s(wanted, option) for option in options)
+    if least_s * _MUST_FIT > wanted.remaining_s:
+        return Choice(Verdict.UNREACHABLE)
+    timely = [
+        (estimate_finish_s(wanted, option), option.replica)
+        for option in options
+        if option.slots > 0
+        and estimate_least_s(wanted, option) * _MUST_FIT < wanted.remaining_s
+    ]
+    if not timely:
+        return _WAIT
+    finish_s, replica = min(timely)
+    if wanted.waited_s < MOST_HOLD_S and _find_faster(
+        wanted, options, finish_s
+    ):
+        return Choice(Verdict.WAIT, replica)
+    return Choice(Verdict.PLACE, replica)
+
+
+def make_round_robin() -> Choose:
+    """Return a choice that takes the replicas in turn, free or not."""
+    turn = 0
+
+    def choose(wanted: Wanted, options: abc.Sequence[Option]) -> Choice:
+        nonlocal turn  # noqa: WPS420
+        if not options:
+            return _WAIT
+        turn += 1
+        option = options[turn % len(options)]
+        return Choice(Verdict.PLACE, option.replica)
+
+    return choose
+
+
+def make_least_loaded() -> Choose:
+    """Return a choice of the least load by report, ties in turn."""
+    turn = 0
+
+    def choose(wanted: Wanted, options: abc.Sequence[Option]) -> Choice:
+        nonlocal turn  # noqa: WPS420
+        if not options:
+            return _WAIT
+        turn += 1
+        start = turn % len(options)
+        rotated = (*options[start:], *options[:start])
+        option = min(rotated, key=_read_reported)
+        return Choice(Verdict.PLACE, option.replica)
+
+    return choose
+
+
+def _read_reported(option: Option) -> int:
+    return option.reported
+
+
+def _find_faster(
+    wanted: Wanted, options: abc.Sequence[Option], finish_s: float
+) -> bool:
+    goal_s = min(finish_s - _LEAST_GAIN_S, finish_s * (1 - _LEAST_GAIN))
+    return any(
+        option.free_in_s + estimate_finish_s(wanted, option) < goal_s
+        for option in options
+        if option.slots <= 0 and option.free_in_s < MOST_HOLD_S
+    )
--- /dev/null
+++ b/lavenderledge/policy/progress.py
@@ -0,0 +1,116 @@
+"""Readings of token progress, gathered for each replica of one pool."""
+
+import typing
+
+from lavenderledge.peers import messages
+
+# An unfinished gap this long is counted before its token arrives.
+_OPEN_GAP_S: typing.Final = 0.25
+
+
+class Mark:
+    """How far one started request has come, by its instance's clock."""
+
+    __slots__ = ('done', 'replica', 'seen_s', 'started_s')
+
+    def __init__(self, *, replica: str, started_s: float) -> None:
+        """Start with no token."""
+        self.replica = replica
+        self.started_s = started_s
+        self.seen_s = started_s
+        self.done = 0
+
+
+class _Sums:
+    """The sums of one reading that is not yet reported."""
+
+    __slots__ = (
+        'cached_tokens',
+        'failures',
+        'first_token_s',
+        'first_tokens',
+        'prefill_tokens',
+        'token_gap_s',
+        'token_gaps',
+    )
+
+    def __init__(self) -> None:
+        """Start from nothing."""
+        self.token_gaps = 0
+        self.token_gap_s = float(0)
+        self.first_tokens = 0
+        self.first_token_s = float(0)
+        self.prefill_tokens = 0
+        self.cached_tokens = 0
+        self.failures = 0
+
+
+class Progress:
+    """Sums readings until the next report takes them."""
+
+    def __init__(self) -> None:
+        """Start with no readings."""
+        self._sums: dict[str, _Sums] = {}
+
+    def note_tokens(
+        self, mark: Mark, *, done: int, prompt_tokens: int, now_s: float
+    ) -> None:
+        """Count the tokens that a request has gained since its mark."""
+        gained = done - mark.done
+        if gained <= 0:
+            return
+        sums = self._find(mark.replica)
+        if mark.done == 0:
+            sums.first_tokens += 1
+            sums.first_token_s += now_s - mark.started_s
+            sums.prefill_tokens += prompt_tokens
+        else:
+            sums.token_gaps += gained
+            sums.token_gap_s += now_s - mark.seen_s
+        mark.done = done
+        mark.seen_s = now_s
+
+    def note_open_gap(self, mark: Mark, *, now_s: float) -> None:
+        """Count the long gap in which a request stands, if it does."""
+        if mark.done and now_s - mark.seen_s > _OPEN_GAP_S:
+            sums = self._find(mark.replica)
+            sums.token_gaps += 1
+            sums.token_gap_s += now_s - mark.seen_s
+            mark.seen_s = now_s
+
+    def note_cached(self, replica: str, cached_tokens: int) -> None:
+        """Count prompt tokens that a replica said it had cached."""
+        self._find(replica).cached_tokens += cached_tokens
+
+    def note_failure(self, replica: str) -> None:
+        """Count a failed connect or a refusal by the replica itself."""
+        self._find(replica).failures += 1
+
+    def take(self) -> tuple[messages.Reading, ...]:
+        """Return the readings since the last call, and start anew."""
+        readings = tuple(
+            _build_reading(replica, sums)
+            for replica, sums in self._sums.items()
+        )
+        self._sums.clear()
+        return readings
+
+    def _find(self, replica: str) -> _Sums:
+        sums = self._sums.get(replica)
+        if sums is None:
+            sums = _Sums()
+            self._sums[replica] = sums
+        return sums
+
+
+def _build_reading(replica: str, sums: _Sums) -> messages.Reading:
+    return messages.Reading(
+        replica=replica,
+        token_gaps=sums.token_gaps,
+        token_gap_s=sums.token_gap_s,
+        first_tokens=sums.first_tokens,
+        first_token_s=sums.first_token_s,
+        prefill_tokens=sums.prefill_tokens,
+        cached_tokens=sums.cached_tokens,
+        failures=sums.failures,
+    )
--- /dev/null
+++ b/lavenderledge/policy/replicas.py
@@ -0,0 +1,175 @@
+"""What the allocator of a pool knows of each replica."""
+
+import math
+import typing
+
+from lavenderledge.peers import messages
+from lavenderledge.policy import knees, speed, stragglers
+
+PLAIN_LIMIT: typing.Final = 32
+
+_BATCH_WINDOW_S: typing.Final = 0.5
+_FIRST_BACKOFF_S: typing.Final = 0.25
+_MOST_BACKOFF_S: typing.Final = 5.0
+_MOST_DOUBLINGS: typing.Final = 6
+# The weight of a slow replica's readings in what is usual for it.
+_SLOW_WEIGHT: typing.Final = 0.05
+# Readings of batches this far beyond those known are no sign of a straggler.
+_KNOWN_BATCH: typing.Final = 1.15
+
+
+class ReplicaInfo(typing.NamedTuple):
+    """One replica that is ready and not terminating."""
+
+    name: str
+    address: str
+    availability_zone: str
+    kind: typing.Literal['engine', 'plain']
+
+
+class Replica:
+    """One replica's load by the allocator's own grants, and its speed."""
+
+    def __init__(self, *, info: ReplicaInfo | None) -> None:
+        """Start without load; ``info`` is None while it is not listed."""
+        self.info = info
+        plain = info is not None and info.kind == 'plain'
+        self.plain = plain
+        start = PLAIN_LIMIT if plain else knees.START_LIMIT
+        self.limit = knees.Limit(start=start)
+        self.speed = speed.Speed()
+        self.pace = stragglers.Pace()
+        self.standing = stragglers.Standing(stragglers.State.NORMAL, 0)
+        self.load = Load()
+        self.reported = 0
+        self.failures = 0
+        self.closed_until_s = float('-inf')
+
+    def count_slots(self, *, share: float, now_s: float) -> int:
+        """Return how many more requests may be granted here."""
+        if self.info is None or now_s < self.closed_until_s:
+            return 0
+        most = math.ceil(self.limit.most * share)
+        most = stragglers.scale_limit(self.standing, most, now_s=now_s)
+        return max(0, most - self.load.held)
+
+    def slow_factor(self) -> float:
+        """Return by how much the replica is slower than usual now."""
+        if self.standing.state is stragglers.State.NORMAL:
+            return 1
+        return max(1, self.pace.ratio() or 1)
+
+    def note_reading(self, reading: messages.Reading, *, now_s: float) -> None:
+        """Learn from what an instance measured."""
+        if reading.failures:
+            self._note_failures(reading.failures, now_s)
+        if reading.first_tokens:
+            self.failures = 0
+            self._note_first_tokens(reading, now_s)
+        if reading.token_gaps:
+            self.failures = 0
+            self._note_gaps(reading, now_s)
+
+    def judge(self, *, common: float, now_s: float) -> None:
+        """Update the standing, given by how much all replicas are slow."""
+        self.standing = stragglers.judge(
+            self.standing,
+            ratio=self.pace.ratio(),
+            common=common,
+            read_s=self.pace.read_s,
+            now_s=now_s,
+        )
+
+    def _note_gaps(self, reading: messages.Reading, now_s: float) -> None:
+        batch = self.load.mean_batch(now_s)
+        gap_s = reading.token_gap_s / reading.token_gaps
+        usual_s = self.speed.gap_s(batch)
+        if self._is_comparable(batch):
+            self.pace.note(
+                gaps=reading.token_gaps,
+                gap_s=reading.token_gap_s,
+                usual_gap_s=usual_s,
+                now_s=now_s,
+            )
+        normal = self.standing.state is stragglers.State.NORMAL
+        self.speed.note_gaps(
+            batch=batch,
+            gaps=reading.token_gaps,
+            gap_s=gap_s,
+            weight=1 if normal else _SLOW_WEIGHT,
+        )
+        if normal:
+            self.limit.note(
+                batch=batch,
+                gaps=reading.token_gaps,
+                gap_s=reading.token_gap_s,
+                usual=self.speed,
+                now_s=now_s,
+            )
+        else:
+            self.limit.skip()
+
+    def _is_comparable(self, batch: float) -> bool:
+        known = self.speed.most_batch * _KNOWN_BATCH + 1
+        return self.speed.known and batch <= known
+
+    def _note_first_tokens(
+        self, reading: messages.Reading, now_s: float
+    ) -> None:
+        if self.plain:
+            # A plain answer counts as one gap: its time is all there is.
+            self._note_gaps(
+                reading._replace(
+                    token_gaps=reading.first_tokens,
+                    token_gap_s=reading.first_token_s,
+                ),
+                now_s,
+            )
+            return
+        self.speed.note_first_tokens(
+            prefilled_tokens=reading.prefill_tokens - reading.cached_tokens,
+            first_token_s=reading.first_token_s,
+        )
+
+    def _note_failures(self, count: int, now_s: float) -> None:
+        self.failures = min(self.failures + count, _MOST_DOUBLINGS)
+        backoff_s = _FIRST_BACKOFF_S * 2 ** (self.failures - 1)
+        self.closed_until_s = now_s + min(backoff_s, _MOST_BACKOFF_S)
+
+
+class Load:
+    """The requests that hold grants for one replica; sums in tokens."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.held = 0
+        self.freeing = 0
+        self.prefill_left = 0
+        self.output_left = 0
+        self._mean = float(0)
+        self._read_s: float | None = None
+
+    def add(self, *, prefill: int, output: int, now_s: float) -> None:
+        """Count one more request with so much left to do."""
+        self.mean_batch(now_s)
+        self.held += 1
+        self.prefill_left += prefill
+        self.output_left += output
+
+    def remove(self, *, prefill: int, output: int, now_s: float) -> None:
+        """Count one request less that had so much left to do."""
+        self.mean_batch(now_s)
+        self.held -= 1
+        self.prefill_left -= prefill
+        self.output_left -= output
+
+    def mean_batch(self, now_s: float) -> float:
+        """Return the number held of late, averaged over half a second."""
+        if self._read_s is None:
+            self._mean = float(self.held)
+        else:
+            elapsed_s = max(now_s - self._read_s, 0)
+            step = 1 - math.exp(-elapsed_s / _BATCH_WINDOW_S)
+            self._mean += step * (self.held - self._mean)
+        self._read_s = now_s
+        return max(self._mean, 1)
--- /dev/null
+++ b/lavenderledge/policy/speed.py
@@ -0,0 +1,98 @@
+"""The learned speed of one replica."""
+
+import typing
+
+DEFAULT_GAP_S: typing.Final = 0.03
+DEFAULT_PREFILL_RATE: typing.Final = 5000.0
+
+# How much of the sums is kept at each new reading.
+_FADE: typing.Final = 0.98
+# Readings of more gaps than this weigh no more.
+_MOST_GAPS: typing.Final = 64
+# The slope assumed while all readings are of like batches, per request, as
+# a part of the gap without any other request.
+_PRIOR_SLOPE: typing.Final = 0.02
+# The weight of that assumption, in squared requests of the batch's variance.
+_PRIOR_WEIGHT: typing.Final = 1.0
+# The part of the mean gap that the fit leaves at least for no batch.
+_LEAST_BASE: typing.Final = 0.1
+_RATE_UP: typing.Final = 0.5
+_RATE_DOWN: typing.Final = 0.05
+_LEAST_RATE: typing.Final = 50.0
+
+
+class Speed:
+    """Fits the token gap, in seconds, as a line over the batch.
+
+    Sums fade, so that the fit follows lasting changes. The prefill rate is
+    in tokens per second.
+    """
+
+    def __init__(self, *, gap_s: float = DEFAULT_GAP_S) -> None:
+        """Assume a gap until there are readings."""
+        self.prefill_rate = DEFAULT_PREFILL_RATE
+        self.known = False
+        self.most_batch = float(0)
+        self._weight = float(0)
+        self._batch = float(0)
+        self._batch_square = float(0)
+        self._gap = float(0)
+        self._product = float(0)
+        self._base_s = gap_s
+        self._slope_s = gap_s * _PRIOR_SLOPE
+
+    def note_gaps(
+        self, *, batch: float, gaps: int, gap_s: float, weight: float = 1
+    ) -> None:
+        """Learn from the mean gap of so many gaps at a batch."""
+        if gaps <= 0:
+            return
+        counted = min(gaps, _MOST_GAPS) * weight
+        fade = 1 - (1 - _FADE) * min(weight, 1)
+        self._weight = self._weight * fade + counted
+        self._batch = self._batch * fade + counted * batch
+        self._batch_square = self._batch_square * fade + counted * batch**2
+        self._gap = self._gap * fade + counted * gap_s
+        self._product = self._product * fade + counted * batch * gap_s
+        self.known = True
+        self.most_batch = max(self.most_batch * fade, batch)
+        self._fit()
+
+    def note_first_tokens(
+        self, *, prefilled_tokens: int, first_token_s: float
+    ) -> None:
+        """Learn the prefill rate from prefills that were not cached.
+
+        The time to first token includes waiting in the replica, so faster
+        readings are believed sooner than slower ones.
+        """
+        if prefilled_tokens <= 0 or first_token_s <= 0:
+            return
+        rate = max(prefilled_tokens / first_token_s, _LEAST_RATE)
+        step = _RATE_UP if rate > self.prefill_rate else _RATE_DOWN
+        self.prefill_rate += step * (rate - self.prefill_rate)
+
+    def gap_s(self, batch: float) -> float:
+        """Return the usual gap between tokens at a batch, in seconds."""
+        return self._base_s + self._slope_s * max(batch, 1)
+
+    def elasticity(self, batch: float) -> float:
+        """Return how throughput grows with the batch there, from 0 to 1.
+
+        At 1 a batch larger by a hundredth gives a hundredth more tokens; at
+        0 it gives no more.
+        """
+        return self._base_s / self.gap_s(batch)
+
+    def _fit(self) -> None:
+        mean_batch = self._batch / self._weight
+        mean_gap = self._gap / self._weight
+        variance = max(self._batch_square / self._weight - mean_batch**2, 0)
+        covariance = self._product / self._weight - mean_batch * mean_gap
+        prior = mean_gap * _PRIOR_SLOPE / (1 + mean_batch * _PRIOR_SLOPE)
+        slope = (covariance + _PRIOR_WEIGHT * prior) / (
+            variance + _PRIOR_WEIGHT
+        )
+        most = mean_gap * (1 - _LEAST_BASE) / max(mean_batch, 1)
+        self._slope_s = min(max(slope, 0), most)
+        self._base_s = mean_gap - self._slope_s * mean_batch
