--- a/lavenderledge/standins/admin.py
+++ b/lavenderledge/standins/admin.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import functools
 import typing
 from collections import abc
 
@@ -114,32 +115,55 @@
 
 def list_routes(panel: Panel[typing.Any]) -> list[routing.BaseRoute]:
     """Return the routes under ``/standin``."""
+    return [
+        route('GET', '/standin/switches', _show_switches, panel),
+        route('POST', '/standin/switches', _change_switches, panel),
+        route('GET', '/standin/log', _show_log, panel),
+        route('GET', '/standin/counts', _show_counts, panel),
+    ]
 
-    async def show_switches(request: requests.Request) -> responses.Response:
-        return reply(panel.switches._asdict())
 
-    async def change_switches(request: requests.Request) -> responses.Response:
-        try:
-            named = await read_object(request)
-        except msgspec.MsgspecError as error:
-            return reply(SwitchError(str(error))._asdict(), _BAD_REQUEST)
-        refused = panel.change(named)
-        if refused is not None:
-            return reply(refused._asdict(), _BAD_REQUEST)
-        return reply(panel.switches._asdict())
-
-    async def show_log(request: requests.Request) -> responses.Response:
-        after = request.query_params.get('after', '0')
-        if not after.isdecimal():
-            return reply({'error': 'after is not a number'}, _BAD_REQUEST)
-        return reply(panel.journal.read(int(after)))
-
-    async def show_counts(request: requests.Request) -> responses.Response:
-        return reply(panel.counts)
+def route(
+    method: str,
+    path: str,
+    endpoint: abc.Callable[..., typing.Any],
+    *bound: object,
+) -> routing.Route:
+    """Return a route to ``endpoint(*bound, request)``."""
+    return routing.Route(
+        path, functools.partial(endpoint, *bound), methods=[method]
+    )
 
-    return [
-        routing.Route('/standin/switches', show_switches, methods=['GET']),
-        routing.Route('/standin/switches', change_switches, methods=['POST']),
-        routing.Route('/standin/log', show_log, methods=['GET']),
-        routing.Route('/standin/counts', show_counts, methods=['GET']),
-    ]
+
+async def _show_switches(
+    panel: Panel[typing.Any], request: requests.Request
+) -> responses.Response:
+    return reply(panel.switches._asdict())
+
+
+async def _change_switches(
+    panel: Panel[typing.Any], request: requests.Request
+) -> responses.Response:
+    try:
+        named = await read_object(request)
+    except msgspec.MsgspecError as error:
+        return reply(SwitchError(str(error))._asdict(), _BAD_REQUEST)
+    refused = panel.change(named)
+    if refused is not None:
+        return reply(refused._asdict(), _BAD_REQUEST)
+    return reply(panel.switches._asdict())
+
+
+async def _show_log(
+    panel: Panel[typing.Any], request: requests.Request
+) -> responses.Response:
+    after = request.query_params.get('after', '0')
+    if not after.isdecimal():
+        return reply({'error': 'after is not a number'}, _BAD_REQUEST)
+    return reply(panel.journal.read(int(after)))
+
+
+async def _show_counts(
+    panel: Panel[typing.Any], request: requests.Request
+) -> responses.Response:
+    return reply(panel.counts)
--- a/lavenderledge/standins/batch.py
+++ b/lavenderledge/standins/batch.py
@@ -2,10 +2,10 @@
 
 Time passes in steps. In each step every request past its prefill makes one
 token, and up to ``PREFILL_CHUNK_TOKENS`` prompt tokens are computed for the
-requests still in prefill, in the order they started. A step takes the token gap of
-its batch plus the time of its prefill chunk, so a prefill slows every other
-request, as chunked prefill does. The request's first token comes at the end
-of the step that completes its prefill.
+requests still in prefill, in the order they started. A step takes the token
+gap of its batch plus the time of its prefill, so a prefill slows every other
+request, as chunked prefill does. A request's first token comes at the end of
+the step that completes its prefill.
 
 The token gap is about constant up to the knee, ``gap * (1 + 0.02 * (b - 1))``
 for a batch of ``b``, and beyond the knee grows in proportion to the batch.
--- a/lavenderledge/standins/connection.py
+++ b/lavenderledge/standins/connection.py
@@ -1,7 +1,10 @@
 """Faults of a connection that no ASGI message can express."""
 
 import asyncio
+import contextlib
+import functools
 import typing
+from collections import abc
 
 from starlette import types
 
@@ -10,16 +13,7 @@
 
 def expose_transport(app: types.ASGIApp) -> types.ASGIApp:
     """Give an application the transport of each connection it answers on."""
-
-    async def handle(
-        scope: types.Scope, receive: types.Receive, send: types.Send
-    ) -> None:
-        if scope['type'] == 'http':
-            cycle = getattr(send, '__self__', None)
-            scope[_TRANSPORT] = getattr(cycle, 'transport', None)
-        await app(scope, receive, send)
-
-    return handle
+    return functools.partial(_run_exposed, app)
 
 
 def abort(scope: types.Scope) -> None:
@@ -35,6 +29,19 @@
             return
 
 
+@contextlib.asynccontextmanager
+async def noticing_close(
+    receive: types.Receive, notice: abc.Callable[[], None]
+) -> abc.AsyncGenerator[asyncio.Task[None], None]:
+    """Call ``notice`` once the connection has closed, and give that task."""
+    closing = asyncio.create_task(wait_closed(receive))
+    closing.add_done_callback(lambda done: notice())
+    try:
+        yield closing
+    finally:
+        closing.cancel()
+
+
 async def drop(
     scope: types.Scope, receive: types.Receive, send: types.Send
 ) -> None:
@@ -48,3 +55,16 @@
 ) -> None:
     """Leave the connection open without an answer until it closes."""
     await wait_closed(receive)
+
+
+async def _run_exposed(
+    app: types.ASGIApp,
+    scope: types.Scope,
+    receive: types.Receive,
+    send: types.Send,
+) -> None:
+    if scope['type'] == 'http':
+        # The server's request cycle alone knows the transport.
+        cycle = getattr(send, '__self__', None)
+        scope[_TRANSPORT] = getattr(cycle, 'transport', None)
+    await app(scope, receive, send)
--- a/lavenderledge/standins/delivery.py
+++ b/lavenderledge/standins/delivery.py
@@ -5,8 +5,8 @@
 the other any longer.
 """
 
-import asyncio
 import contextlib
+import sys
 from collections import abc
 
 import msgspec
@@ -37,7 +37,7 @@
             if not listener.silent:
                 await _start(send, _STREAM_HEADERS)
                 await _send_events(served, made, listener, send, first)
-            await _end(scope, receive, listener)
+            await _end(scope, listener)
 
     return respond
 
@@ -59,8 +59,8 @@
             if not _is_over(listener):
                 await _start(send, _JSON_HEADERS)
                 body = msgspec.json.encode(made.build_response())
-                await send({'type': 'http.response.body', 'body': body})
-            await _end(scope, receive, listener)
+                await _send_body(send, body, more=False)
+            await _end(scope, listener)
 
     return respond
 
@@ -74,14 +74,12 @@
 ) -> abc.AsyncGenerator[generation.Listener, None]:
     listener = generation.Listener(silent=silent)
     served.attach(made, listener)
-    closing = asyncio.create_task(connection.wait_closed(receive))
-    closing.add_done_callback(lambda done: listener.close())
-    try:
-        yield listener
-    finally:
-        closing.cancel()
-        if not listener.silent:
-            served.detach(made, listener)
+    async with connection.noticing_close(receive, listener.close):
+        try:
+            yield listener
+        finally:
+            if not listener.silent:
+                served.detach(made, listener)
 
 
 async def _send_events(
@@ -93,27 +91,25 @@
 ) -> None:
     following = first
     while not _is_over(listener):
-        last = made.last_event
-        if following <= last:
-            body = b''.join(map(made.render, range(following, last + 1)))
-            await send(
-                {
-                    'type': 'http.response.body',
-                    'body': body,
-                    'more_body': True,
-                }
-            )
-            following = last + 1
+        limit = served.panel.switches.cut_after_events or sys.maxsize
+        end = min(made.last_event + 1, first + limit)
+        if following < end:
+            body = b''.join(map(made.render, range(following, end)))
+            await _send_body(send, body, more=True)
+            following = end
         if made.sequence.ended and following > made.last_event:
-            await send({'type': 'http.response.body', 'body': b''})
+            await _send_body(send, b'', more=False)
             return
-        limit = served.panel.switches.cut_after_events
-        if limit and following - first >= limit:
+        if following - first >= limit:
             listener.cut = True
             return
         await listener.wait()
 
 
+async def _send_body(send: types.Send, body: bytes, *, more: bool) -> None:
+    await send({'type': 'http.response.body', 'body': body, 'more_body': more})
+
+
 async def _start(
     send: types.Send, headers: abc.Iterable[tuple[bytes, bytes]]
 ) -> None:
@@ -126,14 +122,11 @@
     )
 
 
-async def _end(
-    scope: types.Scope, receive: types.Receive, listener: generation.Listener
-) -> None:
-    if listener.silent:
-        while not listener.closed:
-            await listener.wait()
-    elif listener.cut:
+async def _end(scope: types.Scope, listener: generation.Listener) -> None:
+    if listener.cut and not listener.silent:
         connection.abort(scope)
+    while _is_over(listener) and not listener.closed:
+        await listener.wait()
 
 
 def _is_over(listener: generation.Listener) -> bool:
--- a/lavenderledge/standins/engineapp.py
+++ b/lavenderledge/standins/engineapp.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import functools
 import typing
 from collections import abc
 
 import msgspec
-from starlette import applications, requests, responses, routing, types
+from starlette import applications, requests, responses, types
 
 from lavenderledge.standins import (
     admin,
@@ -32,115 +33,125 @@
 _OVERLOADED = EngineError(503, 'overloaded', 'no new requests are taken')
 _KNOWN = EngineError(409, 'duplicate_request_id', 'request_id is in use')
 _FENCED = EngineError(409, 'stale_fencing', 'the fencing number is old')
-_NOT_NUMBER = EngineError(400, 'invalid_request', 'not a number')
+_NO_MODEL = EngineError(404, 'model_not_found', 'no such model')
 
 
 def build_app(served: engine.Engine) -> types.ASGIApp:
     """Return the engine's application."""
-
-    @contextlib.asynccontextmanager
-    async def live(
-        app: applications.Starlette,
-    ) -> abc.AsyncGenerator[None, None]:
-        driver = asyncio.create_task(served.run())
-        yield
-        driver.cancel()
-
-    routes = [*_list_response_routes(served), *_list_report_routes(served)]
+    path = '/v1/responses/{id}'
     return applications.Starlette(
-        routes=[*routes, *admin.list_routes(served.panel)], lifespan=live
+        routes=[
+            admin.route('POST', '/v1/responses', _create, served),
+            admin.route('GET', path, _read, served),
+            admin.route('POST', f'{path}/cancel', _cancel, served),
+            admin.route('GET', '/metrics', _show_metrics, served),
+            admin.route('GET', '/kv_events', _show_events, served),
+            admin.route('GET', '/health', _show_health, served),
+            admin.route('POST', '/orders', _take_order, served),
+            *admin.list_routes(served.panel),
+        ],
+        lifespan=functools.partial(_live, served),
     )
 
 
-def _list_response_routes(served: engine.Engine) -> list[routing.BaseRoute]:
-    async def create(request: requests.Request) -> types.ASGIApp:
-        served.panel.counts['create'] += 1
-        parsed = creation.parse(await request.body())
-        if parsed.is_error():
-            return _refuse(
-                EngineError(400, 'invalid_request', parsed.error.message)
-            )
-        if parsed.ok['model'] != served.settings.model:
-            return _refuse(EngineError(404, 'model_not_found', 'no such model'))
-        if served.panel.switches.refuse:
-            served.panel.counts['refused'] += 1
-            return _refuse(_OVERLOADED)
-        made = served.create(parsed.ok)
-        if made is None:
-            served.panel.counts['duplicate'] += 1
-            return _refuse(_KNOWN)
-        return _deliver(served, made)
-
-    async def read(request: requests.Request) -> types.ASGIApp:
-        made = served.find(request.path_params['id'])
-        if made is None:
-            return _refuse(_UNKNOWN)
-        if request.query_params.get('stream') != 'true':
-            served.panel.counts['read'] += 1
-            return admin.reply(made.build_response())
-        served.panel.counts['resume'] += 1
-        after = request.query_params.get('starting_after')
-        if after is not None and not after.isdecimal():
-            return _refuse(_NOT_NUMBER)
-        first = 0 if after is None else int(after) + 1
-        return delivery.stream(served, made, first=first)
-
-    async def cancel(request: requests.Request) -> types.ASGIApp:
-        served.panel.counts['cancel'] += 1
-        made = served.find(request.path_params['id'])
-        if made is None:
-            return _refuse(_UNKNOWN)
-        served.cancel(made)
+@contextlib.asynccontextmanager
+async def _live(
+    served: engine.Engine, app: applications.Starlette
+) -> abc.AsyncGenerator[None, None]:
+    driver = asyncio.create_task(served.run())
+    yield
+    driver.cancel()
+
+
+async def _create(
+    served: engine.Engine, request: requests.Request
+) -> types.ASGIApp:
+    served.panel.counts['create'] += 1
+    parsed = creation.parse(await request.body())
+    if parsed.is_error():
+        return _refuse_malformed(parsed.error.message)
+    if parsed.ok['model'] != served.settings.model:
+        return _refuse(_NO_MODEL)
+    if served.panel.switches.refuse:
+        served.panel.counts['refused'] += 1
+        return _refuse(_OVERLOADED)
+    made = served.create(parsed.ok)
+    if made is None:
+        served.panel.counts['duplicate'] += 1
+        return _refuse(_KNOWN)
+    return _deliver(served, made)
+
+
+async def _read(
+    served: engine.Engine, request: requests.Request
+) -> types.ASGIApp:
+    made = served.find(request.path_params['id'])
+    if made is None:
+        return _refuse(_UNKNOWN)
+    if request.query_params.get('stream') != 'true':
+        served.panel.counts['read'] += 1
         return admin.reply(made.build_response())
+    served.panel.counts['resume'] += 1
+    after = request.query_params.get('starting_after')
+    if after is None:
+        return delivery.stream(served, made)
+    if not after.isdecimal():
+        return _refuse_malformed('starting_after is not a number')
+    return delivery.stream(served, made, first=int(after) + 1)
 
-    path = '/v1/responses/{id}'
-    return [
-        routing.Route('/v1/responses', create, methods=['POST']),
-        routing.Route(path, read, methods=['GET']),
-        routing.Route(f'{path}/cancel', cancel, methods=['POST']),
-    ]
-
-
-def _list_report_routes(served: engine.Engine) -> list[routing.BaseRoute]:
-    async def show_metrics(request: requests.Request) -> responses.Response:
-        served.panel.counts['metrics'] += 1
-        return responses.PlainTextResponse(
-            _render_metrics(served.settings.model, served.read_load())
-        )
-
-    async def show_events(request: requests.Request) -> responses.Response:
-        served.panel.counts['kv_events'] += 1
-        after = request.query_params.get('after', '0')
-        if not after.isdecimal():
-            return _refuse(_NOT_NUMBER)
-        return admin.reply(served.read_cache_events(int(after)))
-
-    async def show_health(request: requests.Request) -> responses.Response:
-        unhealthy = served.panel.switches.unhealthy
-        return admin.reply(
-            {
-                'model': served.settings.model,
-                'replica': served.settings.replica,
-            },
-            503 if unhealthy else 200,
-        )
-
-    async def take_order(request: requests.Request) -> responses.Response:
-        served.panel.counts['order'] += 1
-        try:
-            body = await admin.read_object(request)
-        except msgspec.MsgspecError as error:
-            return _refuse(EngineError(400, 'invalid_request', str(error)))
-        if not served.obey(body):
-            return _refuse(_FENCED)
-        return admin.reply({'accepted': True})
-
-    return [
-        routing.Route('/metrics', show_metrics, methods=['GET']),
-        routing.Route('/kv_events', show_events, methods=['GET']),
-        routing.Route('/health', show_health, methods=['GET']),
-        routing.Route('/orders', take_order, methods=['POST']),
-    ]
+
+async def _cancel(
+    served: engine.Engine, request: requests.Request
+) -> types.ASGIApp:
+    served.panel.counts['cancel'] += 1
+    made = served.find(request.path_params['id'])
+    if made is None:
+        return _refuse(_UNKNOWN)
+    served.cancel(made)
+    return admin.reply(made.build_response())
+
+
+async def _show_metrics(
+    served: engine.Engine, request: requests.Request
+) -> responses.Response:
+    served.panel.counts['metrics'] += 1
+    return responses.PlainTextResponse(
+        _render_metrics(served.settings.model, served.read_load())
+    )
+
+
+async def _show_events(
+    served: engine.Engine, request: requests.Request
+) -> responses.Response:
+    served.panel.counts['kv_events'] += 1
+    after = request.query_params.get('after', '0')
+    if not after.isdecimal():
+        return _refuse_malformed('after is not a number')
+    return admin.reply(served.read_cache_events(int(after)))
+
+
+async def _show_health(
+    served: engine.Engine, request: requests.Request
+) -> responses.Response:
+    served.panel.counts['health'] += 1
+    body = {
+        'model': served.settings.model,
+        'replica': served.settings.replica,
+    }
+    return admin.reply(body, 503 if served.panel.switches.unhealthy else 200)
+
+
+async def _take_order(
+    served: engine.Engine, request: requests.Request
+) -> responses.Response:
+    served.panel.counts['order'] += 1
+    try:
+        body = await admin.read_object(request)
+    except msgspec.MsgspecError as error:
+        return _refuse_malformed(str(error))
+    if not served.obey(body):
+        return _refuse(_FENCED)
+    return admin.reply({'accepted': True})
 
 
 def _deliver(
@@ -152,19 +163,14 @@
     return delivery.answer(served, made, silent=silent)
 
 
+def _refuse_malformed(message: str) -> responses.Response:
+    return _refuse(EngineError(400, 'invalid_request', message))
+
+
 def _refuse(error: EngineError) -> responses.Response:
-    refusal = admin.reply(
-        {
-            'error': {
-                'type': 'invalid_request_error'
-                if error.status < 500
-                else 'server_error',
-                'code': error.code,
-                'message': error.message,
-            }
-        },
-        error.status,
-    )
+    kind = 'server_error' if error is _OVERLOADED else 'invalid_request_error'
+    body = {'type': kind, 'code': error.code, 'message': error.message}
+    refusal = admin.reply({'error': body}, error.status)
     if error is _OVERLOADED:
         refusal.headers['Retry-After'] = str(_RETRY_AFTER_S)
     return refusal
--- a/lavenderledge/standins/gateway.py
+++ b/lavenderledge/standins/gateway.py
@@ -11,24 +11,24 @@
 import expression
 import msgspec
 
-from lavenderledge.standins import protocol
+from lavenderledge.standins import refusals
 
 _CAPITAL = re.compile('(?<=[a-z])([A-Z])')
-_DEFAULTS = ('PUT', 0, False, b'')
+_ZEROS: tuple[object, ...] = ('PUT', 0, False, b'', [])
 
 Message = typing.TypeVar('Message')
 
 
 def decode(
     body: bytes, form: type[Message]
-) -> expression.Result[Message, protocol.StoreError]:
+) -> expression.Result[Message, refusals.StoreError]:
     """Return a request's message, or why it is malformed."""
     try:
         message = msgspec.convert(
             _rename(msgspec.json.decode(body or b'{}')), form, strict=False
         )
     except (msgspec.MsgspecError, RecursionError) as error:
-        return expression.Error(protocol.MALFORMED._replace(message=str(error)))
+        return expression.Error(refusals.MALFORMED._replace(message=str(error)))
     return expression.Ok(message)
 
 
@@ -58,7 +58,7 @@
         return {
             name: _trim(inner)
             for name, inner in found.items()
-            if inner not in _DEFAULTS and inner != []
+            if inner not in _ZEROS
         }
     if isinstance(found, list):
         return [_trim(inner) for inner in found]
--- a/lavenderledge/standins/instancelist.py
+++ b/lavenderledge/standins/instancelist.py
@@ -3,7 +3,7 @@
 import typing
 
 import msgspec
-from starlette import applications, requests, responses, routing, types
+from starlette import applications, requests, responses, types
 
 from lavenderledge import clock as clocks
 from lavenderledge.standins import admin, lag
@@ -102,42 +102,50 @@
 
 def build_app(service: InstanceList) -> types.ASGIApp:
     """Return the list's application."""
-
-    async def show(request: requests.Request) -> responses.Response:
-        service.panel.counts['list'] += 1
-        listing = service.read()
-        tag = f'"{listing.version}"'
-        if request.headers.get('if-none-match') == tag:
-            return responses.Response(
-                status_code=_NOT_MODIFIED, headers={'ETag': tag}
-            )
-        answer = admin.reply(_build_list(listing))
-        answer.headers['ETag'] = tag
-        return answer
-
-    async def put(request: requests.Request) -> responses.Response:
-        try:
-            endpoint = msgspec.json.decode(await request.body(), type=Endpoint)
-        except msgspec.MsgspecError as error:
-            return admin.reply({'error': str(error)}, _BAD_REQUEST)
-        service.put(request.path_params['name'], endpoint)
-        return admin.reply(endpoint)
-
-    async def remove(request: requests.Request) -> responses.Response:
-        service.remove(request.path_params['name'])
-        return admin.reply({})
-
     path = '/standin/endpoints/{name}'
     return applications.Starlette(
         routes=[
-            routing.Route(_PATH, show, methods=['GET']),
-            routing.Route(path, put, methods=['PUT']),
-            routing.Route(path, remove, methods=['DELETE']),
+            admin.route('GET', _PATH, _show, service),
+            admin.route('PUT', path, _put, service),
+            admin.route('DELETE', path, _remove, service),
             *admin.list_routes(service.panel),
         ]
     )
 
 
+async def _show(
+    service: InstanceList, request: requests.Request
+) -> responses.Response:
+    service.panel.counts['list'] += 1
+    listing = service.read()
+    tag = f'"{listing.version}"'
+    if request.headers.get('if-none-match') == tag:
+        return responses.Response(
+            status_code=_NOT_MODIFIED, headers={'ETag': tag}
+        )
+    answer = admin.reply(_build_list(listing))
+    answer.headers['ETag'] = tag
+    return answer
+
+
+async def _put(
+    service: InstanceList, request: requests.Request
+) -> responses.Response:
+    try:
+        endpoint = msgspec.json.decode(await request.body(), type=Endpoint)
+    except msgspec.MsgspecError as error:
+        return admin.reply({'error': str(error)}, _BAD_REQUEST)
+    service.put(request.path_params['name'], endpoint)
+    return admin.reply(endpoint)
+
+
+async def _remove(
+    service: InstanceList, request: requests.Request
+) -> responses.Response:
+    service.remove(request.path_params['name'])
+    return admin.reply({})
+
+
 def _build_list(listing: Listing) -> dict[str, typing.Any]:
     return {
         'kind': 'EndpointSliceList',
--- a/lavenderledge/standins/keyvalue.py
+++ b/lavenderledge/standins/keyvalue.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+import functools
 import typing
 from collections import abc
 
@@ -16,6 +17,7 @@
     gateway,
     limits,
     protocol,
+    refusals,
     store,
     watches,
 )
@@ -27,7 +29,7 @@
 _HTTP_STATUSES = {3: 400, 5: 404, 9: 400, 14: 503}
 
 Handle: typing.TypeAlias = abc.Callable[
-    [typing.Any], expression.Result[typing.Any, protocol.StoreError]
+    [typing.Any], expression.Result[typing.Any, refusals.StoreError]
 ]
 
 
@@ -111,7 +113,7 @@
             return _reply_error(decoded.error)
         wanted = decoded.ok.get('create_request', {})
         if not wanted.get('key'):
-            return _reply_error(protocol.KEY_MISSING)
+            return _reply_error(refusals.KEY_MISSING)
         return self.streams.open(self.store, wanted)
 
     async def expire(self) -> None:
@@ -123,9 +125,9 @@
 
     def _run(
         self, call: Call, body: bytes
-    ) -> expression.Result[typing.Any, protocol.StoreError]:
+    ) -> expression.Result[typing.Any, refusals.StoreError]:
         if len(body) > _BODY_LIMIT_BYTES:
-            return expression.Error(protocol.TOO_LARGE)
+            return expression.Error(refusals.TOO_LARGE)
         self.store.expire()
         self._log_expired()
         return gateway.decode(body, call.form).bind(call.handle)
@@ -134,7 +136,8 @@
         self._written.extend(answer.get('events', []))
 
     def _take_written(self) -> list[protocol.Event]:
-        written, self._written = self._written, []
+        written = self._written
+        self._written = []
         return written
 
     def _log(self, call: Call) -> bool:
@@ -176,7 +179,7 @@
             )
         if silent:
             return connection.keep_silent
-        return _reply_error(protocol.UNAVAILABLE)
+        return _reply_error(refusals.UNAVAILABLE)
 
     async def _delay(self) -> None:
         if self.panel.switches.delay_s > 0:
@@ -194,26 +197,26 @@
 
 def build_app(service: KeyValue) -> types.ASGIApp:
     """Return the service's application."""
-
-    @contextlib.asynccontextmanager
-    async def live(
-        app: applications.Starlette,
-    ) -> abc.AsyncGenerator[None, None]:
-        expiry = asyncio.create_task(service.expire())
-        yield
-        expiry.cancel()
-
     routes: list[routing.BaseRoute] = [
-        _route(service, call) for call in _list_calls(service.store)
+        admin.route('POST', call.path, service.serve_call, call)
+        for call in _list_calls(service.store)
     ]
-    routes.append(
-        routing.Route('/v3/watch', service.serve_watch, methods=['POST'])
-    )
+    routes.append(admin.route('POST', '/v3/watch', service.serve_watch))
     return applications.Starlette(
-        routes=routes + admin.list_routes(service.panel), lifespan=live
+        routes=routes + admin.list_routes(service.panel),
+        lifespan=functools.partial(_live, service),
     )
 
 
+@contextlib.asynccontextmanager
+async def _live(
+    service: KeyValue, app: applications.Starlette
+) -> abc.AsyncGenerator[None, None]:
+    expiry = asyncio.create_task(service.expire())
+    yield
+    expiry.cancel()
+
+
 def _list_calls(kept: store.Store) -> list[Call]:
     return [
         Call('/v3/kv/range', 'range', protocol.RangeRequest, kept.range),
@@ -253,18 +256,11 @@
     ]
 
 
-def _route(service: KeyValue, call: Call) -> routing.Route:
-    async def serve(request: requests.Request) -> types.ASGIApp:
-        return await service.serve_call(call, request)
-
-    return routing.Route(call.path, serve, methods=['POST'])
-
-
 def _reply(body: bytes, status: int = 200) -> responses.Response:
     return responses.Response(
         body, status_code=status, media_type='application/json'
     )
 
 
-def _reply_error(error: protocol.StoreError) -> responses.Response:
+def _reply_error(error: refusals.StoreError) -> responses.Response:
     return admin.reply(error._asdict(), _HTTP_STATUSES[error.code])
--- a/lavenderledge/standins/limits.py
+++ b/lavenderledge/standins/limits.py
@@ -3,29 +3,29 @@
 import itertools
 import typing
 
-from lavenderledge.standins import protocol
+from lavenderledge.standins import protocol, refusals
 
 MAX_OPERATIONS = 128
 VALUE_LIMIT_BYTES = 1024 * 1024
 REQUEST_LIMIT_BYTES = 3 * VALUE_LIMIT_BYTES // 2
 
 
-def check_txn(request: protocol.TxnRequest) -> protocol.StoreError | None:
+def check_txn(request: protocol.TxnRequest) -> refusals.StoreError | None:
     """Return why a transaction is refused, or nothing.
 
     A nested transaction may hold as many operations as its parent left over.
     """
     if measure_txn(request) > REQUEST_LIMIT_BYTES:
-        return protocol.TOO_LARGE
+        return refusals.TOO_LARGE
     return _check_level(request, MAX_OPERATIONS) or _check_keys(request)
 
 
-def check_put(request: protocol.PutRequest) -> protocol.StoreError | None:
+def check_put(request: protocol.PutRequest) -> refusals.StoreError | None:
     """Return why a write is refused, or nothing."""
     if not request.get('key'):
-        return protocol.KEY_MISSING
+        return refusals.KEY_MISSING
     if len(request.get('value', b'')) > VALUE_LIMIT_BYTES:
-        return protocol.TOO_LARGE
+        return refusals.TOO_LARGE
     return None
 
 
@@ -34,10 +34,10 @@
 ) -> typing.Iterator[protocol.PutRequest]:
     """Yield every write of a transaction, whichever branch it is in."""
     for step in _list_steps(request):
-        if 'request_put' in step:
-            yield step['request_put']
-        if 'request_txn' in step:
-            yield from list_puts(step['request_txn'])
+        put = step.get('request_put')
+        if put is not None:
+            yield put
+        yield from list_puts(step.get('request_txn', {}))
 
 
 def measure_txn(request: protocol.TxnRequest) -> int:
@@ -62,16 +62,16 @@
 
 def _check_level(
     request: protocol.TxnRequest, allowed: int
-) -> protocol.StoreError | None:
+) -> refusals.StoreError | None:
     used = max(
         len(request.get('compare', [])),
         len(request.get('success', [])),
         len(request.get('failure', [])),
     )
     if used > allowed:
-        return protocol.TOO_MANY_OPERATIONS
+        return refusals.TOO_MANY_OPERATIONS
     if not all(test.get('key') for test in request.get('compare', [])):
-        return protocol.KEY_MISSING
+        return refusals.KEY_MISSING
     for step in _list_steps(request):
         error = _check_step(step, allowed - used)
         if error is not None:
@@ -81,24 +81,23 @@
 
 def _check_step(
     step: protocol.Operation, allowed: int
-) -> protocol.StoreError | None:
-    if 'request_txn' in step:
-        return _check_level(step['request_txn'], allowed)
-    if 'request_put' in step:
-        return check_put(step['request_put'])
-    if 'request_range' in step:
-        found = step['request_range'].get('key')
-    else:
-        found = step.get('request_delete_range', {}).get('key')
-    return None if found else protocol.KEY_MISSING
+) -> refusals.StoreError | None:
+    nested = step.get('request_txn')
+    if nested is not None:
+        return _check_level(nested, allowed)
+    put = step.get('request_put')
+    if put is not None:
+        return check_put(put)
+    ranged = step.get('request_range') or step.get('request_delete_range')
+    return None if ranged and ranged.get('key') else refusals.KEY_MISSING
 
 
 def _check_keys(
     request: protocol.TxnRequest,
-) -> protocol.StoreError | None:
+) -> refusals.StoreError | None:
     for branch in (request.get('success', []), request.get('failure', [])):
         if _repeats_key(branch):
-            return protocol.DUPLICATE_KEY
+            return refusals.DUPLICATE_KEY
     return None
 
 
@@ -106,6 +105,8 @@
     seen: set[bytes] = set()
     for step in branch:
         keys = _list_step_keys(step)
+        if _check_keys(step.get('request_txn', {})) is not None:
+            return True
         if not seen.isdisjoint(keys):
             return True
         seen.update(keys)
@@ -113,8 +114,5 @@
 
 
 def _list_step_keys(step: protocol.Operation) -> set[bytes]:
-    if 'request_put' in step:
-        return {step['request_put']['key']}
-    if 'request_txn' in step:
-        return {put['key'] for put in list_puts(step['request_txn'])}
-    return set()
+    wrapped: protocol.TxnRequest = {'success': [step]}
+    return {put['key'] for put in list_puts(wrapped)}
--- a/lavenderledge/standins/plain.py
+++ b/lavenderledge/standins/plain.py
@@ -122,18 +122,23 @@
 
 def build_app(service: Plain) -> types.ASGIApp:
     """Return the service's application."""
-
-    async def show_runs(request: requests.Request) -> responses.Response:
-        return admin.reply(service.runs)
-
-    async def show_health(request: requests.Request) -> responses.Response:
-        return admin.reply({}, 503 if service.panel.switches.unhealthy else 200)
-
     return applications.Starlette(
         routes=[
             *admin.list_routes(service.panel),
-            routing.Route('/standin/runs', show_runs, methods=['GET']),
-            routing.Route('/health', show_health, methods=['GET']),
+            admin.route('GET', '/standin/runs', _show_runs, service),
+            admin.route('GET', '/health', _show_health, service),
             routing.Route('/{path:path}', service.serve, methods=_METHODS),
         ]
     )
+
+
+async def _show_runs(
+    service: Plain, request: requests.Request
+) -> responses.Response:
+    return admin.reply(service.runs)
+
+
+async def _show_health(
+    service: Plain, request: requests.Request
+) -> responses.Response:
+    return admin.reply({}, 503 if service.panel.switches.unhealthy else 200)
--- a/lavenderledge/standins/prefixcache.py
+++ b/lavenderledge/standins/prefixcache.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 import math
 import random
 import typing
@@ -141,6 +142,5 @@
         }
 
     def _list_after(self, after: int) -> typing.Iterator[_Published]:
-        first = max(after + 1 - (self._last - len(self._events) + 1), 0)
-        for index in range(first, len(self._events)):
-            yield self._events[index]
+        forgotten = self._last - len(self._events)
+        return itertools.islice(self._events, max(after - forgotten, 0), None)
--- a/lavenderledge/standins/protocol.py
+++ b/lavenderledge/standins/protocol.py
@@ -177,22 +177,3 @@
     canceled: bool
     compact_revision: int
     events: list[Event]
-
-
-class StoreError(typing.NamedTuple):
-    """A request that the store refuses; ``code`` is a gRPC status."""
-
-    code: int
-    message: str
-
-
-TOO_LARGE = StoreError(3, 'etcdserver: request is too large')
-TOO_MANY_OPERATIONS = StoreError(
-    3, 'etcdserver: too many operations in txn request'
-)
-KEY_MISSING = StoreError(3, 'etcdserver: key is not provided')
-DUPLICATE_KEY = StoreError(3, 'etcdserver: duplicate key given in txn request')
-LEASE_UNKNOWN = StoreError(5, 'etcdserver: requested lease not found')
-LEASE_EXISTS = StoreError(9, 'etcdserver: lease already exists')
-MALFORMED = StoreError(3, 'malformed request')
-UNAVAILABLE = StoreError(14, 'etcdserver: no leader')
--- a/lavenderledge/standins/server.py
+++ b/lavenderledge/standins/server.py
@@ -62,9 +62,7 @@
     try:
         yield address
     finally:
-        server.should_exit = True
-        _abort_connections(server)
-        await serving_task
+        await _stop(server, serving_task)
 
 
 def run(
@@ -87,8 +85,12 @@
         await stopping.wait()
 
 
-def _abort_connections(server: uvicorn.Server) -> None:
+async def _stop(
+    server: uvicorn.Server, serving_task: asyncio.Task[None]
+) -> None:
+    server.should_exit = True
     for opened in list(server.server_state.connections):
         transport = getattr(opened, 'transport', None)
         if transport is not None:
             transport.abort()
+    await serving_task
--- a/lavenderledge/standins/store.py
+++ b/lavenderledge/standins/store.py
@@ -12,13 +12,19 @@
 import expression
 
 from lavenderledge import clock as clocks
-from lavenderledge.standins import leases, limits, protocol
+from lavenderledge.standins import (
+    conditions,
+    leases,
+    limits,
+    protocol,
+    refusals,
+)
 
 _HISTORY_EVENTS = 100_000
 
 Notify: typing.TypeAlias = abc.Callable[[protocol.WatchResponse], None]
 Answer = typing.TypeVar('Answer')
-Outcome: typing.TypeAlias = expression.Result[Answer, protocol.StoreError]
+Outcome: typing.TypeAlias = expression.Result[Answer, refusals.StoreError]
 
 
 class Watch(typing.NamedTuple):
@@ -54,7 +60,7 @@
         """Read one key or a range of keys, in the order of the keys."""
         self.expire()
         if not request.get('key'):
-            return expression.Error(protocol.KEY_MISSING)
+            return expression.Error(refusals.KEY_MISSING)
         return expression.Ok(self._read(request))
 
     def put(
@@ -94,7 +100,7 @@
             request.get('ID', 0), request.get('TTL', 0)
         )
         if granted is None:
-            return expression.Error(protocol.LEASE_EXISTS)
+            return expression.Error(refusals.LEASE_EXISTS)
         return expression.Ok(
             protocol.LeaseResponse(
                 header=self.header, ID=granted.number, TTL=granted.ttl_s
@@ -134,7 +140,7 @@
         self.expire()
         number = request.get('ID', 0)
         if self._leases.find(number) is None:
-            return expression.Error(protocol.LEASE_UNKNOWN)
+            return expression.Error(refusals.LEASE_UNKNOWN)
         self._end_lease(number)
         return expression.Ok(protocol.LeaseResponse(header=self.header))
 
@@ -164,7 +170,7 @@
         self._watches.append(opened)
         return opened
 
-    def close_watch(self, opened: Watch) -> None:
+    def close_watch(self, opened: Watch | None) -> None:
         """Close a watch; closing twice does nothing."""
         self._watches = [kept for kept in self._watches if kept is not opened]
 
@@ -175,16 +181,16 @@
 
     def _check_leases(
         self, request: protocol.TxnRequest
-    ) -> protocol.StoreError | None:
+    ) -> refusals.StoreError | None:
         for put in limits.list_puts(request):
             number = put.get('lease', 0)
             if number and self._leases.find(number) is None:
-                return protocol.LEASE_UNKNOWN
+                return refusals.LEASE_UNKNOWN
         return None
 
     def _run(self, request: protocol.TxnRequest) -> protocol.TxnResponse:
         succeeded = all(
-            compare_pair(self._pairs.get(test['key']), test)
+            conditions.compare_pair(self._pairs.get(test['key']), test)
             for test in request.get('compare', [])
         )
         branch: typing.Literal['success', 'failure'] = (
@@ -199,15 +205,17 @@
         }
 
     def _run_step(self, step: protocol.Operation) -> protocol.OperationResponse:
-        if 'request_put' in step:
-            return {'response_put': self._write(step['request_put'])}
-        if 'request_range' in step:
-            return {'response_range': self._read(step['request_range'])}
-        if 'request_txn' in step:
-            return {'response_txn': self._run(step['request_txn'])}
-        return {
-            'response_delete_range': self._remove(step['request_delete_range'])
-        }
+        put = step.get('request_put')
+        if put is not None:
+            return {'response_put': self._write(put)}
+        read = step.get('request_range')
+        if read is not None:
+            return {'response_range': self._read(read)}
+        nested = step.get('request_txn')
+        if nested is not None:
+            return {'response_txn': self._run(nested)}
+        removal = step['request_delete_range']
+        return {'response_delete_range': self._remove(removal)}
 
     def _header_after(self) -> protocol.Header:
         return {'revision': self.revision + bool(self._pending)}
@@ -275,7 +283,8 @@
     def _commit(self) -> None:
         if not self._pending:
             return
-        events, self._pending = self._pending, []
+        events = self._pending
+        self._pending = []
         self.revision += 1
         self.history.extend(events)
         self._compact()
@@ -292,7 +301,9 @@
         wanted = [
             event
             for event in events
-            if contains_key(opened.key, opened.range_end, event['kv']['key'])
+            if conditions.contains_key(
+                opened.key, opened.range_end, event['kv']['key']
+            )
         ]
         if wanted:
             opened.notify({'header': self.header, 'events': wanted})
@@ -316,45 +327,6 @@
         self._commit()
 
 
-def contains_key(start: bytes, end: bytes, key: bytes) -> bool:
-    """Return whether a range that begins at ``start`` holds the key."""
-    if not end:
-        return key == start
-    return key >= start and (end == b'\0' or key < end)
-
-
-def compare_pair(
-    pair: protocol.KeyValue | None, test: protocol.Compare
-) -> bool:
-    """Return whether a condition holds; a missing key has revisions of 0."""
-    target = test.get('target', 'VERSION')
-    if target == 'VALUE':
-        return pair is not None and _relate(
-            pair['value'], test.get('value', b''), test
-        )
-    if target == 'CREATE':
-        found = pair['create_revision'] if pair else 0
-        return _relate(found, test.get('create_revision', 0), test)
-    if target == 'MOD':
-        found = pair['mod_revision'] if pair else 0
-        return _relate(found, test.get('mod_revision', 0), test)
-    found = pair['version'] if pair else 0
-    return _relate(found, test.get('version', 0), test)
-
-
-def _relate(
-    found: typing.Any, wanted: typing.Any, test: protocol.Compare
-) -> bool:
-    relation = test.get('result', 'EQUAL')
-    if relation == 'EQUAL':
-        return bool(found == wanted)
-    if relation == 'NOT_EQUAL':
-        return bool(found != wanted)
-    if relation == 'GREATER':
-        return bool(found > wanted)
-    return bool(found < wanted)
-
-
 def _list_since(
     history: list[protocol.Event], revision: int
 ) -> list[protocol.Event]:
--- a/lavenderledge/standins/watches.py
+++ b/lavenderledge/standins/watches.py
@@ -1,6 +1,7 @@
 """The open watch connections of the key-value stand-in."""
 
 import asyncio
+import contextlib
 import datetime
 from collections import abc
 
@@ -69,24 +70,33 @@
             scope: types.Scope, receive: types.Receive, send: types.Send
         ) -> None:
             stream = Stream()
-            self._streams.add(stream)
-            opened = kept.watch(wanted, stream.notify)
-            closing = asyncio.create_task(connection.wait_closed(receive))
-            closing.add_done_callback(lambda done: stream.end())
-            try:
-                await self._send_all(
-                    stream, send, kept, bool(wanted.get('progress_notify'))
-                )
+            progress = wanted.get('progress_notify', False)
+            async with self._watching(kept, wanted, stream, receive) as closing:
+                await self._send_all(stream, send, kept, progress)
                 if stream.silent:
                     await closing
-            finally:
-                closing.cancel()
-                self._streams.discard(stream)
-                if opened is not None:
-                    kept.close_watch(opened)
 
         return respond
 
+    @contextlib.asynccontextmanager
+    async def _watching(
+        self,
+        kept: store.Store,
+        wanted: protocol.WatchRequest,
+        stream: Stream,
+        receive: types.Receive,
+    ) -> abc.AsyncGenerator[asyncio.Task[None], None]:
+        self._streams.add(stream)
+        opened = kept.watch(wanted, stream.notify)
+        if opened is None:
+            stream.end()
+        async with connection.noticing_close(receive, stream.end) as closing:
+            try:
+                yield closing
+            finally:
+                self._streams.discard(stream)
+                kept.close_watch(opened)
+
     async def _send_all(
         self,
         stream: Stream,
@@ -105,11 +115,11 @@
         async for answer in _list_answers(stream, kept, interval):
             if stream.silent:
                 return
-            line = gateway.encode({'result': answer}) + b'\n'
+            line = gateway.encode({'result': answer})
             await send(
                 {
                     'type': 'http.response.body',
-                    'body': line,
+                    'body': b'%s\n' % line,
                     'more_body': True,
                 }
             )
