--- a/lavenderledge/standins/server.py
+++ b/lavenderledge/standins/server.py
@@ -49,6 +49,7 @@
     server = _Server(
         uvicorn.Config(
             connection.expose_transport(app),
+            interface='asgi3',
             access_log=False,
             log_level='critical',
             proxy_headers=False,
