--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -348,8 +348,9 @@
             self._probed_at_s = now_s
             strangers = sorted(self._links.keys() - set(heard))
             targets.extend(self._sample(strangers, _MAX_PROBES))
+        heartbeat = self._make_heartbeat(now_s)
         for instance in targets:
-            self._send(instance, self._make_heartbeat(now_s))
+            self._send(instance, heartbeat)
 
     def _make_heartbeat(self, now_s: float) -> messages.Heartbeat:
         members = [self._own]
--- a/lavenderledge/peers/sockets.py
+++ b/lavenderledge/peers/sockets.py
@@ -7,7 +7,7 @@
 
 from lavenderledge.peers import codec, keys
 
-ZAP_DOMAIN = 'lavenderledge'
+ZAP_DOMAIN = b'lavenderledge'
 HEARTBEAT_INTERVAL = datetime.timedelta(seconds=1)
 HEARTBEAT_TIMEOUT = datetime.timedelta(seconds=3)
 HEARTBEAT_LIFETIME = datetime.timedelta(seconds=4)
@@ -24,7 +24,7 @@
     """Set the options of the PULL socket that peers connect to."""
     _configure(pull, pair)
     pull.curve_server = True
-    pull.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN.encode())
+    pull.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
     pull.setsockopt(zmq.BACKLOG, _BACKLOG)
 
 
@@ -35,9 +35,9 @@
     _configure(push, pair)
     push.setsockopt(zmq.CURVE_SERVERKEY, server_key)
     push.setsockopt(zmq.IMMEDIATE, 1)
-    push.setsockopt(zmq.RECONNECT_IVL, _count_ms(RECONNECT_FIRST))
-    push.setsockopt(zmq.RECONNECT_IVL_MAX, _count_ms(RECONNECT_MAX))
-    push.setsockopt(zmq.CONNECT_TIMEOUT, _count_ms(HANDSHAKE_TIMEOUT))
+    push.setsockopt(zmq.RECONNECT_IVL, count_ms(RECONNECT_FIRST))
+    push.setsockopt(zmq.RECONNECT_IVL_MAX, count_ms(RECONNECT_MAX))
+    push.setsockopt(zmq.CONNECT_TIMEOUT, count_ms(HANDSHAKE_TIMEOUT))
 
 
 def read_address(socket: _AnySocket) -> str:
@@ -46,18 +46,19 @@
     return endpoint.rstrip('\0').removeprefix('tcp://')
 
 
+def count_ms(duration: datetime.timedelta) -> int:
+    """Return a duration in whole milliseconds, as ZeroMQ takes it."""
+    return duration // datetime.timedelta(milliseconds=1)
+
+
 def _configure(socket: _AnySocket, pair: keys.KeyPair) -> None:
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, _MAX_QUEUED_MESSAGES)
     socket.setsockopt(zmq.MAXMSGSIZE, codec.MAX_MESSAGE_BYTES)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, _count_ms(HEARTBEAT_INTERVAL))
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _count_ms(HEARTBEAT_TIMEOUT))
-    socket.setsockopt(zmq.HEARTBEAT_TTL, _count_ms(HEARTBEAT_LIFETIME))
-    socket.setsockopt(zmq.HANDSHAKE_IVL, _count_ms(HANDSHAKE_TIMEOUT))
+    socket.setsockopt(zmq.HEARTBEAT_IVL, count_ms(HEARTBEAT_INTERVAL))
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, count_ms(HEARTBEAT_TIMEOUT))
+    socket.setsockopt(zmq.HEARTBEAT_TTL, count_ms(HEARTBEAT_LIFETIME))
+    socket.setsockopt(zmq.HANDSHAKE_IVL, count_ms(HANDSHAKE_TIMEOUT))
     socket.setsockopt(zmq.CURVE_PUBLICKEY, pair.public)
     socket.setsockopt(zmq.CURVE_SECRETKEY, pair.secret)
-
-
-def _count_ms(duration: datetime.timedelta) -> int:
-    return duration // datetime.timedelta(milliseconds=1)
