Stand-in engine: a request that comes within a step has no part in it

Cause: a step's time was taken from the batch at its start, but its prefill was done on the batch at its end, so a request that arrived in between had its prompt computed for no time. The chunks are now planned when the step begins. Ruled out: admitting only between steps, which is the same bug when two requests are admitted at one boundary.

--- a/lavenderledge/standins/batch.py
+++ b/lavenderledge/standins/batch.py
@@ -80,6 +80,18 @@
     cache_usage: float
 
 
+class Step(typing.NamedTuple):
+    """Who made a token in a step, and whose prefill it completed."""
+
+    stepped: list[Sequence]
+    prefilled: list[Sequence]
+
+
+class _Chunk(typing.NamedTuple):
+    sequence: Sequence
+    tokens: int
+
+
 class Batch:
     """The requests that run and wait in one engine."""
 
@@ -91,6 +103,7 @@
         self._waiting: collections.deque[Sequence] = collections.deque()
         self._prefilling: collections.deque[Sequence] = collections.deque()
         self._decoding: list[Sequence] = []
+        self._chunks: list[_Chunk] = []
 
     @property
     def running(self) -> int:
@@ -123,13 +136,18 @@
             started.append(sequence)
         return started
 
-    def measure_step(self) -> float:
-        """Return the seconds that the next step takes, 0 when empty."""
-        chunk_s = self._count_chunk() / self._speed.prefill_rate
+    def begin_step(self) -> float:
+        """Begin a step and return the seconds it takes, 0 when empty.
+
+        A request that starts later has no part in the step.
+        """
+        self._chunks = self._plan_chunks()
+        tokens = sum(chunk.tokens for chunk in self._chunks)
+        chunk_s = tokens / self._speed.prefill_rate
         return (self._measure_gap() + chunk_s) * self.slowdown
 
-    def step(self) -> tuple[list[Sequence], list[Sequence]]:
-        """End a step; return who made a token and whose prefill is done.
+    def end_step(self) -> Step:
+        """End the step that was begun.
 
         A request at its last token is completed and leaves the batch.
         """
@@ -141,7 +159,7 @@
             if sequence.produced >= sequence.wanted:
                 sequence.status = Status.COMPLETED
         self._decoding = [each for each in stepped if not each.ended]
-        return stepped, prefilled
+        return Step(stepped, prefilled)
 
     def remove(self, sequence: Sequence, status: Status) -> None:
         """Take a request out before its end."""
@@ -164,13 +182,16 @@
         sequence.status = Status.IN_PROGRESS
         self._prefilling.append(sequence)
 
-    def _count_chunk(self) -> int:
-        total = 0
+    def _plan_chunks(self) -> list[_Chunk]:
+        budget = PREFILL_CHUNK_TOKENS
+        chunks = []
         for sequence in self._prefilling:
-            total += sequence.prefill_left
-            if total >= PREFILL_CHUNK_TOKENS:
-                return PREFILL_CHUNK_TOKENS
-        return total
+            if not budget:
+                break
+            chunk = _Chunk(sequence, min(sequence.prefill_left, budget))
+            chunks.append(chunk)
+            budget -= chunk.tokens
+        return chunks
 
     def _measure_gap(self) -> float:
         size = len(self._decoding)
@@ -181,13 +202,12 @@
         return self._speed.token_gap_s * level * max(size / knee, 1)
 
     def _prefill(self) -> list[Sequence]:
-        budget = PREFILL_CHUNK_TOKENS
         prefilled = []
-        while self._prefilling and budget > 0:
-            head = self._prefilling[0]
-            computed = min(head.prefill_left, budget)
-            head.prefilled += computed
-            budget -= computed
-            if not head.prefill_left:
-                prefilled.append(self._prefilling.popleft())
+        for sequence, tokens in self._chunks:
+            if sequence.ended:
+                continue
+            sequence.prefilled += tokens
+            if not sequence.prefill_left:
+                self._prefilling.remove(sequence)
+                prefilled.append(sequence)
         return prefilled
--- a/lavenderledge/standins/definition.py
+++ b/lavenderledge/standins/definition.py
@@ -95,8 +95,9 @@
     )
 
 
-def _build_engine(args: argparse.Namespace) -> types.ASGIApp:
-    settings = engine.Settings(
+def read_settings(args: argparse.Namespace) -> engine.Settings:
+    """Return an engine's settings from its parsed flags."""
+    return engine.Settings(
         model=args.model,
         replica=args.replica,
         speed=batch.Speed(
@@ -112,8 +113,11 @@
         orphan_limit=args.orphan_s,
         fencing=args.fencing,
     )
+
+
+def _build_engine(args: argparse.Namespace) -> types.ASGIApp:
     return engineapp.build_app(
-        engine.Engine(clock=clocks.SystemClock(), settings=settings)
+        engine.Engine(clock=clocks.SystemClock(), settings=read_settings(args))
     )
 
 
--- a/lavenderledge/standins/engine.py
+++ b/lavenderledge/standins/engine.py
@@ -186,17 +186,21 @@
                 self._wake.clear()
                 await self._wake.wait()
                 due_s = self.clock.read_monotonic()
-            due_s += self._batch.measure_step()
+            due_s += self.begin_step()
             now_s = self.clock.read_monotonic()
             due_s = max(due_s, now_s - _MOST_BEHIND_S)
             await self.clock.sleep(
                 datetime.timedelta(seconds=max(due_s - now_s, 0))
             )
-            self.step()
+            self.end_step()
 
-    def step(self) -> None:
-        """End one step of the batch."""
-        stepped, prefilled = self._batch.step()
+    def begin_step(self) -> float:
+        """Begin one step of the batch and return its seconds."""
+        return self._batch.begin_step()
+
+    def end_step(self) -> None:
+        """End the step, and tell who listens."""
+        stepped, prefilled = self._batch.end_step()
         for sequence in prefilled:
             self._store_blocks(sequence)
             self._owners[sequence].first_token_s = self._read_wall()
--- a/lavenderledge/standins/server.py
+++ b/lavenderledge/standins/server.py
@@ -14,6 +14,7 @@
 
 _BACKLOG = 1024
 _STOP_LIMIT_S = 1
+_KEEP_ALIVE_S = 75
 _POLL_S = 0.01
 
 
@@ -55,6 +56,7 @@
             proxy_headers=False,
             ws='none',
             timeout_graceful_shutdown=_STOP_LIMIT_S,
+            timeout_keep_alive=_KEEP_ALIVE_S,
         )
     )
     serving_task = asyncio.create_task(server.serve(sockets=[listener]))
