--- /dev/null
+++ b/lavenderledge/controllers/claims.py
@@ -0,0 +1,202 @@
+"""Claims: permanent records that let a non-idempotent call run only once.
+
+A claim is created before dispatch, if absent, and nobody ever takes one
+over. Its creator alone stores the answer in it, or deletes it where the call
+was certainly not dispatched.
+"""
+
+import base64
+import hashlib
+import typing
+import uuid
+from collections import abc
+
+import expression
+import msgspec
+
+from lavenderledge import clock as clocks
+from lavenderledge import timing
+from lavenderledge.platform import groupcommit, operations
+
+CLAIM_PREFIX = 'lavenderledge/claims/'
+STORED_BODY_LIMIT_BYTES = 65_536
+
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 5.0
+_SETTLE_S = 600
+
+
+class StoredAnswer(typing.NamedTuple):
+    """An answer kept in its claim."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Record(typing.NamedTuple):
+    """A claim's value; ``token`` is unique to the attempt that made it."""
+
+    token: str
+    fingerprint: str
+    instance: str
+    created: str
+    answer: StoredAnswer | None = None
+
+
+class Claim(typing.NamedTuple):
+    """A claim that this instance holds; ``value`` is what is stored."""
+
+    name: str
+    record: Record
+    value: bytes
+
+
+class Existing(typing.NamedTuple):
+    """Another attempt has the claim."""
+
+    record: Record
+
+
+class Unavailable(typing.NamedTuple):
+    """The claim could not be made in time and won't be used."""
+
+    detail: str
+
+
+Created: typing.TypeAlias = 'expression.Result[Claim, Existing | Unavailable]'
+
+
+def name_claim(customer: str, key: str) -> str:
+    """Return the claim's name in the key-value service."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    owner = base64.urlsafe_b64encode(customer.encode()).decode()
+    return f'{CLAIM_PREFIX}{owner}/{digest}'
+
+
+class Claims:
+    """Makes, answers and abandons claims through group commits."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        commits: groupcommit.GroupCommit,
+        clock: clocks.Clock,
+        count_retry: abc.Callable[[str], None],
+        run_detached: abc.Callable[
+            [abc.Coroutine[typing.Any, typing.Any, None]], None
+        ],
+    ) -> None:
+        """Hold no claims; ``run_detached`` runs what outlives a request."""
+        self._instance = instance
+        self._commits = commits
+        self._clock = clock
+        self._count_retry = count_retry
+        self._run_detached = run_detached
+
+    async def create(
+        self,
+        *,
+        customer: str,
+        key: str,
+        fingerprint: str,
+        give_up_s: float,
+    ) -> Created:
+        """Make the claim, or return who has it.
+
+        Tries until the monotonic reading ``give_up_s``. A lost answer is
+        settled by creating again with the same token and comparing.
+        """
+        claim = self._build_claim(customer, key, fingerprint)
+        doubtful = False
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            told = await self._commits.commit(_create(claim))
+            if told.is_ok():
+                return _judge_creation(claim, told.ok)
+            doubtful = doubtful or not isinstance(
+                told.error, operations.Unavailable
+            )
+            if self._clock.read_monotonic() + pause_s >= give_up_s:
+                break
+            self._count_retry('claim_create')
+            await self._clock.sleep(timing.seconds(pause_s))
+            pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+        if doubtful:
+            self.abandon(claim)
+        return expression.Error(Unavailable(repr(told.error)))
+
+    def abandon(self, claim: Claim) -> None:
+        """Delete a claim whose call was not and will not be dispatched."""
+        removal = operations.Nested(
+            (
+                operations.Compare(
+                    claim.name, operations.Target.VALUE, claim.value
+                ),
+            ),
+            (operations.Delete(claim.name),),
+        )
+        self._run_detached(self._settle(removal, 'claim_abandon'))
+
+    def store_answer(self, claim: Claim, answer: StoredAnswer) -> None:
+        """Keep a short answer in the claim; a long one is left out."""
+        if len(answer.body) > STORED_BODY_LIMIT_BYTES:
+            return
+        record = claim.record._replace(answer=answer)
+        change = operations.Nested(
+            (
+                operations.Compare(
+                    claim.name, operations.Target.VALUE, claim.value
+                ),
+            ),
+            (operations.Put(claim.name, msgspec.json.encode(record)),),
+        )
+        self._run_detached(self._settle(change, 'claim_answer'))
+
+    async def _settle(self, change: operations.Nested, name: str) -> None:
+        """Repeat a change that is idempotent by its comparison."""
+        give_up_s = self._clock.read_monotonic() + _SETTLE_S
+        pause_s = _FIRST_PAUSE_S
+        while self._clock.read_monotonic() < give_up_s:
+            told = await self._commits.commit(change)
+            if told.is_ok() or isinstance(told.error, operations.Rejected):
+                return
+            self._count_retry(name)
+            await self._clock.sleep(timing.seconds(pause_s))
+            pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+
+    def _build_claim(self, customer: str, key: str, fingerprint: str) -> Claim:
+        record = Record(
+            token=uuid.uuid4().hex,
+            fingerprint=fingerprint,
+            instance=self._instance,
+            created=self._clock.read_wall().isoformat(),
+        )
+        name = name_claim(customer, key)
+        return Claim(name, record, msgspec.json.encode(record))
+
+
+def _create(claim: Claim) -> operations.Nested:
+    return operations.Nested(
+        (operations.Compare(claim.name, operations.Target.CREATE, 0),),
+        (operations.Put(claim.name, claim.value),),
+        (operations.Get(claim.name),),
+    )
+
+
+def _judge_creation(claim: Claim, told: operations.TransactAnswer) -> Created:
+    if told.succeeded:
+        return expression.Ok(claim)
+    found = told.answers[0] if told.answers else None
+    if not isinstance(found, operations.GetAnswer) or not found.entries:
+        return expression.Error(Unavailable('the claim was not returned'))
+    stored = found.entries[0].value
+    if stored == claim.value:
+        return expression.Ok(claim)
+    try:
+        return expression.Error(
+            Existing(msgspec.json.decode(stored, type=Record))
+        )
+    except msgspec.MsgspecError as error:
+        return expression.Error(Unavailable(f'unreadable claim: {error}'))
--- /dev/null
+++ b/lavenderledge/controllers/load.py
@@ -0,0 +1,110 @@
+"""Lagging reports of engines: load, readiness and cache events."""
+
+import asyncio
+import typing
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge import timing
+
+from lavenderledge.policy import prefix, replicas
+from lavenderledge.upstreams import observation
+
+_POLL_INTERVAL_S = 1.0
+_POLLS_AT_ONCE = 16
+_ENGINE_KIND = 'engine'
+
+
+class Loads(typing.Protocol):
+    """What takes the reports."""
+
+    def note_load(
+        self, pool: str, replica: str, running: int, waiting: int
+    ) -> None:
+        """Take a load report."""
+
+    def note_cache_events(
+        self,
+        pool: str,
+        replica: str,
+        events: abc.Iterable[prefix.CacheEvent],
+        gap: bool,
+    ) -> None:
+        """Take cache events, and whether some are missing before them."""
+
+
+class LoadPoller:
+    """Polls the engines of the pools that this instance allocates."""
+
+    def __init__(
+        self,
+        *,
+        observer: observation.Observer,
+        clock: clocks.Clock,
+        loads: Loads,
+        list_pools: abc.Callable[[], abc.Iterable[str]],
+        list_replicas: abc.Callable[[str], abc.Iterable[replicas.ReplicaInfo]],
+        count_failure: abc.Callable[[str], None],
+    ) -> None:
+        """Start with nothing polled."""
+        self._observer = observer
+        self._clock = clock
+        self._loads = loads
+        self._list_pools = list_pools
+        self._list_replicas = list_replicas
+        self._count_failure = count_failure
+        self._positions: dict[tuple[str, str], int] = {}
+        self._slots = asyncio.Semaphore(_POLLS_AT_ONCE)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await self._clock.sleep(timing.seconds(_POLL_INTERVAL_S))
+
+    async def poll(self) -> None:
+        """Poll each engine once."""
+        targets = [
+            (pool, replica)
+            for pool in self._list_pools()
+            for replica in self._list_replicas(pool)
+            if replica.kind == _ENGINE_KIND
+        ]
+        kept = {(pool, replica.name) for pool, replica in targets}
+        for key in self._positions.keys() - kept:
+            self._positions.pop(key)
+        await asyncio.gather(
+            *(self._poll_replica(pool, replica) for pool, replica in targets)
+        )
+
+    async def _poll_replica(
+        self, pool: str, replica: replicas.ReplicaInfo
+    ) -> None:
+        async with self._slots:
+            load = await self._observer.read_load(replica.address)
+            if load.is_error():
+                self._count_failure('load')
+                return
+            self._loads.note_load(
+                pool, replica.name, load.ok.running, load.ok.waiting
+            )
+            await self._poll_cache(pool, replica)
+
+    async def _poll_cache(
+        self, pool: str, replica: replicas.ReplicaInfo
+    ) -> None:
+        key = (pool, replica.name)
+        known = key in self._positions
+        after = self._positions.get(key, 0)
+        read = await self._observer.read_cache_events(replica.address, after)
+        if read.is_error():
+            self._count_failure('cache_events')
+            return
+        batch = read.ok
+        self._positions[key] = batch.next_sequence
+        self._loads.note_cache_events(
+            pool,
+            replica.name,
+            batch.events,
+            known and batch.gap,
+        )
--- /dev/null
+++ b/lavenderledge/daemon/metrics.py
@@ -0,0 +1,77 @@
+"""The metrics that an instance exposes."""
+
+import typing
+from collections import abc
+
+import aioprometheus
+from aioprometheus import renderer
+
+PREFIX = 'lavenderledge_'
+
+_FIRST_BYTE_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.76, 1.0, 2.5, 5.0, 10.0, 30.0,
+)  # fmt: skip
+
+
+class Metrics:
+    """Counters by name, made at their first use, and two histograms."""
+
+    def __init__(self) -> None:
+        """Start with a registry of its own."""
+        self._registry = aioprometheus.Registry()
+        self._counters: dict[str, aioprometheus.Counter] = {}
+        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._waits = self._build_histogram(
+            'first_byte_seconds',
+            'Time from a request to the first byte of its answer',
+        )
+
+    def count(self, name: str, **labels: object) -> None:
+        """Add one to the counter of this name."""
+        self.add(name, 1, **labels)
+
+    def add(self, name: str, amount: float, **labels: object) -> None:
+        """Add an amount to the counter of this name."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = aioprometheus.Counter(
+                f'{PREFIX}{name}_total',
+                name.replace('_', ' '),
+                registry=self._registry,
+            )
+            self._counters[name] = counter
+        counter.add(_write_labels(labels), amount)
+
+    def set_gauge(self, name: str, amount: float, **labels: object) -> None:
+        """Set the gauge of this name."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = aioprometheus.Gauge(
+                f'{PREFIX}{name}',
+                name.replace('_', ' '),
+                registry=self._registry,
+            )
+            self._gauges[name] = gauge
+        gauge.set(_write_labels(labels), amount)
+
+    def observe_first_byte(self, seconds: float, *, tier: int) -> None:
+        """Record how long a caller waited for the first byte."""
+        self._waits.observe({'tier': str(tier)}, seconds)
+
+    def render(
+        self, accepts: abc.Sequence[str]
+    ) -> tuple[bytes, abc.Mapping[str, str]]:
+        """Return the exposition and its HTTP headers."""
+        return renderer.render(self._registry, accepts)
+
+    def _build_histogram(self, name: str, text: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f'{PREFIX}{name}',
+            text,
+            registry=self._registry,
+            buckets=(*_FIRST_BYTE_BUCKETS_S, float('inf')),
+        )
+
+
+def _write_labels(labels: abc.Mapping[str, typing.Any]) -> dict[str, str]:
+    return {name: str(text) for name, text in labels.items()}
--- /dev/null
+++ b/lavenderledge/filters/deadlines.py
@@ -0,0 +1,48 @@
+"""Time limits of a request that can also be interrupted for a reason."""
+
+import asyncio
+import contextlib
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge import outcomes
+from lavenderledge.filters import exchange
+
+
+class Limit:
+    """How a limited section ended; ``reason`` is None where it ran out."""
+
+    def __init__(self) -> None:
+        """Start with no reason."""
+        self.reason: outcomes.Reason | None = None
+
+
+@contextlib.asynccontextmanager
+async def limit_time(
+    clock: clocks.Clock, current: exchange.Exchange
+) -> abc.AsyncIterator[Limit]:
+    """End the section at the request's deadline or at an interrupt.
+
+    The section then ends without an exception and the limit has the reason.
+    """
+    limit = Limit()
+    remaining_s = current.deadline_s - clock.read_monotonic()
+    try:
+        async with asyncio.timeout(max(remaining_s, 0)) as scope:
+            current.interrupt = _make_interrupt(limit, scope)
+            yield limit
+    except TimeoutError:
+        limit.reason = limit.reason or outcomes.Reason.DEADLINE_EXCEEDED
+    finally:
+        current.interrupt = None
+
+
+def _make_interrupt(
+    limit: Limit, scope: asyncio.Timeout
+) -> abc.Callable[[outcomes.Reason], None]:
+    def interrupt(reason: outcomes.Reason) -> None:
+        if limit.reason is None:
+            limit.reason = reason
+            scope.reschedule(asyncio.get_running_loop().time())
+
+    return interrupt
--- /dev/null
+++ b/lavenderledge/filters/dispatch.py
@@ -0,0 +1,128 @@
+"""The end of the chain: dispatch to the replica that was granted."""
+
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import clock as clocks
+from lavenderledge import outcomes
+from lavenderledge.controllers import admission
+from lavenderledge.filters import deadlines, exchange, refusals, relay
+from lavenderledge.upstreams import connection, plain
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+
+
+class Upstreams(typing.NamedTuple):
+    """What dispatching needs; durations in seconds, sizes in bytes."""
+
+    client: connection.UpstreamClient
+    clock: clocks.Clock
+    requests: admission.Admission
+    silence_s: float
+    lost_after_s: float
+    answer_limit_bytes: int
+    count_retry: abc.Callable[[str], None]
+    run_detached: abc.Callable[
+        [abc.Coroutine[typing.Any, typing.Any, None]], None
+    ]
+
+
+def make_readmit(upstreams: Upstreams, *, attempts: int) -> exchange.Filter:
+    """Return a filter that asks again after an attempt without a byte.
+
+    It stands around admission and dispatch. Only an attempt that wrote
+    nothing is repeated: a failed connect, or a grant that lapsed.
+    """
+
+    async def readmit(
+        current: exchange.Exchange, proceed: exchange.Handler
+    ) -> exchange.Outcome:
+        for _ in range(attempts):
+            outcome = await proceed(current)
+            if outcome.is_ok() or not _may_repeat(current, outcome.error):
+                return outcome
+            upstreams.count_retry(outcome.error.reason)
+        return outcome
+
+    return readmit
+
+
+def make_dispatch(upstreams: Upstreams) -> exchange.Handler:
+    """Return the handler that sends a request to its replica."""
+
+    async def dispatch(current: exchange.Exchange) -> exchange.Outcome:
+        assert current.work is not None
+        if current.work.model:
+            return await relay.relay_response(
+                upstreams, current, make_first_byte_check(upstreams, current)
+            )
+        return await _call_service(upstreams, current)
+
+    return dispatch
+
+
+def make_first_byte_check(
+    upstreams: Upstreams, current: exchange.Exchange
+) -> connection.BeforeFirstByte:
+    """Return the check that runs right before the first byte."""
+
+    def begin() -> bool:
+        placement = current.placement
+        assert placement is not None
+        if upstreams.clock.read_monotonic() >= current.deadline_s:
+            return False
+        if not upstreams.requests.is_current(placement):
+            return False
+        current.dispatch.start()
+        upstreams.requests.start(current.request_id)
+        return True
+
+    return begin
+
+
+def _may_repeat(current: exchange.Exchange, refusal: outcomes.Refusal) -> bool:
+    return not current.dispatch.started and refusal.reason in {
+        outcomes.Reason.CONNECT_FAILED,
+        outcomes.Reason.GRANT_LAPSED,
+    }
+
+
+async def _call_service(
+    upstreams: Upstreams, current: exchange.Exchange
+) -> exchange.Outcome:
+    placement = current.placement
+    work = current.work
+    assert placement is not None
+    assert work is not None
+    headers = plain.select_headers(current.call.headers)
+    headers[REQUEST_ID_HEADER] = current.request_id
+    async with deadlines.limit_time(upstreams.clock, current) as limit:
+        called = await plain.call_service(
+            client=upstreams.client,
+            method=current.call.method,
+            url=f'http://{placement.address}{work.path}',
+            headers=headers,
+            body=current.call.body,
+            before_first_byte=make_first_byte_check(upstreams, current),
+            limit_bytes=upstreams.answer_limit_bytes,
+        )
+    if limit.reason is not None:
+        return current.refuse(limit.reason, 'the call was ended')
+    if called.is_ok():
+        whole = called.ok
+        return expression.Ok(
+            exchange.Answer(whole.status, whole.headers, whole.body)
+        )
+    if isinstance(called.error, plain.TooLarge):
+        return current.refuse(
+            outcomes.Reason.UPSTREAM_FAILED,
+            f'the answer is over {called.error.limit_bytes} bytes',
+            failed=True,
+        )
+    if isinstance(called.error, connection.NotSent):
+        upstreams.requests.note_failure(
+            pool=placement.pool, replica=placement.replica
+        )
+    return refusals.refuse_connection(current, called.error)
--- /dev/null
+++ b/lavenderledge/filters/exchange.py
@@ -0,0 +1,115 @@
+"""One caller's request on its way through the filter chain."""
+
+import contextlib
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import outcomes
+from lavenderledge.controllers import admission, claims
+from lavenderledge.policy import table
+
+Sink: typing.TypeAlias = abc.Callable[[bytes], abc.Awaitable[None]]
+Stream: typing.TypeAlias = abc.Callable[
+    [Sink], abc.Awaitable['expression.Result[None, outcomes.Refusal]']
+]
+
+
+class Call(typing.NamedTuple):
+    """A request as it came in; header names are in lower case.
+
+    ``received_s`` is a monotonic reading.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: abc.Mapping[str, str]
+    body: bytes
+    received_s: float
+
+
+class Identity(typing.NamedTuple):
+    """Who calls and what for; ``timeout_s`` is None where none was given."""
+
+    customer: str
+    kind: str
+    key: str | None
+    timeout_s: float | None
+
+
+class Work(typing.NamedTuple):
+    """What an upstream is to do.
+
+    ``path`` is the path and query at the upstream. ``prompt`` is empty for
+    plain services, and so is ``model``.
+    """
+
+    pool: str
+    path: str
+    model: str
+    prompt: str
+    stream: bool
+    output_limit: int | None
+
+
+class Answer(typing.NamedTuple):
+    """An upstream's answer: a whole body, or a stream still to be pumped.
+
+    A stream writes its bytes to the sink that it is given and returns once
+    the answer is whole; it ends with a refusal where it can't be.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes = b''
+    stream: Stream | None = None
+
+
+class Exchange:
+    """The state of one request; its cleanup runs when the answer is sent."""
+
+    def __init__(self, *, request_id: str, call: Call) -> None:
+        """Start with the call alone; filters add what they find out."""
+        self.request_id = request_id
+        self.call = call
+        self.dispatch = outcomes.Dispatch()
+        self.cleanup = contextlib.AsyncExitStack()
+        self.identity = Identity('', '', None, None)
+        self.work: Work | None = None
+        self.row: table.Row | None = None
+        self.deadline_s = call.received_s
+        self.claim: claims.Claim | None = None
+        self.placement: admission.Placement | None = None
+        self.output_done = 0
+        self.background = False
+        self.is_reader = False
+        self.interrupt: abc.Callable[[outcomes.Reason], None] | None = None
+
+    @property
+    def outlives_caller(self) -> bool:
+        """Return whether the work goes on when its caller has gone."""
+        return self.background or self.identity.key is not None
+
+    def refuse(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        failed: bool = False,
+    ) -> 'expression.Result[typing.Any, outcomes.Refusal]':
+        """Return the refusal that is true of this request now."""
+        return expression.Error(
+            self.dispatch.refuse(
+                reason, detail, retry_after_s=retry_after_s, failed=failed
+            )
+        )
+
+
+Outcome: typing.TypeAlias = 'expression.Result[Answer, outcomes.Refusal]'
+Handler: typing.TypeAlias = abc.Callable[[Exchange], abc.Awaitable[Outcome]]
+Filter: typing.TypeAlias = abc.Callable[
+    [Exchange, Handler], abc.Awaitable[Outcome]
+]
--- /dev/null
+++ b/lavenderledge/filters/identifiers.py
@@ -0,0 +1,37 @@
+"""Response ids that tell any instance where a response runs."""
+
+import typing
+
+import xxhash
+
+_PREFIX = 'resp_'
+_SEPARATOR = ':'
+_PARTS = 4
+
+
+class ResponseId(typing.NamedTuple):
+    """The parts of a response id; the last is hard to guess."""
+
+    pool: str
+    replica: str
+    customer_tag: str
+    unique: str
+
+
+def format_id(*, pool: str, replica: str, customer: str, unique: str) -> str:
+    """Return the id of a response that runs on the replica."""
+    parts = (pool, replica, tag_customer(customer), unique)
+    return _PREFIX + _SEPARATOR.join(parts)
+
+
+def parse_id(text: str) -> ResponseId | None:
+    """Return an id's parts, or None where it isn't one of ours."""
+    parts = text.removeprefix(_PREFIX).split(_SEPARATOR)
+    if not text.startswith(_PREFIX) or len(parts) != _PARTS:
+        return None
+    return ResponseId(*parts)
+
+
+def tag_customer(customer: str) -> str:
+    """Return a short digest of a customer's name."""
+    return xxhash.xxh32_hexdigest(customer.encode())
--- /dev/null
+++ b/lavenderledge/filters/reading.py
@@ -0,0 +1,112 @@
+"""Handlers for responses that were created before: read, resume, cancel."""
+
+import typing
+from collections import abc
+from urllib import parse
+
+import expression
+
+from lavenderledge import outcomes
+from lavenderledge.filters import dispatch, exchange, identifiers, relay
+
+FindAddress = abc.Callable[[str, str], str | None]
+
+_READ_TIMEOUT_S = 3600
+
+
+class _Target(typing.NamedTuple):
+    address: str
+    response_id: str
+
+
+def make_read(
+    upstreams: dispatch.Upstreams, *, find_address: FindAddress
+) -> exchange.Handler:
+    """Return a handler of ``GET /v1/responses/ID``.
+
+    With ``stream=true`` the events after ``starting_after`` are relayed, by
+    whichever instance is asked.
+    """
+
+    async def read(current: exchange.Exchange) -> exchange.Outcome:
+        found = _find_target(current, find_address)
+        if found.is_error():
+            return expression.Error(found.error)
+        query = dict(parse.parse_qsl(current.call.query))
+        after = query.get('starting_after', '-1')
+        if not after.removeprefix('-').isdecimal():
+            return current.refuse(
+                outcomes.Reason.MALFORMED,
+                'starting_after must be a whole number',
+            )
+        current.deadline_s = current.call.received_s + _READ_TIMEOUT_S
+        current.dispatch.start()
+        current.is_reader = True
+        streamed = query.get('stream') == 'true'
+        stream = relay.open_stream(
+            upstreams,
+            found.ok.address,
+            found.ok.response_id,
+            last=int(after) if streamed else -1,
+        )
+        opened = await stream.open()
+        if opened.is_error():
+            return current.refuse(
+                outcomes.Reason.NO_SUCH_RESPONSE, repr(opened.error)
+            )
+        return await relay.answer_stream(
+            upstreams, current, stream, streamed=streamed
+        )
+
+    return read
+
+
+def make_cancel(
+    upstreams: dispatch.Upstreams, *, find_address: FindAddress
+) -> exchange.Handler:
+    """Return a handler of ``POST /v1/responses/ID/cancel``."""
+
+    async def cancel(current: exchange.Exchange) -> exchange.Outcome:
+        found = _find_target(current, find_address)
+        if found.is_error():
+            return expression.Error(found.error)
+        current.dispatch.start()
+        stream = relay.open_stream(
+            upstreams, found.ok.address, found.ok.response_id
+        )
+        if await stream.cancel():
+            return expression.Ok(
+                exchange.Answer(200, relay.JSON_HEADERS, b'{"cancelled":true}')
+            )
+        return current.refuse(
+            outcomes.Reason.UPSTREAM_LOST, 'the engine did not confirm'
+        )
+
+    return cancel
+
+
+async def refuse_path(current: exchange.Exchange) -> exchange.Outcome:
+    """Refuse a path that nothing is served at."""
+    return current.refuse(
+        outcomes.Reason.NO_SUCH_PATH,
+        'use /v1/responses or /services/NAME/PATH',
+    )
+
+
+def _find_target(
+    current: exchange.Exchange, find_address: FindAddress
+) -> 'expression.Result[_Target, outcomes.Refusal]':
+    path = parse.unquote(current.call.path)
+    text = path.removesuffix('/cancel').rpartition('/')[-1]
+    parsed = identifiers.parse_id(text)
+    tag = identifiers.tag_customer(current.identity.customer)
+    if parsed is None or parsed.customer_tag != tag:
+        return current.refuse(
+            outcomes.Reason.NO_SUCH_RESPONSE, 'no such response'
+        )
+    address = find_address(parsed.pool, parsed.replica)
+    if address is None:
+        return current.refuse(
+            outcomes.Reason.NO_SUCH_RESPONSE, 'its replica is gone'
+        )
+    return expression.Ok(_Target(address, text))
--- /dev/null
+++ b/lavenderledge/filters/relay.py
@@ -0,0 +1,250 @@
+"""Relay of an engine's response to its caller, whole or not at all."""
+
+import asyncio
+import typing
+
+import expression
+import msgspec
+
+from lavenderledge import outcomes
+from lavenderledge.filters import deadlines, exchange, identifiers, refusals
+from lavenderledge.filters import work as works
+from lavenderledge.upstreams import connection, engine, events
+
+if typing.TYPE_CHECKING:
+    from lavenderledge.filters import dispatch
+
+STREAM_HEADERS = (
+    ('content-type', 'text/event-stream'),
+    ('cache-control', 'no-cache'),
+)
+JSON_HEADERS = (('content-type', 'application/json'),)
+
+_OK = 200
+_Ended: typing.TypeAlias = 'expression.Result[bytes, outcomes.Refusal]'
+
+
+class _Details(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    output_tokens: int = 0
+    input_tokens_details: _Details = msgspec.field(default_factory=_Details)
+
+
+class _Body(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+class _Terminal(msgspec.Struct):
+    response: msgspec.Raw
+
+
+class _Progress:
+    """How far one relayed response has come."""
+
+    def __init__(self, *, sink: exchange.Sink | None) -> None:
+        """Start with nothing relayed."""
+        self.sink = sink
+        self.document = b''
+
+
+async def relay_response(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    begin: connection.BeforeFirstByte,
+) -> exchange.Outcome:
+    """Create the response at the placement's engine and relay it."""
+    placement = current.placement
+    work = current.work
+    assert placement is not None
+    assert work is not None
+    response_id = identifiers.format_id(
+        pool=placement.pool,
+        replica=placement.replica,
+        customer=current.identity.customer,
+        unique=current.request_id,
+    )
+    stream = open_stream(upstreams, placement.address, response_id)
+    async with deadlines.limit_time(upstreams.clock, current) as limit:
+        created = await stream.create(
+            works.build_engine_body(current.call.body, response_id),
+            before_first_byte=begin,
+        )
+    if limit.reason is not None:
+        return await _end_early(upstreams, current, stream, limit.reason)
+    if created.is_error() and not isinstance(created.error, connection.Lost):
+        return _refuse_creation(upstreams, current, created.error)
+    return await answer_stream(upstreams, current, stream, streamed=work.stream)
+
+
+async def answer_stream(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    stream: engine.EngineStream,
+    *,
+    streamed: bool,
+) -> exchange.Outcome:
+    """Return an open stream as an answer, pumped now or by the server."""
+
+    async def pump(
+        sink: exchange.Sink,
+    ) -> 'expression.Result[None, outcomes.Refusal]':
+        ended = await _pump(upstreams, current, stream, sink)
+        return ended.map(_drop_document)
+
+    if streamed:
+        return expression.Ok(exchange.Answer(_OK, STREAM_HEADERS, stream=pump))
+    whole = await _pump(upstreams, current, stream, None)
+    return whole.map(
+        lambda document: exchange.Answer(_OK, JSON_HEADERS, document)
+    )
+
+
+def open_stream(
+    upstreams: 'dispatch.Upstreams',
+    address: str,
+    response_id: str,
+    *,
+    last: int = -1,
+) -> engine.EngineStream:
+    """Return a stream of a response that is not connected yet."""
+    return engine.EngineStream(
+        client=upstreams.client,
+        address=address,
+        response_id=response_id,
+        clock=upstreams.clock,
+        silence_s=upstreams.silence_s,
+        lost_after_s=upstreams.lost_after_s,
+        on_resume=lambda why: upstreams.count_retry(f'resume_{why.reason}'),
+        last=last,
+    )
+
+
+async def _pump(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    stream: engine.EngineStream,
+    sink: exchange.Sink | None,
+) -> _Ended:
+    progress = _Progress(sink=sink)
+    take = _make_take(upstreams, current, progress)
+    try:
+        async with deadlines.limit_time(upstreams.clock, current) as limit:
+            ended = await stream.pump(take)
+    except asyncio.CancelledError:
+        if not current.is_reader:
+            upstreams.run_detached(_cancel(stream))
+        raise
+    finally:
+        stream.close()
+    if limit.reason is not None:
+        early = await _end_early(upstreams, current, stream, limit.reason)
+        return expression.Error(early.error)
+    if ended.is_error():
+        return current.refuse(outcomes.Reason.UPSTREAM_LOST, ended.error.detail)
+    return _judge_end(upstreams, current, ended.ok, progress.document)
+
+
+def _make_take(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    progress: _Progress,
+) -> engine.OnEvent:
+    sink = progress.sink
+    requests = upstreams.requests
+
+    async def take(event: events.Event) -> None:
+        if event.kind == events.DELTA_KIND:
+            current.output_done += 1
+            requests.note_tokens(current.request_id, current.output_done)
+        elif event.kind in events.TERMINAL_KINDS:
+            progress.document = event.document
+        if sink is not None:
+            await sink(event.raw)
+
+    return take
+
+
+def _judge_end(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    kind: str,
+    document: bytes,
+) -> _Ended:
+    if kind == 'response.failed':
+        return current.refuse(
+            outcomes.Reason.UPSTREAM_FAILED,
+            'the engine ended the response as failed',
+            failed=True,
+        )
+    try:
+        response = bytes(msgspec.json.decode(document, type=_Terminal).response)
+        body = msgspec.json.decode(response, type=_Body)
+    except msgspec.MsgspecError as error:
+        return current.refuse(
+            outcomes.Reason.ANSWER_INCOMPLETE, str(error), failed=True
+        )
+    _note_usage(upstreams, current, body.usage)
+    return expression.Ok(response)
+
+
+def _note_usage(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    usage: _Usage | None,
+) -> None:
+    if usage is None or current.placement is None:
+        return
+    current.output_done = usage.output_tokens
+    upstreams.requests.note_cached(
+        pool=current.placement.pool,
+        replica=current.placement.replica,
+        cached_tokens=usage.input_tokens_details.cached_tokens,
+    )
+
+
+async def _end_early(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    stream: engine.EngineStream,
+    reason: outcomes.Reason,
+) -> exchange.Outcome:
+    if not current.dispatch.started:
+        return current.refuse(reason, 'ended before it was dispatched')
+    cancelled = await stream.cancel()
+    return current.refuse(
+        reason,
+        'ended and cancelled' if cancelled else 'ended; cancel unanswered',
+        retry_after_s=1,
+        failed=cancelled,
+    )
+
+
+def _refuse_creation(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    failure: engine.CreateFailure,
+) -> exchange.Outcome:
+    placement = current.placement
+    if placement is not None and not isinstance(failure, connection.Withdrawn):
+        upstreams.requests.note_failure(
+            pool=placement.pool, replica=placement.replica
+        )
+    if isinstance(failure, engine.Refused):
+        return current.refuse(
+            outcomes.Reason.UPSTREAM_REFUSED,
+            f'the engine answered with status {failure.status}',
+            retry_after_s=failure.retry_after_s,
+            failed=True,
+        )
+    return refusals.refuse_connection(current, failure)
+
+
+def _drop_document(document: bytes) -> None:
+    """Leave out the document, which a streamed caller has had."""
+
+
+async def _cancel(stream: engine.EngineStream) -> None:
+    await stream.cancel()
--- a/lavenderledge/logs.py
+++ b/lavenderledge/logs.py
@@ -31,6 +31,7 @@
     handler = logging.StreamHandler(stream)
     handler.setFormatter(_Fields())
     logging.basicConfig(handlers=[handler], level=level.upper(), force=True)
+    logging.getLogger('uvicorn').setLevel(logging.WARNING)
 
 
 def write_event(
--- a/lavenderledge/outcomes.py
+++ b/lavenderledge/outcomes.py
@@ -5,8 +5,8 @@
 """
 
 import enum
+import http
 import typing
-from http import HTTPStatus
 
 OUTCOME_HEADER = 'X-Request-Outcome'
 
@@ -29,6 +29,7 @@
     NO_SUCH_POOL = 'no_such_pool'
     NO_SUCH_ROW = 'no_such_row'
     NO_SUCH_RESPONSE = 'no_such_response'
+    NO_SUCH_PATH = 'no_such_path'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
     CUSTOMER_MISSING = 'customer_missing'
     KEY_MISSING = 'idempotency_key_missing'
@@ -45,6 +46,7 @@
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     NO_UPSTREAM = 'no_upstream'
     CONNECT_FAILED = 'connect_failed'
+    GRANT_LAPSED = 'grant_lapsed'
     UPSTREAM_REFUSED = 'upstream_refused'
     UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_LOST = 'upstream_lost'
@@ -56,25 +58,26 @@
 
 
 _STATUSES: typing.Final = {
-    Reason.MALFORMED: HTTPStatus.BAD_REQUEST,
-    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    Reason.NO_SUCH_POOL: HTTPStatus.NOT_FOUND,
-    Reason.NO_SUCH_ROW: HTTPStatus.FORBIDDEN,
-    Reason.NO_SUCH_RESPONSE: HTTPStatus.NOT_FOUND,
-    Reason.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
-    Reason.CUSTOMER_MISSING: HTTPStatus.UNAUTHORIZED,
-    Reason.KEY_MISSING: HTTPStatus.BAD_REQUEST,
-    Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
-    Reason.KEY_IN_USE: HTTPStatus.CONFLICT,
-    Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
-    Reason.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
-    Reason.CALLER_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
-    Reason.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
-    Reason.UPSTREAM_REFUSED: HTTPStatus.BAD_GATEWAY,
-    Reason.UPSTREAM_FAILED: HTTPStatus.BAD_GATEWAY,
-    Reason.UPSTREAM_LOST: HTTPStatus.GATEWAY_TIMEOUT,
-    Reason.ANSWER_INCOMPLETE: HTTPStatus.BAD_GATEWAY,
-    Reason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+    Reason.MALFORMED: http.HTTPStatus.BAD_REQUEST,
+    Reason.TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.NO_SUCH_POOL: http.HTTPStatus.NOT_FOUND,
+    Reason.NO_SUCH_ROW: http.HTTPStatus.FORBIDDEN,
+    Reason.NO_SUCH_RESPONSE: http.HTTPStatus.NOT_FOUND,
+    Reason.NO_SUCH_PATH: http.HTTPStatus.NOT_FOUND,
+    Reason.METHOD_NOT_ALLOWED: http.HTTPStatus.METHOD_NOT_ALLOWED,
+    Reason.CUSTOMER_MISSING: http.HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_MISSING: http.HTTPStatus.BAD_REQUEST,
+    Reason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.KEY_IN_USE: http.HTTPStatus.CONFLICT,
+    Reason.RATE_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.QUEUE_FULL: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.CALLER_LIMIT: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.DEADLINE_EXCEEDED: http.HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.UPSTREAM_REFUSED: http.HTTPStatus.BAD_GATEWAY,
+    Reason.UPSTREAM_FAILED: http.HTTPStatus.BAD_GATEWAY,
+    Reason.UPSTREAM_LOST: http.HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.ANSWER_INCOMPLETE: http.HTTPStatus.BAD_GATEWAY,
+    Reason.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 
 
@@ -87,9 +90,9 @@
     retry_after_s: float | None = None
 
     @property
-    def status(self) -> HTTPStatus:
+    def status(self) -> http.HTTPStatus:
         """Return the HTTP status that callers are given."""
-        return _STATUSES.get(self.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+        return _STATUSES.get(self.reason, http.HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 class Dispatch:
@@ -133,3 +136,10 @@
         if self._started:
             return Outcome.FAILED if failed else Outcome.UNKNOWN
         return Outcome.NOT_RUN
+
+
+def tell_unknown(
+    reason: Reason, detail: str, *, retry_after_s: float | None = None
+) -> Refusal:
+    """Build a refusal for work that another attempt may have run."""
+    return Refusal(reason, Outcome.UNKNOWN, detail, retry_after_s)
--- /dev/null
+++ b/lavenderledge/platform/groupcommit.py
@@ -0,0 +1,94 @@
+"""Group commit: many small transactions in one call to the service."""
+
+import asyncio
+import collections
+import typing
+
+import expression
+
+from lavenderledge.platform import keyvalue, operations
+
+BATCH_ITEMS = 100
+BATCH_BYTES = 900_000
+_CALLS_AT_ONCE = 4
+
+Committed: typing.TypeAlias = (
+    'expression.Result[operations.TransactAnswer, operations.Failure]'
+)
+
+
+class _Item(typing.NamedTuple):
+    transaction: operations.Nested
+    size: int
+    committed: 'asyncio.Future[Committed]'
+
+
+class GroupCommit:
+    """Sends waiting transactions together, each independent of the others.
+
+    While calls are under way further transactions gather, so that batches
+    grow with the load and the service's rate does not.
+    """
+
+    def __init__(self, *, store: keyvalue.KeyValue) -> None:
+        """Start with nothing waiting."""
+        self._store = store
+        self._waiting: collections.deque[_Item] = collections.deque()
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def commit(self, transaction: operations.Nested) -> Committed:
+        """Do one transaction; its size in bytes counts keys and values."""
+        future: asyncio.Future[Committed]
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append(_Item(transaction, _measure(transaction), future))
+        self._start_call()
+        return await future
+
+    def _start_call(self) -> None:
+        if not self._waiting or len(self._calls) >= _CALLS_AT_ONCE:
+            return
+        task = asyncio.create_task(self._call(self._take_batch()))
+        self._calls.add(task)
+        task.add_done_callback(self._end_call)
+
+    def _end_call(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        self._start_call()
+
+    def _take_batch(self) -> list[_Item]:
+        batch: list[_Item] = []
+        size = 0
+        while self._waiting and len(batch) < BATCH_ITEMS:
+            size += self._waiting[0].size
+            if batch and size > BATCH_BYTES:
+                break
+            batch.append(self._waiting.popleft())
+        return batch
+
+    async def _call(self, batch: list[_Item]) -> None:
+        told = await self._store.transact(
+            (), [item.transaction for item in batch]
+        )
+        for number, item in enumerate(batch):
+            if not item.committed.done():
+                item.committed.set_result(_pick_answer(told, number))
+
+
+def _measure(transaction: operations.Nested) -> int:
+    size = 0
+    for compare in transaction.compares:
+        if isinstance(compare.wanted, bytes):
+            size += len(compare.wanted)
+    for operation in transaction.then:
+        if isinstance(operation, operations.Put):
+            size += len(operation.value)
+    return size
+
+
+def _pick_answer(told: Committed, number: int) -> Committed:
+    if told.is_error():
+        return expression.Error(told.error)
+    answer = told.ok.answers[number]
+    if isinstance(answer, operations.TransactAnswer):
+        return expression.Ok(answer)
+    return expression.Error(operations.Malformed('a nested answer is missing'))
--- /dev/null
+++ b/lavenderledge/standins/launcher.py
@@ -0,0 +1,326 @@
+"""A launcher of stand-ins and instances, for the demo, tests and loads."""
+
+import asyncio
+import base64
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import time
+import typing
+from collections import abc
+
+import aiohttp
+
+from lavenderledge.peers import keys
+from lavenderledge.policy import table
+
+_DAEMON_MODULE = 'lavenderledge.daemon'
+_STANDIN_MODULE = 'lavenderledge.standins'
+_READY_PREFIX = 'ready '
+_READY_TIMEOUT_S = 30.0
+_POLL_S = 0.1
+_TABLE_KEY = b'lavenderledge/table'
+_LOOP_CLOCK = time.monotonic
+
+
+class LaunchError(Exception):
+    """A program ended before it was ready."""
+
+
+class Program:
+    """One running program and the addresses that it told."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        process: asyncio.subprocess.Process,
+        addresses: abc.Mapping[str, str],
+    ) -> None:
+        """Take a process that is ready."""
+        self.name = name
+        self.process = process
+        self.addresses = addresses
+
+    @property
+    def address(self) -> str:
+        """Return the address of a stand-in."""
+        return self.addresses['address']
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to a program that still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the program at once; it keeps nothing that could be lost."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+class Upstream(typing.NamedTuple):
+    """An upstream as it is entered into the instance list."""
+
+    name: str
+    pool: str
+    kind: str
+    zone: str
+    address: str
+
+
+class Launcher:
+    """Starts programs and enters them into the instance list."""
+
+    def __init__(self, *, log_path: str | None = None) -> None:
+        """Start nothing; programs append their logs to the path."""
+        self.pair = keys.generate_pair()
+        self.programs: dict[str, Program] = {}
+        self._session: aiohttp.ClientSession | None = None
+        self._log: typing.IO[bytes] | int = asyncio.subprocess.DEVNULL
+        self._files = contextlib.ExitStack()
+        if log_path is not None:
+            self._log = self._files.enter_context(
+                pathlib.Path(log_path).open('ab')
+            )
+
+    async def __aenter__(self) -> 'Launcher':
+        """Open the HTTP session of the launcher."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        """Stop every program."""
+        await asyncio.gather(
+            *(program.kill() for program in self.programs.values())
+        )
+        await self.session.close()
+        self._files.close()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP session."""
+        assert self._session is not None
+        return self._session
+
+    async def start_standin(
+        self, kind: str, *flags: str, name: str | None = None
+    ) -> Program:
+        """Start a stand-in on a free port."""
+        return await self._start(
+            name or kind,
+            _STANDIN_MODULE,
+            (kind, '--listen', '127.0.0.1:0', *flags),
+        )
+
+    async def start_platform(self) -> None:
+        """Start the key-value service and the instance list."""
+        await asyncio.gather(
+            self.start_standin('keyvalue'), self.start_standin('instancelist')
+        )
+
+    async def start_instance(
+        self, name: str, *flags: str, zone: str = 'zone-a', listed: bool = True
+    ) -> Program:
+        """Start an instance and enter it into the instance list."""
+        program = await self._start(
+            name,
+            _DAEMON_MODULE,
+            (
+                f'--instance={name}',
+                f'--availability-zone={zone}',
+                '--listen=127.0.0.1:0',
+                '--admin-listen=127.0.0.1:0',
+                '--peer-listen=127.0.0.1:0',
+                f'--keyvalue=http://{self.programs["keyvalue"].address}',
+                f'--instance-list={self.list_url}',
+                *flags,
+            ),
+        )
+        if listed:
+            await self.list_instance(program, zone=zone)
+        return program
+
+    @property
+    def list_url(self) -> str:
+        """Return the base URL of the instance list."""
+        return f'http://{self.programs["instancelist"].address}'
+
+    @property
+    def keyvalue_url(self) -> str:
+        """Return the base URL of the key-value service."""
+        return f'http://{self.programs["keyvalue"].address}'
+
+    async def put_table(self, *rows: table.Row) -> None:
+        """Put a first table with these rows into the key-value service."""
+        stored = table.encode_table(table.Table(rows, edit_id='first'))
+        document = {
+            'key': base64.b64encode(_TABLE_KEY).decode(),
+            'value': base64.b64encode(stored).decode(),
+        }
+        url = f'{self.keyvalue_url}/v3/kv/put'
+        async with self.session.post(url, json=document) as response:
+            response.raise_for_status()
+
+    async def wait_until_ready(self, *names: str) -> None:
+        """Wait until each instance is ready and some instance allocates.
+
+        Raises ``LaunchError`` where that takes too long.
+        """
+        give_up_s = _LOOP_CLOCK() + _READY_TIMEOUT_S
+        while not await self._is_ready(names):
+            if _LOOP_CLOCK() > give_up_s:
+                raise LaunchError('the instances were not ready in time')
+            await asyncio.sleep(_POLL_S)
+
+    async def list_instance(
+        self, program: Program, *, zone: str = 'zone-a', leaving: bool = False
+    ) -> None:
+        """Enter an instance into the instance list."""
+        ports = {
+            'http': _read_port(program.addresses['listen']),
+            'admin': _read_port(program.addresses['admin']),
+            'peer': _read_port(program.addresses['peer']),
+        }
+        await self._put_endpoint(
+            program.name, 'lavenderledge', 'instance', zone, ports, leaving
+        )
+
+    async def list_upstream(
+        self, upstream: Upstream, *, leaving: bool = False
+    ) -> None:
+        """Enter an upstream into the instance list."""
+        await self._put_endpoint(
+            upstream.name,
+            upstream.pool,
+            upstream.kind,
+            upstream.zone,
+            {'http': _read_port(upstream.address)},
+            leaving,
+        )
+
+    async def remove_endpoint(self, name: str) -> None:
+        """Take an endpoint out of the instance list."""
+        url = f'{self.list_url}/standin/endpoints/{name}'
+        async with self.session.delete(url) as response:
+            response.raise_for_status()
+
+    async def start_engine(
+        self, name: str, pool: str, *flags: str, zone: str = 'zone-a'
+    ) -> Program:
+        """Start an engine and list it as a replica of the pool."""
+        program = await self.start_standin(
+            'engine',
+            f'--model={pool}',
+            f'--replica={name}',
+            *flags,
+            name=name,
+        )
+        await self.list_upstream(
+            Upstream(name, pool, 'engine', zone, program.address)
+        )
+        return program
+
+    async def start_service(
+        self, name: str, pool: str, *flags: str, zone: str = 'zone-a'
+    ) -> Program:
+        """Start a plain service and list it as a replica of the pool."""
+        program = await self.start_standin('plain', *flags, name=name)
+        await self.list_upstream(
+            Upstream(name, pool, 'plain', zone, program.address)
+        )
+        return program
+
+    async def set_switches(self, name: str, **switches: object) -> None:
+        """Set switches of a stand-in."""
+        url = f'http://{self.programs[name].address}/standin/switches'
+        async with self.session.post(url, json=switches) as response:
+            response.raise_for_status()
+
+    async def read_json(self, name: str, path: str) -> typing.Any:
+        """Read a JSON document of a stand-in, or of an instance's admin."""
+        addresses = self.programs[name].addresses
+        address = addresses.get('admin') or addresses['address']
+        async with self.session.get(f'http://{address}{path}') as response:
+            return await response.json(content_type=None)
+
+    async def _is_ready(self, names: abc.Iterable[str]) -> bool:
+        found = await asyncio.gather(
+            *(self.read_json(name, '/status') for name in names)
+        )
+        settled = all(
+            status['ready'] and status['membership']['settled']
+            for status in found
+        )
+        alive = {len(status['membership']['alive']) for status in found}
+        return settled and alive == {len(found)}
+
+    async def _put_endpoint(
+        self,
+        name: str,
+        pool: str,
+        kind: str,
+        zone: str,
+        ports: abc.Mapping[str, int],
+        leaving: bool,
+    ) -> None:
+        url = f'{self.list_url}/standin/endpoints/{name}'
+        document = {
+            'pool': pool,
+            'kind': kind,
+            'zone': zone,
+            'address': '127.0.0.1',
+            'ports': dict(ports),
+            'ready': not leaving,
+            'terminating': leaving,
+        }
+        async with self.session.put(url, json=document) as response:
+            response.raise_for_status()
+
+    async def _start(
+        self, name: str, module: str, flags: abc.Sequence[str]
+    ) -> Program:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *flags,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=self._log,
+            env={
+                **os.environ,
+                'LAVENDERLEDGE_PEER_SECRET_KEY': self.pair.secret.decode(),
+            },
+        )
+        addresses = await _read_ready(name, process)
+        program = Program(name=name, process=process, addresses=addresses)
+        self.programs[name] = program
+        return program
+
+
+async def _read_ready(
+    name: str, process: asyncio.subprocess.Process
+) -> dict[str, str]:
+    assert process.stdout is not None
+    try:
+        line = await asyncio.wait_for(
+            process.stdout.readline(), _READY_TIMEOUT_S
+        )
+    except TimeoutError as error:
+        process.kill()
+        raise LaunchError(f'{name} was not ready in time') from error
+    text = line.decode().strip()
+    if not text.startswith(_READY_PREFIX):
+        await process.wait()
+        raise LaunchError(f'{name} ended with status {process.returncode}')
+    pairs = text.removeprefix(_READY_PREFIX).split()
+    return dict(pair.split('=', 1) for pair in pairs)
+
+
+def _read_port(address: str) -> int:
+    return int(address.rpartition(':')[-1])
--- /dev/null
+++ b/lavenderledge/upstreams/observation.py
@@ -0,0 +1,118 @@
+"""What engines publish about themselves: load and cache events."""
+
+import typing
+
+import aiohttp
+import expression
+import msgspec
+from prometheus_client import parser
+
+from lavenderledge.policy import prefix
+
+_TIMEOUT_S = 2.0
+_RUNNING = 'vllm:num_requests_running'
+_WAITING = 'vllm:num_requests_waiting'
+
+
+class Load(typing.NamedTuple):
+    """An engine's load some time ago, in requests."""
+
+    running: int
+    waiting: int
+
+
+class CacheEvents(typing.NamedTuple):
+    """Cache events in order, and whether some are missing among them.
+
+    The next event has at least ``next_sequence``.
+    """
+
+    events: tuple[prefix.CacheEvent, ...]
+    next_sequence: int
+    gap: bool
+
+
+class ReportFailure(typing.NamedTuple):
+    """A report that did not come or could not be read."""
+
+    detail: str
+
+
+class _EventDocument(msgspec.Struct):
+    seq: int
+    type: typing.Literal['stored', 'removed']
+    blocks: tuple[int, ...]
+
+
+class _EventsDocument(msgspec.Struct):
+    events: list[_EventDocument]
+    next: int
+
+
+class Observer:
+    """Reads what engines publish."""
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        """Take an open session, which its owner closes."""
+        self._session = session
+
+    async def read_load(
+        self, address: str
+    ) -> 'expression.Result[Load, ReportFailure]':
+        """Read the load of the engine at ``host:port``."""
+        body = await self._read(f'http://{address}/metrics')
+        return body.bind(_parse_load)
+
+    async def read_cache_events(
+        self, address: str, after: int
+    ) -> 'expression.Result[CacheEvents, ReportFailure]':
+        """Read the cache events after a sequence number."""
+        body = await self._read(f'http://{address}/kv_events?after={after}')
+        return body.bind(lambda text: _parse_events(text, after))
+
+    async def _read(
+        self, url: str
+    ) -> 'expression.Result[bytes, ReportFailure]':
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return expression.Error(ReportFailure(repr(error)))
+        if response.status == 200:
+            return expression.Ok(body)
+        return expression.Error(ReportFailure(f'status {response.status}'))
+
+
+def _parse_load(
+    body: bytes,
+) -> 'expression.Result[Load, ReportFailure]':
+    found = {_RUNNING: 0, _WAITING: 0}
+    try:
+        for family in parser.text_string_to_metric_families(body.decode()):
+            for sample in family.samples:
+                found[sample.name] = int(sample.value) + found.get(
+                    sample.name, 0
+                )
+    except ValueError as error:
+        return expression.Error(ReportFailure(str(error)))
+    return expression.Ok(Load(found[_RUNNING], found[_WAITING]))
+
+
+def _parse_events(
+    body: bytes, after: int
+) -> 'expression.Result[CacheEvents, ReportFailure]':
+    try:
+        document = msgspec.json.decode(body, type=_EventsDocument)
+    except msgspec.MsgspecError as error:
+        return expression.Error(ReportFailure(str(error)))
+    numbers = [event.seq for event in document.events]
+    expected = list(range(after + 1, document.next))
+    events = tuple(
+        prefix.CacheEvent(stored=event.type == 'stored', digest=digest)
+        for event in document.events
+        for digest in event.blocks
+    )
+    return expression.Ok(
+        CacheEvents(events, document.next, numbers != expected)
+    )
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,112 @@
+"""A whole fleet of real programs for tests."""
+
+import asyncio
+import contextlib
+import time
+from collections import abc
+
+from lavenderledge.policy import table
+from lavenderledge.standins import launcher
+
+ROWS = (
+    table.Row(
+        row='plans',
+        customer='*',
+        pool='calculator',
+        kind='plan',
+        tier=1,
+        repeatable=True,
+    ),
+    table.Row(
+        row='notes',
+        customer='*',
+        pool='calculator',
+        kind='*',
+        tier=3,
+        output_tokens=32,
+        repeatable=True,
+    ),
+    table.Row(row='orders', customer='*', pool='orders', kind='*', tier=1),
+)
+PATIENCE_S = 60
+
+
+class Answer:
+    """An HTTP answer, read to its end."""
+
+    def __init__(self, *, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Fleet(launcher.Launcher):
+    """A launcher with the calls that tests make."""
+
+    async def call(self, instance, method, path, **options):
+        """Send one request through an instance and read the answer."""
+        address = self.programs[instance].addresses['listen']
+        headers = {'X-Customer': 'hub', **options.pop('headers', {})}
+        async with self.session.request(
+            method, f'http://{address}{path}', headers=headers, **options
+        ) as response:
+            return Answer(
+                status=response.status,
+                headers=dict(response.headers),
+                body=await response.text(),
+            )
+
+    async def ask(self, instance, *, kind='plan', tokens=20, **fields):
+        """Send one model request."""
+        headers = {'X-Request-Kind': kind, **fields.pop('headers', {})}
+        document = {
+            'model': 'calculator',
+            'input': 'lace a wheel ' * 20,
+            'metadata': {'output_tokens': tokens},
+            **fields,
+        }
+        return await self.call(
+            instance, 'POST', '/v1/responses', json=document, headers=headers
+        )
+
+    async def order(self, instance, key, **options):
+        """Send one non-idempotent call."""
+        return await self.call(
+            instance,
+            'POST',
+            '/services/orders/confirm',
+            data=b'{"hub": 1}',
+            headers={'Idempotency-Key': key},
+            **options,
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(
+    *, instances=2, engines=2, flags=(), engine_flags=(), rows=ROWS
+):
+    """Run a fleet until the block ends."""
+    async with Fleet() as fleet:
+        await fleet.start_platform()
+        await fleet.put_table(*rows)
+        names = [f'entry-{number}' for number in range(instances)]
+        await asyncio.gather(
+            *(
+                fleet.start_engine(
+                    f'engine-{number}', 'calculator', *engine_flags
+                )
+                for number in range(engines)
+            ),
+            fleet.start_service('orders-0', 'orders'),
+            *(fleet.start_instance(name, *flags) for name in names),
+        )
+        await fleet.wait_until_ready(*names)
+        yield fleet
+
+
+async def wait_for(condition: abc.Callable[[], abc.Awaitable[bool]]):
+    """Wait until a condition holds; fail after a generous limit."""
+    give_up_s = time.monotonic() + PATIENCE_S
+    while not await condition():
+        assert time.monotonic() < give_up_s, 'the condition never held'
+        await asyncio.sleep(0.05)
