Tell a process whose name a newer one has taken

Cause: a process that wakes after a newer incarnation took its name and address got no gossip any more: it believed itself alone, alive and settled (test: the older of two processes with a name gives way; failed first). Peers now answer the outdated address for some seconds with the newer facts. A change of a heartbeat alone no longer recomputes the links.

Tests of the membership: a state machine with kills, freezes, cuts and loss, and the cases one by one.

--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -19,6 +19,8 @@
 _MAX_LOST = 64
 _REMEMBER_FOR_S = 7200.0
 _MAX_LATENESS = 0.5
+_MAX_OUTDATED = 16
+_TELL_OUTDATED_FOR_S = 5.0
 _LOGGER = logging.getLogger(__name__)
 _Item = typing.TypeVar('_Item')
 
@@ -44,6 +46,13 @@
     superseded: bool
 
 
+class _Outdated(typing.NamedTuple):
+    """A process that still gossips under a name that has a newer one."""
+
+    member: messages.Member
+    heard_at_s: float
+
+
 class Membership:
     """The members of the fleet as one instance believes them to be.
 
@@ -73,6 +82,7 @@
         self._make_plan = plan
         self._sightings: dict[str, gossip.Sighting] = {}
         self._listed: dict[str, Listed] = {}
+        self._outdated: dict[str, _Outdated] = {}
         self._list_known = False
         self._superseded = False
         self._starting = True
@@ -103,12 +113,15 @@
     def receive(self, heartbeat: messages.Heartbeat) -> None:
         """Merge what another instance believes alive."""
         now_s = self._observe()
+        changed = False
         for member in heartbeat.members:
             if member.instance == self._own.instance:
                 self._hear_of_self(member, now_s)
             else:
-                self._hear(member, now_s)
-        self._refresh(now_s)
+                changed = self._hear(member, now_s) or changed
+        self._note_sender(heartbeat, now_s)
+        if changed:
+            self._refresh(now_s)
 
     def note_listed(self, endpoints: abc.Iterable[Listed]) -> None:
         """Take the platform's present list; it replaces the last one.
@@ -258,11 +271,36 @@
             late_s=f'{late_s:.1f}',
         )
 
-    def _hear(self, member: messages.Member, now_s: float) -> None:
-        self._sightings[member.instance] = gossip.merge_sighting(
-            self._sightings.get(member.instance), member, now_s
+    def _hear(self, member: messages.Member, now_s: float) -> bool:
+        """Return whether more than the heartbeat changed."""
+        old = self._sightings.get(member.instance)
+        new = gossip.merge_sighting(old, member, now_s)
+        if new is old:
+            return False
+        alive = self._is_alive(member.instance, now_s)
+        self._sightings[member.instance] = new
+        return (
+            old is None
+            or not alive
+            or _read_lasting(old.member) != _read_lasting(new.member)
         )
 
+    def _note_sender(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
+        """Remember a process whose name a newer one has taken.
+
+        Nobody gossips to its address any more; it is to hear why.
+        """
+        for member in heartbeat.members[:1]:
+            sighting = self._sightings.get(member.instance)
+            if (
+                sighting is not None
+                and member.instance == heartbeat.sender
+                and member.incarnation < sighting.member.incarnation
+                and member.address != sighting.member.address
+                and len(self._outdated) < _MAX_OUTDATED
+            ):
+                self._outdated[member.address] = _Outdated(member, now_s)
+
     def _hear_of_self(self, member: messages.Member, now_s: float) -> None:
         if member.incarnation <= self._own.incarnation or self._superseded:
             return
@@ -296,6 +334,9 @@
         for instance, sighting in list(self._sightings.items()):
             if now_s - sighting.advanced_at_s >= _REMEMBER_FOR_S:
                 self._sightings.pop(instance)
+        for address, outdated in list(self._outdated.items()):
+            if now_s - outdated.heard_at_s >= _TELL_OUTDATED_FOR_S:
+                self._outdated.pop(address)
 
     def _list_heard(self, now_s: float) -> list[str]:
         return [
@@ -327,9 +368,10 @@
         }
         for instance in self._list_lost(now_s):
             links[instance] = self._sightings[instance].member.address
-        for instance, sighting in self._sightings.items():
-            if not _is_forgotten(sighting, now_s):
-                links[instance] = sighting.member.address
+        for instance in self._list_heard(now_s):
+            links[instance] = self._sightings[instance].member.address
+        # No instance has an address for a name.
+        links.update((address, address) for address in self._outdated)
         return links
 
     def _list_lost(self, now_s: float) -> list[str]:
@@ -346,11 +388,19 @@
         targets = self._sample(heard, self._plan.fanout)
         if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
             self._probed_at_s = now_s
-            strangers = sorted(self._links.keys() - set(heard))
+            strangers = sorted(
+                self._links.keys() - set(heard) - self._outdated.keys(),
+            )
             targets.extend(self._sample(strangers, _MAX_PROBES))
         heartbeat = self._make_heartbeat(now_s)
         for instance in targets:
             self._send(instance, heartbeat)
+        for address, outdated in self._outdated.items():
+            newer = self._sightings[outdated.member.instance].member
+            self._send(
+                address,
+                messages.Heartbeat(self._own.instance, (self._own, newer)),
+            )
 
     def _make_heartbeat(self, now_s: float) -> messages.Heartbeat:
         members = [self._own]
@@ -367,6 +417,10 @@
         return self._rng.sample(population, min(count, len(population)))
 
 
+def _read_lasting(member: messages.Member) -> tuple[int, bool, str]:
+    return (member.incarnation, member.leaving, member.address)
+
+
 def _is_forgotten(sighting: gossip.Sighting, now_s: float) -> bool:
     age_s = now_s - sighting.advanced_at_s
     return age_s >= gossip.FORGET_AFTER.total_seconds()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,346 @@
+"""Who is believed alive: rendezvous hashing and heartbeat gossip."""
+
+import datetime
+import random
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from lavenderledge.controllers import membership
+from lavenderledge.peers import messages
+from lavenderledge.policy import gossip, rendezvous
+
+NAMES = tuple(f'entry-{number}' for number in range(7))
+STEP_S = 0.5
+TIMEOUT_BEATS = 7
+EXPECTED_RANKING = ['entry-2', 'entry-1', 'entry-0', 'entry-3']
+JOIN_BEATS = 8
+SEEDED = hypothesis.settings(derandomize=True, deadline=None)
+
+
+class ManualClock:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def read_monotonic(self):
+        return self.now_s
+
+
+class Node:
+    """One membership on a network that tests cut and lose messages on."""
+
+    def __init__(self, network, name, incarnation):
+        self.name = name
+        self.frozen = False
+        self.links = {}
+        self.address = f'127.0.0.1:{name[-1]}{incarnation}'
+        self.membership = membership.Membership(
+            own=messages.Member(
+                name, incarnation, 0, False, 'addis-a', self.address, 0
+            ),
+            clock=network.clock,
+            rng=random.Random(f'{name}{incarnation}'),
+            send=lambda peer, message: network.send(self, peer, message),
+            on_change=self.relink,
+            read_table_revision=lambda: 3,
+        )
+
+    def relink(self, links):
+        self.links = dict(links)
+
+
+class Network:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.rng = random.Random(7)
+        self.nodes = {}
+        self.loss = 0.0
+        self.cut = frozenset()
+        self.in_flight = []
+        self.incarnation = 0
+
+    def start(self, name, *, listed=NAMES):
+        self.incarnation += 1
+        node = Node(self, name, self.incarnation)
+        self.nodes[node.address] = node
+        node.membership.note_listed(
+            membership.Listed(each, address, terminating=False)
+            for each, address in self.list_addresses().items()
+            if each in listed
+        )
+        return node
+
+    def list_addresses(self):
+        return {node.name: node.address for node in self.nodes.values()}
+
+    def refresh_list(self):
+        listed = [
+            membership.Listed(name, address, terminating=False)
+            for name, address in self.list_addresses().items()
+        ]
+        for node in self.list_nodes():
+            node.membership.note_listed(listed)
+
+    def stop(self, name):
+        for node in self.list_nodes(name):
+            self.nodes.pop(node.address)
+
+    def list_nodes(self, *names):
+        return [
+            node
+            for node in self.nodes.values()
+            if not names or node.name in names
+        ]
+
+    def send(self, sender, peer, message):
+        self.in_flight.append((sender, sender.links.get(peer), message))
+
+    def step(self, beats=1):
+        for _ in range(beats):
+            self.clock.now_s += STEP_S
+            for node in self.list_nodes():
+                if not node.frozen:
+                    node.membership.beat()
+            in_flight, self.in_flight = self.in_flight, []
+            for sender, address, message in in_flight:
+                self.deliver(sender, address, message)
+
+    def deliver(self, sender, address, message):
+        node = self.nodes.get(address)
+        if node is None or node.frozen:
+            return
+        parted = (sender.name in self.cut) != (node.name in self.cut)
+        if not parted and self.rng.random() >= self.loss:
+            node.membership.receive(message)
+
+    def list_views(self):
+        return [node.membership.list_alive() for node in self.list_nodes()]
+
+
+def start_fleet(count=5):
+    network = Network()
+    for name in NAMES[:count]:
+        network.start(name)
+    network.refresh_list()
+    network.step(JOIN_BEATS)
+    assert set(network.list_views()) == {NAMES[:count]}
+    return network
+
+
+@SEEDED
+@hypothesis.given(
+    keys=strategies.lists(strategies.text(max_size=8), max_size=20),
+    instances=strategies.sets(strategies.text(max_size=8), min_size=2),
+)
+def test_a_lost_instance_moves_only_its_own_keys(keys, instances):
+    gone = min(instances)
+    rest = instances - {gone}
+    for key in keys:
+        ranking = rendezvous.rank(key, instances)
+        assert rendezvous.pick(key, instances) == ranking[0]
+        ranking.remove(gone)
+        assert rendezvous.rank(key, rest) == ranking
+        assert rendezvous.is_among_first(key, ranking[0], instances, 2)
+
+
+def test_the_ranking_is_the_same_in_every_process_and_spreads():
+    assert rendezvous.rank('calculator/0', NAMES[:4]) == EXPECTED_RANKING
+    assert rendezvous.pick('calculator/0', ()) is None
+    firsts = [rendezvous.pick(str(key), NAMES) for key in range(7000)]
+    assert all(800 < firsts.count(name) < 1200 for name in NAMES)
+
+
+def test_a_newcomer_is_settled_once_it_heard_everyone_listed():
+    network = start_fleet()
+    newcomer = network.start(NAMES[5])
+    assert not newcomer.membership.is_settled()
+    assert newcomer.membership.list_alive() == (NAMES[5],)
+    assert newcomer.membership.count_known() == 6
+    network.step(3)
+    assert newcomer.membership.is_settled()
+    assert set(network.list_views()) == {NAMES[:6]}
+
+
+def test_an_instance_cut_off_shares_with_all_listed_and_rejoins():
+    network = start_fleet()
+    network.cut = frozenset(NAMES[:2])
+    network.step(TIMEOUT_BEATS)
+    assert set(network.list_views()) == {NAMES[:2], NAMES[2:5]}
+    assert {n.membership.count_known() for n in network.list_nodes()} == {5}
+    for node in network.list_nodes():
+        node.membership.note_listed(())
+    network.step(7200)
+    network.cut = frozenset()
+    network.step(JOIN_BEATS)
+    assert set(network.list_views()) == {NAMES[:5]}
+
+
+def test_a_paused_instance_is_unsettled_until_it_has_listened():
+    network = start_fleet()
+    paused = network.list_nodes(NAMES[0])[0]
+    paused.frozen = True
+    network.step(20)
+    network.stop(NAMES[4])
+    network.start(NAMES[5])
+    network.step(20)
+    assert not paused.membership.is_settled()
+    paused.frozen = False
+    network.step()
+    assert not paused.membership.is_settled()
+    assert set(NAMES[1:4]) < set(paused.membership.list_alive())
+    network.step(TIMEOUT_BEATS)
+    assert paused.membership.is_settled()
+    assert set(network.list_views()) == {(*NAMES[:4], NAMES[5])}
+
+
+def test_a_slow_loop_does_not_blame_its_peers():
+    network = start_fleet()
+    network.clock.now_s += 2.9
+    node = network.list_nodes(NAMES[0])[0]
+    node.membership.beat()
+    assert node.membership.list_alive() == NAMES[:5]
+
+
+def test_the_older_of_two_processes_with_a_name_gives_way():
+    network = start_fleet()
+    older = network.list_nodes(NAMES[0])[0]
+    newer = network.start(NAMES[0])
+    network.step(JOIN_BEATS)
+    assert older.membership.is_superseded()
+    assert not older.membership.is_settled()
+    assert newer.membership.is_settled()
+    peer = network.list_nodes(NAMES[1])[0]
+    assert peer.links[NAMES[0]] == newer.address
+
+
+def test_a_restart_under_a_wall_clock_gone_back_is_heard():
+    network = start_fleet()
+    network.stop(NAMES[0])
+    network.incarnation = 0
+    network.start(NAMES[0])
+    network.step(JOIN_BEATS + TIMEOUT_BEATS)
+    assert set(network.list_views()) == {NAMES[:5]}
+
+
+@SEEDED
+@hypothesis.given(
+    facts=strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 3),
+            strategies.integers(0, 3),
+            strategies.booleans(),
+        ),
+        min_size=1,
+    )
+)
+def test_merging_keeps_the_newest_facts_in_any_order(facts):
+    heard = [
+        messages.Member('a', incarnation, heartbeat, leaving, 'z', 'x:1', 0)
+        for incarnation, heartbeat, leaving in facts
+    ]
+    sighting = None
+    for now_s, member in enumerate(heard):
+        sighting = gossip.merge_sighting(sighting, member, now_s)
+    newest = max((each.incarnation, each.heartbeat) for each in heard)
+    kept = sighting.member
+    assert (kept.incarnation, kept.heartbeat) == newest
+    assert kept.leaving == any(
+        each.leaving for each in heard if each.incarnation == newest[0]
+    )
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Instances come, go, freeze and part; then the network heals."""
+
+    def __init__(self):
+        super().__init__()
+        self.network = Network()
+        self.leaving = set()
+        self.newest = {}
+
+    @stateful.initialize()
+    def start_first(self):
+        for name in NAMES[:3]:
+            self.start(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def start(self, name):
+        self.network.stop(name)
+        self.leaving.discard(name)
+        self.newest[name] = self.network.start(name).address
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def kill(self, name):
+        self.network.stop(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def leave(self, name):
+        for node in self.network.list_nodes(name):
+            node.membership.mark_leaving()
+            self.leaving.add(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def toggle_freeze(self, name):
+        for node in self.network.list_nodes(name):
+            node.frozen = not node.frozen
+
+    @stateful.rule(
+        loss=strategies.sampled_from((0.0, 0.3, 0.9)),
+        cut=strategies.frozensets(strategies.sampled_from(NAMES)),
+    )
+    def disturb(self, loss, cut):
+        self.network.loss = loss
+        self.network.cut = cut
+
+    @stateful.rule(beats=strategies.sampled_from((1, 3, 10, 130)))
+    def pass_time(self, beats):
+        self.network.step(beats)
+
+    @stateful.rule()
+    def refresh_list(self):
+        self.network.refresh_list()
+
+    @stateful.rule()
+    def heal(self):
+        """Everyone alive is soon seen by all, and nobody else is."""
+        self.network.loss = 0.0
+        self.network.cut = frozenset()
+        for node in self.network.list_nodes():
+            node.frozen = False
+        self.refresh_list()
+        self.network.step(JOIN_BEATS + 2 * TIMEOUT_BEATS)
+        alive = {node.name for node in self.network.list_nodes()}
+        expected = tuple(sorted(alive - self.leaving))
+        assert set(self.network.list_views()) <= {expected}
+        for node in self.network.list_nodes():
+            assert node.membership.is_settled()
+
+    @stateful.invariant()
+    def no_incarnation_goes_back(self):
+        for node in self.network.list_nodes():
+            own = node.membership.list_members()[0]
+            assert node.name in node.membership.list_alive() or own.leaving
+            for member in node.membership.list_members():
+                newest = int(self.newest[member.instance].split(':')[1][1:])
+                assert member.incarnation <= newest
+
+    def teardown(self):
+        self.heal()
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=25,
+)
+
+
+def test_gossip_stays_within_its_bytes_at_every_size():
+    for members in range(1, 400):
+        plan = gossip.plan_gossip(members)
+        assert plan.failure_timeout > 2 * plan.interval
+        assert plan.sample <= 64
+        assert plan.fanout < members
+        assert plan.interval >= datetime.timedelta(milliseconds=500)
