Stand-ins: kinds carry what runs them, errors say what is wrong

Cause: every kind was bound to an address and served as an application, so there was no place for a program of another sort, and a wrong flag was told by the name of a parsing function. The stand-ins' 18 tests pass as before.

--- a/lavenderledge/standins/definition.py
+++ b/lavenderledge/standins/definition.py
@@ -2,6 +2,7 @@
 
 import argparse
 import datetime
+import math
 import typing
 from collections import abc
 
@@ -15,28 +16,27 @@
     instancelist,
     keyvalue,
     plain,
+    server,
 )
 
-Build: typing.TypeAlias = abc.Callable[[argparse.Namespace], types.ASGIApp]
-
 
 class Option(typing.NamedTuple):
-    """One flag; ``parse`` turns its text into a value or raises."""
+    """One flag; ``parse`` raises ``ValueError`` where its text is wrong."""
 
     flag: str
     parse: abc.Callable[[str], typing.Any]
-    default: typing.Any
+    default: str
     summary: str
     choices: tuple[str, ...] | None = None
 
 
 class Kind(typing.NamedTuple):
-    """One kind of stand-in that is served as an application."""
+    """One kind of program: its flags, and what runs it until it ends."""
 
     name: str
     summary: str
     options: tuple[Option, ...]
-    build: Build
+    run: server.Run
 
 
 class Address(typing.NamedTuple):
@@ -48,17 +48,17 @@
 
 def parse_address(text: str) -> Address:
     """Return the address in HOST:PORT; raises ``ValueError``."""
-    host, found, port = text.rpartition(':')
-    if not found or not host:
-        raise ValueError('not HOST:PORT')
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal():
+        raise ValueError(f'not HOST:PORT: {text}')
     return Address(host, int(port))
 
 
 def parse_seconds(text: str) -> datetime.timedelta:
     """Return a duration of seconds, zero or more; raises ``ValueError``."""
-    seconds = float(text)
+    seconds = _parse_finite(text)
     if seconds < 0:
-        raise ValueError('negative')
+        raise ValueError(f'less than 0: {text}')
     return datetime.timedelta(seconds=seconds)
 
 
@@ -66,15 +66,22 @@
     """Return a number of one or more; raises ``ValueError``."""
     number = int(text)
     if number < 1:
-        raise ValueError('not positive')
+        raise ValueError(f'less than 1: {text}')
     return number
 
 
 def parse_rate(text: str) -> float:
     """Return a number greater than zero; raises ``ValueError``."""
-    number = float(text)
+    number = _parse_finite(text)
     if number <= 0:
-        raise ValueError('not positive')
+        raise ValueError(f'not above 0: {text}')
+    return number
+
+
+def _parse_finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f'not finite: {text}')
     return number
 
 
@@ -129,10 +136,10 @@
     )
 
 
-LISTEN = Option(
+_LISTEN = Option(
     '--listen',
     parse_address,
-    Address('127.0.0.1', 0),
+    '127.0.0.1:0',
     'HOST:PORT to listen on; port 0 takes a free one',
 )
 
@@ -141,68 +148,73 @@
         'keyvalue',
         "key-value service with etcd v3's JSON gateway",
         (
+            _LISTEN,
             Option(
                 '--progress-interval-s',
                 parse_seconds,
-                datetime.timedelta(seconds=1),
+                '1',
                 'seconds between progress notices of an idle watch',
             ),
         ),
-        _build_keyvalue,
+        server.serve_until_stopped(_build_keyvalue),
     ),
     Kind(
         'instancelist',
         'instance list as EndpointSlice JSON',
         (
+            _LISTEN,
             Option(
                 '--lag-s',
                 parse_seconds,
-                datetime.timedelta(),
+                '0',
                 'seconds until a change is seen',
             ),
         ),
-        _build_instancelist,
+        server.serve_until_stopped(_build_instancelist),
     ),
     Kind(
         'engine',
         'model engine that batches continuously',
         (
+            _LISTEN,
             Option('--model', str, 'calculator', 'name of the model'),
             Option('--replica', str, 'calculator-0', 'name of the replica'),
             Option(
                 '--token-gap-s',
                 parse_rate,
-                0.01,
+                '0.01',
                 'seconds between tokens of a lone request',
             ),
             Option(
                 '--knee',
                 parse_count,
-                16,
+                '16',
                 'batch up to which the gap is about constant',
             ),
             Option(
-                '--prefill-rate', parse_rate, 8000, 'prompt tokens a second'
+                '--prefill-rate', parse_rate, '8000', 'prompt tokens a second'
+            ),
+            Option('--max-running', parse_count, '256', 'largest batch'),
+            Option(
+                '--cache-blocks', parse_count, '4096', 'blocks in the cache'
             ),
-            Option('--max-running', parse_count, 256, 'largest batch'),
-            Option('--cache-blocks', parse_count, 4096, 'blocks in the cache'),
-            Option('--block-tokens', parse_count, 16, 'tokens of a block'),
+            Option('--block-tokens', parse_count, '16', 'tokens of a block'),
             Option(
                 '--load-lag-s',
                 parse_seconds,
-                datetime.timedelta(seconds=1),
+                '1',
                 'age of the reported load in seconds',
             ),
             Option(
                 '--cache-event-lag-s',
                 parse_seconds,
-                datetime.timedelta(seconds=0.5),
+                '0.5',
                 'age of the published cache events in seconds',
             ),
             Option(
                 '--orphan-s',
                 parse_seconds,
-                datetime.timedelta(seconds=5),
+                '5',
                 'seconds that a request runs on without a connection',
             ),
             Option(
@@ -213,20 +225,21 @@
                 ('checked', 'ignored'),
             ),
         ),
-        _build_engine,
+        server.serve_until_stopped(_build_engine),
     ),
     Kind(
         'plain',
         'plain service that echoes and counts the runs of each key',
         (
+            _LISTEN,
             Option('--name', str, 'orders', 'name of the service'),
             Option(
                 '--work-s',
                 parse_seconds,
-                datetime.timedelta(seconds=0.01),
+                '0.01',
                 'seconds that each call takes',
             ),
         ),
-        _build_plain,
+        server.serve_until_stopped(_build_plain),
     ),
 )
--- a/lavenderledge/standins/server.py
+++ b/lavenderledge/standins/server.py
@@ -1,5 +1,6 @@
 """Serving a stand-in's application, in a process or inside a test."""
 
+import argparse
 import asyncio
 import contextlib
 import signal
@@ -10,13 +11,21 @@
 import uvicorn
 from starlette import types
 
+from lavenderledge import environment, status
 from lavenderledge.standins import connection
 
+PROGRAM = 'lavenderledge-standin'
+
 _BACKLOG = 1024
 _STOP_LIMIT_S = 1
 _KEEP_ALIVE_S = 75
 _POLL_S = 0.01
 
+Build: typing.TypeAlias = abc.Callable[[argparse.Namespace], types.ASGIApp]
+Run: typing.TypeAlias = abc.Callable[
+    [argparse.Namespace, environment.Environment], status.ExitStatus
+]
+
 
 class _Server(uvicorn.Server):
     """A server that leaves the process's signals alone."""
@@ -68,11 +77,27 @@
         await _stop(server, serving_task)
 
 
-def run(
-    app: types.ASGIApp, listener: socket.socket, stdout: typing.TextIO
-) -> None:
-    """Serve until SIGTERM or SIGINT; tell the address once it listens."""
-    asyncio.run(_run(app, listener, stdout))
+def serve_until_stopped(build: Build) -> Run:
+    """Return what serves an application until SIGTERM or SIGINT.
+
+    It tells the address on the standard output once it listens.
+    """
+
+    def run(
+        args: argparse.Namespace, env: environment.Environment
+    ) -> status.ExitStatus:
+        try:
+            listener = bind(*args.listen)
+        except (OSError, OverflowError) as error:
+            env.write_error(
+                program=PROGRAM,
+                message=f'cannot listen on {args.listen.host}: {error}',
+            )
+            return status.ExitStatus.ERROR
+        asyncio.run(_run(build(args), listener, env.stdout))
+        return status.ExitStatus.SUCCESS
+
+    return run
 
 
 async def _run(
