Bound what an instance holds by tier, and give up on forgotten responses

A full instance refused a high tier without the allocator's word; a customer's low-tier requests counted against its high-tier ones; a response that the engine had lost was asked for until the limit; a body could arrive for ever. Before: all four by reading the code. Conclusion: the bounds hold by tier; memory stays bounded by the reserve.

--- a/lavenderledge/daemon/callers.py
+++ b/lavenderledge/daemon/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import typing
 import uuid
 from collections import abc
 
@@ -16,7 +15,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-HandlerFor: typing.TypeAlias = abc.Callable[[types.Scope], exchange.Handler]
+_BODY_TIMEOUT_S = 30.0
 
 
 class Callers:
@@ -28,11 +27,13 @@
         clock: clocks.Clock,
         metrics: meters.Metrics,
         body_limit_bytes: int,
+        most_in_flight: int,
     ) -> None:
         """Serve nothing yet."""
         self._clock = clock
         self._metrics = metrics
         self._body_limit_bytes = body_limit_bytes
+        self._most_in_flight = most_in_flight
         self.in_flight = 0
 
     def make_endpoint(
@@ -63,9 +64,9 @@
             request_id=uuid.uuid4().hex,
             call=_read_call(scope, self._clock.read_monotonic()),
         )
-        body = await _read_body(receive, self._body_limit_bytes)
+        body = await self._read_body(receive)
         if isinstance(body, outcomes.Reason):
-            refused = current.refuse(body, 'the body is too large or cut short')
+            refused = current.refuse(body, 'the body could not be taken')
             await self._finish(current, send, refused)
             return
         current.call = current.call._replace(body=body)
@@ -78,6 +79,17 @@
             return
         await self._run(current, handler, receive, send)
 
+    async def _read_body(
+        self, receive: types.Receive
+    ) -> bytes | outcomes.Reason:
+        if self.in_flight > self._most_in_flight:
+            return outcomes.Reason.MEMORY_FULL
+        try:
+            async with asyncio.timeout(_BODY_TIMEOUT_S):
+                return await _read_body(receive, self._body_limit_bytes)
+        except TimeoutError:
+            return outcomes.Reason.BODY_TIMEOUT
+
     async def _run(
         self,
         current: exchange.Exchange,
@@ -100,6 +112,13 @@
             work.cancel()
         await asyncio.wait((work,))
         watch.cancel()
+        if not work.cancelled() and work.exception() is not None:
+            self._metrics.count('answer_failures')
+            _LOGGER.error(
+                'answer_failed',
+                exc_info=work.exception(),
+                extra={'fields': {'request_id': current.request_id}},
+            )
 
     async def _answer(
         self,
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -25,6 +25,8 @@
 
 _DETACHED_TIMEOUT_S = 30.0
 _IDLE_CHECK_S = 0.1
+# Beyond the reserve of the limit filter, with room for reads.
+_IN_FLIGHT_FACTOR = 3
 _LOGGER = logging.getLogger(__name__)
 
 Failure: typing.TypeAlias = servers.ListenFailure | link.ListenFailure
@@ -69,6 +71,7 @@
             clock=clock,
             metrics=self._metrics,
             body_limit_bytes=settings.max_body_bytes,
+            most_in_flight=settings.max_requests * _IN_FLIGHT_FACTOR,
         )
         self._leaving = False
         self._stop_requested = asyncio.Event()
--- a/lavenderledge/filters/admit.py
+++ b/lavenderledge/filters/admit.py
@@ -69,5 +69,5 @@
         remaining_s=current.deadline_s - now_s,
         waited_s=0,
         preemptible=bool(work.model) and row.repeatable,
-        pressed=False,
+        pressed=current.pressed,
     )
--- a/lavenderledge/filters/exchange.py
+++ b/lavenderledge/filters/exchange.py
@@ -84,6 +84,7 @@
         self.placement: admission.Placement | None = None
         self.output_done = 0
         self.background = False
+        self.pressed = False
         self.is_reader = False
         self.interrupt: abc.Callable[[outcomes.Reason], None] | None = None
 
--- a/lavenderledge/filters/limit.py
+++ b/lavenderledge/filters/limit.py
@@ -9,6 +9,9 @@
 from lavenderledge.filters import exchange
 
 
+_RESERVE = 2
+
+
 class Bounds(typing.NamedTuple):
     """The most that one instance holds at a time."""
 
@@ -17,6 +20,11 @@
     body_bytes: int
 
 
+class _Share(typing.NamedTuple):
+    customer: str
+    tier: int
+
+
 class Holdings:
     """What this instance holds now, in all and for each customer."""
 
@@ -25,36 +33,47 @@
         self.bounds = bounds
         self.requests = 0
         self.body_bytes = 0
-        self._by_customer: collections.Counter[str] = collections.Counter()
+        self._by_customer: collections.Counter[_Share] = collections.Counter()
+
+    def count_customer(self, customer: str, tier: int) -> int:
+        """Return how many requests of a tier or higher the customer has.
+
+        Work of lower tiers does not count, so that it can't keep a
+        customer's own higher tiers out.
+        """
+        return sum(
+            self._by_customer[_Share(customer, each)]
+            for each in range(1, tier + 1)
+        )
 
-    def count_customer(self, customer: str) -> int:
-        """Return how many requests the customer has here."""
-        return self._by_customer[customer]
+    def is_full(self, size: int, *, reserve: int = 1) -> bool:
+        """Return whether one more body of ``size`` bytes passes a bound.
 
-    def is_full(self, size: int) -> bool:
-        """Return whether one more body of ``size`` bytes passes a bound."""
+        ``reserve`` multiplies the bounds.
+        """
         return (
-            self.requests >= self.bounds.requests
-            or self.body_bytes + size > self.bounds.body_bytes
+            self.requests >= self.bounds.requests * reserve
+            or self.body_bytes + size > self.bounds.body_bytes * reserve
         )
 
     @contextlib.contextmanager
-    def hold(self, customer: str, size: int) -> abc.Iterator[None]:
+    def hold(self, customer: str, tier: int, size: int) -> abc.Iterator[None]:
         """Count one request of ``size`` bytes until the context ends."""
+        share = _Share(customer, tier)
         self.requests += 1
         self.body_bytes += size
-        self._by_customer[customer] += 1
+        self._by_customer[share] += 1
         try:
             yield
         finally:
-            self._let_go(customer, size)
+            self._let_go(share, size)
 
-    def _let_go(self, customer: str, size: int) -> None:
+    def _let_go(self, share: _Share, size: int) -> None:
         self.requests -= 1
         self.body_bytes -= size
-        self._by_customer[customer] -= 1
-        if not self._by_customer[customer]:
-            self._by_customer.pop(customer)
+        self._by_customer[share] -= 1
+        if not self._by_customer[share]:
+            self._by_customer.pop(share)
 
 
 def make_limit(
@@ -65,32 +84,34 @@
     """Return a filter that makes room by tier, or refuses.
 
     A full instance first ends a waiting request of a lower tier. Where none
-    waits here, a request may use a reserve of as much again, and is marked
-    as pressed at the allocator.
+    waits here, a request may use a reserve of as much again; it is pressed,
+    so that the allocator grants it, by preemption if need be, or refuses it
+    in the knowledge that nothing of a lower tier runs in the pool.
     """
 
     async def limit(
         current: exchange.Exchange, proceed: exchange.Handler
     ) -> exchange.Outcome:
+        assert current.row is not None
         size = len(current.call.body)
         customer = current.identity.customer
-        assert current.row is not None
-        if holdings.count_customer(customer) >= (
-            holdings.bounds.customer_requests
-        ):
+        tier = current.row.tier
+        held = holdings.count_customer(customer, tier)
+        if held >= holdings.bounds.customer_requests:
             return current.refuse(
                 outcomes.Reason.CALLER_LIMIT,
                 'too many requests of this customer at this instance',
                 retry_after_s=1,
             )
-        if holdings.is_full(size):
-            if not displace(current.row.tier):
-                return current.refuse(
-                    outcomes.Reason.OVERLOADED,
-                    'this instance holds as much as it may',
-                    retry_after_s=1,
-                )
-        current.cleanup.enter_context(holdings.hold(customer, size))
+        if holdings.is_full(size) and not displace(tier):
+            current.pressed = True
+        if holdings.is_full(size, reserve=_RESERVE):
+            return current.refuse(
+                outcomes.Reason.MEMORY_FULL,
+                'this instance holds as much as it may',
+                retry_after_s=1,
+            )
+        current.cleanup.enter_context(holdings.hold(customer, tier, size))
         return await proceed(current)
 
     return limit
--- a/lavenderledge/outcomes.py
+++ b/lavenderledge/outcomes.py
@@ -26,6 +26,7 @@
 
     MALFORMED = 'malformed'
     TOO_LARGE = 'too_large'
+    BODY_TIMEOUT = 'body_timeout'
     NO_SUCH_POOL = 'no_such_pool'
     NO_SUCH_ROW = 'no_such_row'
     NO_SUCH_RESPONSE = 'no_such_response'
@@ -41,6 +42,7 @@
     QUEUE_FULL = 'queue_full'
     CALLER_LIMIT = 'caller_limit'
     DISPLACED = 'displaced'
+    MEMORY_FULL = 'memory_full'
     OVERLOADED = 'overloaded'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
@@ -60,6 +62,7 @@
 _STATUSES: typing.Final = {
     Reason.MALFORMED: http.HTTPStatus.BAD_REQUEST,
     Reason.TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.BODY_TIMEOUT: http.HTTPStatus.REQUEST_TIMEOUT,
     Reason.NO_SUCH_POOL: http.HTTPStatus.NOT_FOUND,
     Reason.NO_SUCH_ROW: http.HTTPStatus.FORBIDDEN,
     Reason.NO_SUCH_RESPONSE: http.HTTPStatus.NOT_FOUND,
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -117,8 +117,10 @@
             reopened = await self._reopen()
             if reopened.is_ok():
                 heard_s = self._clock.read_monotonic()
-            elif self._clock.read_monotonic() - heard_s > self._lost_after_s:
-                return expression.Error(Unreachable(reopened.error))
+                continue
+            silent_s = self._clock.read_monotonic() - heard_s
+            if silent_s > self._lost_after_s or self._is_forgotten(reopened):
+                return expression.Error(Unreachable(repr(reopened.error)))
 
     async def cancel(self) -> bool:
         """Tell the engine to stop; return whether it said that it did."""
@@ -154,13 +156,23 @@
             Refused(response.status, body, _read_retry_after(response))
         )
 
-    async def _reopen(self) -> 'expression.Result[None, str]':
+    async def _reopen(self) -> 'expression.Result[None, CreateFailure]':
         self.close()
         opened = await self.open()
-        if opened.is_ok():
-            return expression.Ok(None)
-        await self._clock.sleep(timing.seconds(_RESUME_PAUSE_S))
-        return expression.Error(repr(opened.error))
+        if opened.is_error():
+            await self._clock.sleep(timing.seconds(_RESUME_PAUSE_S))
+        return opened
+
+    def _is_forgotten(
+        self, reopened: 'expression.Result[None, CreateFailure]'
+    ) -> bool:
+        """Return whether the engine has lost a response that had begun."""
+        failure = reopened.error
+        return (
+            self.last >= 0
+            and isinstance(failure, Refused)
+            and failure.status == _NOT_FOUND
+        )
 
     async def _read(self, on_event: OnEvent) -> str | None:
         """Read until the stream ends or breaks; return a terminal kind."""
