Demo: a whole fleet on stand-ins, and what it does

Ruled out: shell scripts (nothing typed, hard to end cleanly). Also: the stand-in engine named a response by the start of its id, which is the same for a whole pool; a checker could not tell whose answer it had. It now uses the id's end. Before: no demo.

--- a/lavenderledge/standins/answers.py
+++ b/lavenderledge/standins/answers.py
@@ -70,7 +70,7 @@
 def render_token(response_id: str, number: int) -> str:
     """Return the text of one token; the first one is number 1."""
     if number == 1:
-        return f'w1@{response_id[:_ID_CHARACTERS]} '
+        return f'w1@{response_id[-_ID_CHARACTERS:]} '
     return f'w{number} '
 
 
--- a/lavenderledge/standins/definition.py
+++ b/lavenderledge/standins/definition.py
@@ -11,6 +11,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge.standins import (
     batch,
+    demo,
     engine,
     engineapp,
     instancelist,
@@ -242,4 +243,10 @@
         ),
         server.serve_until_stopped(_build_plain),
     ),
+    Kind(
+        'demo',
+        'run a whole fleet on stand-ins and show what it does',
+        (),
+        demo.run,
+    ),
 )
--- /dev/null
+++ b/lavenderledge/standins/demo.py
@@ -0,0 +1,208 @@
+"""A demonstration: a whole fleet on stand-ins, and what it does."""
+
+import argparse
+import asyncio
+import json
+import typing
+
+from lavenderledge import environment, status
+from lavenderledge.standins import launcher
+
+_TABLE = """\
+row,customer,pool,kind,tier,weight,rate,timeout_s,output_tokens,repeatable
+plans,*,calculator,plan,1,1,,60,120,yes
+checks,*,calculator,check,2,1,,30,30,yes
+notes,*,calculator,note,3,1,20,30,12,yes
+orders,*,orders,*,1,1,,10,1,no
+"""
+_INSTANCES = ('entry-a', 'entry-b', 'entry-c')
+_ZONES = ('addis-a', 'addis-b', 'addis-c')
+_ENGINES = (('fast', '0.005'), ('usual', '0.01'), ('slow', '0.02'))
+_PLAN_TOKENS = 120
+_NOTE_TOKENS = 12
+_SHOWN_CHARS = 60
+
+
+class DemoFailure(Exception):
+    """Something did not happen as it should."""
+
+
+class _Exchange(typing.NamedTuple):
+    status: int
+    headers: dict[str, str]
+    text: str
+
+
+class _Demo:
+    """The steps of the demonstration on one running fleet."""
+
+    def __init__(
+        self, *, fleet: launcher.Launcher, stdout: typing.TextIO
+    ) -> None:
+        """Take a fleet whose programs are not started yet."""
+        self._fleet = fleet
+        self._stdout = stdout
+
+    async def run(self) -> None:
+        """Run every step."""
+        for step in (
+            self._start,
+            self._serve_models,
+            self._serve_orders,
+            self._edit_table,
+            self._stop_one,
+        ):
+            await step()
+        self._tell('Done: every answer was whole, and the order ran once.')
+
+    async def _start(self) -> None:
+        self._tell('Starting a key-value service, an instance list, three')
+        self._tell('engines of unlike speed, an order service, 3 instances.')
+        fleet = self._fleet
+        await fleet.start_platform()
+        await asyncio.gather(
+            *(
+                fleet.start_engine(
+                    name, 'calculator', f'--token-gap-s={gap}', zone=zone
+                )
+                for (name, gap), zone in zip(_ENGINES, _ZONES)
+            ),
+            fleet.start_service('orders-0', 'orders'),
+            *(
+                fleet.start_instance(name, '--notice-period=1', zone=zone)
+                for name, zone in zip(_INSTANCES, _ZONES)
+            ),
+        )
+        await self._run_command('table', 'import', '-', given=_TABLE)
+        await fleet.wait_until_ready(*_INSTANCES)
+        await self._run_command('table', 'show')
+        await self._run_command('status')
+
+    async def _serve_models(self) -> None:
+        self._tell('\nA lacing plan through entry-a, streamed:')
+        plan = await self._ask('entry-a', 'plan', _PLAN_TOKENS, stream=True)
+        tokens = plan.text.count('event: response.output_text.delta')
+        self._show(plan, f'{tokens} tokens, each as it came')
+        self._expect(tokens == _PLAN_TOKENS, 'the plan is not whole')
+        self._tell('\nA pattern note through entry-b:')
+        note = await self._ask('entry-b', 'note', _NOTE_TOKENS, stream=False)
+        answer = json.loads(note.text)
+        self._show(note, answer['output'][0]['content'][0]['text'])
+
+    async def _serve_orders(self) -> None:
+        self._tell('\nAn order with an Idempotency-Key through entry-c:')
+        first = await self._order('entry-c')
+        self._show(first, first.text)
+        self._tell('The same order again, through entry-a:')
+        again = await self._order('entry-a')
+        self._show(again, again.text)
+        runs = await self._fleet.read_json('orders-0', '/standin/runs')
+        self._tell(f'  the service ran it {runs["order-1"]} time(s)')
+        self._expect(first.text == again.text, 'the answers differ')
+        self._expect(runs['order-1'] == 1, 'the order ran twice')
+
+    async def _edit_table(self) -> None:
+        self._tell('\nAn edit, in force on every instance when it returns:')
+        await self._run_command('table', 'set', 'notes', 'rate=5', 'tier=4')
+        await self._run_command('table', 'status')
+        await self._run_command('table', 'history')
+
+    async def _stop_one(self) -> None:
+        self._tell('\nA graceful stop of entry-b with a plan in flight:')
+        plan = asyncio.create_task(
+            self._ask('entry-b', 'plan', _PLAN_TOKENS, stream=True)
+        )
+        program = self._fleet.programs['entry-b']
+        while not (await self._read_status('entry-b'))['running']:
+            await asyncio.sleep(0)
+        program.terminate()
+        answer = await plan
+        ended = await program.process.wait()
+        whole = 'event: response.completed' in answer.text
+        self._show(answer, f'whole: {whole}; entry-b ended with {ended}')
+        self._expect(whole and ended == 0, 'the stop cut off a request')
+
+    async def _read_status(self, name: str) -> typing.Any:
+        return await self._fleet.read_json(name, '/status')
+
+    async def _ask(
+        self, instance: str, kind: str, tokens: int, *, stream: bool
+    ) -> _Exchange:
+        document = {
+            'model': 'calculator',
+            'input': f'{kind} for a 36 spoke wheel, laced three cross',
+            'max_output_tokens': tokens,
+            'metadata': {'output_tokens': tokens},
+            'stream': stream,
+        }
+        return await self._post(
+            instance,
+            '/v1/responses',
+            json.dumps(document),
+            {'X-Request-Kind': kind},
+        )
+
+    async def _order(self, instance: str) -> _Exchange:
+        return await self._post(
+            instance,
+            '/services/orders/confirm',
+            '{"hubs": 2}',
+            {'Idempotency-Key': 'order-1'},
+        )
+
+    async def _post(
+        self, instance: str, path: str, body: str, headers: dict[str, str]
+    ) -> _Exchange:
+        address = self._fleet.programs[instance].addresses['listen']
+        async with self._fleet.session.post(
+            f'http://{address}{path}',
+            data=body,
+            headers={'X-Customer': 'spoke-dealer', **headers},
+        ) as response:
+            return _Exchange(
+                response.status,
+                dict(response.headers),
+                await response.text(),
+            )
+
+    async def _run_command(self, *words: str, given: str = '') -> None:
+        shown = ' '.join(words)
+        self._tell(f'\n$ lavenderledge {shown}')
+        told = await self._fleet.run_command(*words, given=given)
+        self._tell(told.stdout.rstrip())
+        self._expect(
+            told.status == status.ExitStatus.SUCCESS,
+            f'{shown} ended with {told.status}: {told.stderr}',
+        )
+
+    def _show(self, answer: _Exchange, text: str) -> None:
+        replayed = answer.headers.get('idempotent-replayed', 'false')
+        shown = text if len(text) <= _SHOWN_CHARS else f'{text[:_SHOWN_CHARS]}…'
+        self._tell(f'  {answer.status} replayed={replayed} {shown}')
+
+    def _tell(self, text: str) -> None:
+        self._stdout.write(f'{text}\n')
+        self._stdout.flush()
+
+    def _expect(self, holds: bool, otherwise: str) -> None:
+        if not holds:
+            raise DemoFailure(otherwise)
+
+
+def run(
+    parsed: argparse.Namespace, env: environment.Environment
+) -> status.ExitStatus:
+    """Run the demonstration; all that it starts has ended afterwards."""
+    try:
+        asyncio.run(_demonstrate(env))
+    except (DemoFailure, launcher.LaunchError) as failure:
+        env.write_error(
+            program='lavenderledge-standin demo', message=str(failure)
+        )
+        return status.ExitStatus.ERROR
+    return status.ExitStatus.SUCCESS
+
+
+async def _demonstrate(env: environment.Environment) -> None:
+    async with launcher.Launcher() as fleet:
+        await _Demo(fleet=fleet, stdout=env.stdout).run()
--- a/lavenderledge/standins/launcher.py
+++ b/lavenderledge/standins/launcher.py
@@ -16,6 +16,7 @@
 from lavenderledge.peers import keys
 from lavenderledge.policy import table
 
+_COMMAND_MODULE = 'lavenderledge'
 _DAEMON_MODULE = 'lavenderledge.daemon'
 _STANDIN_MODULE = 'lavenderledge.standins'
 _READY_PREFIX = 'ready '
@@ -54,6 +55,10 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def terminate(self) -> None:
+        """Ask the program to end gracefully."""
+        self.send_signal(signal.SIGTERM)
+
     async def kill(self) -> None:
         """End the program at once; it keeps nothing that could be lost."""
         if self.process.returncode is None:
@@ -61,6 +66,14 @@
         await self.process.wait()
 
 
+class Told(typing.NamedTuple):
+    """What a command of the command line told."""
+
+    status: int
+    stdout: str
+    stderr: str
+
+
 class Upstream(typing.NamedTuple):
     """An upstream as it is entered into the instance list."""
 
@@ -107,6 +120,26 @@
         assert self._session is not None
         return self._session
 
+    async def run_command(self, *words: str, given: str = '') -> Told:
+        """Run the command line to its end, with ``given`` as its input."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            _COMMAND_MODULE,
+            *words,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                'LAVENDERLEDGE_KEYVALUE': self.keyvalue_url,
+                'LAVENDERLEDGE_INSTANCE_LIST': self.list_url,
+            },
+        )
+        stdout, stderr = await process.communicate(given.encode())
+        ended = process.returncode
+        return Told(ended or 0, stdout.decode(), stderr.decode())
+
     async def start_standin(
         self, kind: str, *flags: str, name: str | None = None
     ) -> Program:
