--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -4,6 +4,7 @@
 happen at most once may rest on it.
 """
 
+import datetime
 import logging
 import random
 import typing
@@ -11,16 +12,12 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
+from lavenderledge.controllers import settling, sightings
 from lavenderledge.peers import messages
 from lavenderledge.policy import gossip
 
 _PROBE_INTERVAL_S = 2.0
 _MAX_PROBES = 8
-_MAX_LOST = 64
-_REMEMBER_FOR_S = 7200.0
-_MAX_LATENESS = 0.5
-_MAX_OUTDATED = 16
-_TELL_OUTDATED_FOR_S = 5.0
 _LOGGER = logging.getLogger(__name__)
 _Item = typing.TypeVar('_Item')
 
@@ -46,13 +43,6 @@
     superseded: bool
 
 
-class _Outdated(typing.NamedTuple):
-    """A process that still gossips under a name that has a newer one."""
-
-    member: messages.Member
-    heard_at_s: float
-
-
 class Membership:
     """The members of the fleet as one instance believes them to be.
 
@@ -80,16 +70,15 @@
         self._on_change = on_change
         self._read_table_revision = read_table_revision
         self._make_plan = plan
-        self._sightings: dict[str, gossip.Sighting] = {}
-        self._listed: dict[str, Listed] = {}
-        self._outdated: dict[str, _Outdated] = {}
-        self._list_known = False
-        self._superseded = False
-        self._starting = True
         self._plan = plan(1)
-        self._observed_at_s = clock.read_monotonic()
-        self._settled_at_s = self._observed_at_s + self._read_timeout_s()
-        self._probed_at_s = self._observed_at_s - _PROBE_INTERVAL_S
+        self._sightings = sightings.Sightings()
+        self._listed: dict[str, Listed] | None = None
+        self._superseded = False
+        now_s = clock.read_monotonic()
+        self._settling = settling.Settling(
+            now_s=now_s, failure_timeout=self._plan.failure_timeout
+        )
+        self._probed_at_s = now_s - _PROBE_INTERVAL_S
         self._alive: tuple[str, ...] = (own.instance,)
         self._links: dict[str, str] = {}
 
@@ -118,8 +107,9 @@
             if member.instance == self._own.instance:
                 self._hear_of_self(member, now_s)
             else:
-                changed = self._hear(member, now_s) or changed
-        self._note_sender(heartbeat, now_s)
+                changed |= self._hear(member, now_s)
+            if member.instance == heartbeat.sender:
+                changed |= self._sightings.hear_sender(member, now_s)
         if changed:
             self._refresh(now_s)
 
@@ -133,13 +123,8 @@
             for listed in endpoints
             if listed.instance != self._own.instance
         }
-        self._list_known = True
         self._refresh(self._observe())
 
-    def is_superseded(self) -> bool:
-        """Return whether a newer process has taken this instance's name."""
-        return self._superseded
-
     def mark_leaving(self) -> None:
         """Tell everyone that this instance is stopping; can't be undone."""
         self._own = self._own._replace(leaving=True)
@@ -152,21 +137,13 @@
     def list_members(self) -> tuple[messages.Member, ...]:
         """Return every member heard of lately, itself first, alive or not."""
         now_s = self._clock.read_monotonic()
-        return (
-            self._own,
-            *(
-                sighting.member
-                for sighting in self._sightings.values()
-                if not _is_forgotten(sighting, now_s)
-            ),
-        )
+        return (self._own, *self._sightings.list_heard(now_s))
 
     def get_member(self, instance: str) -> messages.Member | None:
         """Return the newest facts heard of an instance."""
         if instance == self._own.instance:
             return self._own
-        sighting = self._sightings.get(instance)
-        return None if sighting is None else sighting.member
+        return self._sightings.get_member(instance)
 
     def count_known(self) -> int:
         """Return how many instances share the pools.
@@ -174,10 +151,7 @@
         That is the larger of those alive and those in the platform's list
         that are not terminating, the own instance included.
         """
-        listed = sum(
-            not entry.terminating and not self._is_leaving(entry.instance)
-            for entry in self._listed.values()
-        )
+        listed = sum(not self._is_leaving(each) for each in self._list_listed())
         own = 0 if self._own.leaving else 1
         return max(len(self._alive), listed + own, 1)
 
@@ -191,120 +165,89 @@
         is again once a newer incarnation of this instance was heard of.
         """
         now_s = self._clock.read_monotonic()
-        max_late_s = self._read_timeout_s() * _MAX_LATENESS
-        if self._superseded or self._read_lateness(now_s) > max_late_s:
+        late = self._settling.read_lateness(now_s, self._plan.interval)
+        if self._superseded:
+            return False
+        if settling.is_pause(late, self._plan.failure_timeout):
             return False
-        if now_s >= self._settled_at_s:
+        if self._settling.is_over(now_s):
             return True
-        return self._starting and self._list_known and self._has_heard_all()
+        return self._settling.is_starting(now_s) and self._has_heard_all()
+
+    def is_superseded(self) -> bool:
+        """Return whether a newer process has taken this instance's name."""
+        return self._superseded
 
     def describe(self) -> Description:
         """Return the state for the status page."""
-        now_s = self._clock.read_monotonic()
         heard = self.list_members()
+        alive = {each.instance for each in self._list_alive_members()}
+        leaving = [each.instance for each in heard if each.leaving]
+        silent = [
+            each.instance for each in heard[1:] if each.instance not in alive
+        ]
         return Description(
             instance=self._own.instance,
             incarnation=self._own.incarnation,
             alive=self._alive,
-            leaving=tuple(
-                sorted(each.instance for each in heard if each.leaving)
-            ),
-            silent=tuple(
-                sorted(
-                    each.instance
-                    for each in heard[1:]
-                    if not self._is_alive(each.instance, now_s)
-                )
-            ),
+            leaving=tuple(sorted(leaving)),
+            silent=tuple(sorted(silent)),
             known=self.count_known(),
             settled=self.is_settled(),
             superseded=self._superseded,
         )
 
-    def _read_timeout_s(self) -> float:
-        return self._plan.failure_timeout.total_seconds()
-
-    def _read_lateness(self, now_s: float) -> float:
-        return now_s - self._observed_at_s - self._plan.interval.total_seconds()
+    def _list_alive_members(self) -> list[messages.Member]:
+        return self._sightings.list_alive(
+            self._clock.read_monotonic(), self._plan.failure_timeout
+        )
 
-    def _is_alive(self, instance: str, now_s: float) -> bool:
-        sighting = self._sightings.get(instance)
-        if sighting is None:
-            return False
-        return gossip.is_alive(sighting, now_s, self._plan.failure_timeout)
+    def _list_listed(self) -> list[Listed]:
+        return [
+            entry
+            for entry in (self._listed or {}).values()
+            if not entry.terminating
+        ]
 
     def _has_heard_all(self) -> bool:
-        return all(
-            entry.terminating or entry.instance in self._sightings
-            for entry in self._listed.values()
+        return self._listed is not None and all(
+            entry.instance in self._sightings for entry in self._list_listed()
         )
 
-    def _is_leaving(self, instance: str) -> bool:
-        sighting = self._sightings.get(instance)
-        return sighting is not None and sighting.member.leaving
+    def _is_leaving(self, entry: Listed) -> bool:
+        member = self._sightings.get_member(entry.instance)
+        return member is not None and member.leaving
 
     def _observe(self) -> float:
         """Return the time, once the silence of a pause is discounted."""
         now_s = self._clock.read_monotonic()
-        late_s = self._read_lateness(now_s)
-        self._observed_at_s = now_s
-        if late_s > self._plan.interval.total_seconds():
-            self._discount(late_s)
-        if late_s > self._read_timeout_s() * _MAX_LATENESS:
-            self._unsettle(now_s, late_s)
+        late = self._settling.observe(
+            now_s,
+            interval=self._plan.interval,
+            failure_timeout=self._plan.failure_timeout,
+        )
+        if late > self._plan.interval:
+            # Peers could not be heard meanwhile: silence proves nothing.
+            self._sightings.discount(late.total_seconds())
+            self._log_lateness(late)
         return now_s
 
-    def _discount(self, late_s: float) -> None:
-        # Peers could not be heard meanwhile: their silence proves nothing.
-        for instance, sighting in self._sightings.items():
-            self._sightings[instance] = sighting._replace(
-                advanced_at_s=sighting.advanced_at_s + late_s,
-            )
-
-    def _unsettle(self, now_s: float, late_s: float) -> None:
-        self._starting = False
-        self._settled_at_s = now_s + self._read_timeout_s()
+    def _log_lateness(self, late: datetime.timedelta) -> None:
         logs.write_event(
             _LOGGER,
-            'membership_paused',
+            'membership_late',
             level=logging.WARNING,
-            late_s=f'{late_s:.1f}',
+            late_s=f'{late.total_seconds():.1f}',
+            settled=self.is_settled(),
         )
 
     def _hear(self, member: messages.Member, now_s: float) -> bool:
-        """Return whether more than the heartbeat changed."""
-        old = self._sightings.get(member.instance)
-        new = gossip.merge_sighting(old, member, now_s)
-        if new is old:
-            return False
-        alive = self._is_alive(member.instance, now_s)
-        self._sightings[member.instance] = new
-        return (
-            old is None
-            or not alive
-            or _read_lasting(old.member) != _read_lasting(new.member)
-        )
-
-    def _note_sender(self, heartbeat: messages.Heartbeat, now_s: float) -> None:
-        """Remember a process whose name a newer one has taken.
-
-        Nobody gossips to its address any more; it is to hear why.
-        """
-        for member in heartbeat.members[:1]:
-            sighting = self._sightings.get(member.instance)
-            if (
-                sighting is not None
-                and member.instance == heartbeat.sender
-                and member.incarnation < sighting.member.incarnation
-                and member.address != sighting.member.address
-                and len(self._outdated) < _MAX_OUTDATED
-            ):
-                self._outdated[member.address] = _Outdated(member, now_s)
+        return self._sightings.hear(member, now_s, self._plan.failure_timeout)
 
     def _hear_of_self(self, member: messages.Member, now_s: float) -> None:
         if member.incarnation <= self._own.incarnation or self._superseded:
             return
-        self._superseded = not self._starting or now_s >= self._settled_at_s
+        self._superseded = not self._settling.is_starting(now_s)
         if not self._superseded:
             # The wall clock went back over the restart.
             incarnation = member.incarnation + 1
@@ -319,31 +262,17 @@
         )
 
     def _refresh(self, now_s: float) -> None:
-        self._purge(now_s)
+        self._sightings.purge(now_s)
+        heard = self._sightings.list_heard(now_s)
+        self._plan = self._make_plan(len(heard) + 1)
         alive = [
-            instance
-            for instance, sighting in self._sightings.items()
-            if not sighting.member.leaving and self._is_alive(instance, now_s)
+            member.instance
+            for member in self._list_alive_members()
+            if not member.leaving
         ]
         if not self._own.leaving:
             alive.append(self._own.instance)
-        self._plan = self._make_plan(len(self._list_heard(now_s)) + 1)
-        self._announce(tuple(sorted(alive)), self._plan_links(now_s))
-
-    def _purge(self, now_s: float) -> None:
-        for instance, sighting in list(self._sightings.items()):
-            if now_s - sighting.advanced_at_s >= _REMEMBER_FOR_S:
-                self._sightings.pop(instance)
-        for address, outdated in list(self._outdated.items()):
-            if now_s - outdated.heard_at_s >= _TELL_OUTDATED_FOR_S:
-                self._outdated.pop(address)
-
-    def _list_heard(self, now_s: float) -> list[str]:
-        return [
-            instance
-            for instance, sighting in self._sightings.items()
-            if not _is_forgotten(sighting, now_s)
-        ]
+        self._announce(tuple(sorted(alive)), self._plan_links(now_s, heard))
 
     def _announce(self, alive: tuple[str, ...], links: dict[str, str]) -> None:
         if alive == self._alive and links == self._links:
@@ -360,67 +289,46 @@
         self._links = links
         self._on_change(links)
 
-    def _plan_links(self, now_s: float) -> dict[str, str]:
-        links = {
-            entry.instance: entry.address
-            for entry in self._listed.values()
-            if not entry.terminating
-        }
-        for instance in self._list_lost(now_s):
-            links[instance] = self._sightings[instance].member.address
-        for instance in self._list_heard(now_s):
-            links[instance] = self._sightings[instance].member.address
-        # No instance has an address for a name.
-        links.update((address, address) for address in self._outdated)
-        return links
+    def _plan_links(
+        self, now_s: float, heard: list[messages.Member]
+    ) -> dict[str, str]:
+        """Return the addresses by name; what was heard counts most.
 
-    def _list_lost(self, now_s: float) -> list[str]:
-        lost = [
-            (sighting.advanced_at_s, instance)
-            for instance, sighting in self._sightings.items()
-            if _is_forgotten(sighting, now_s) and not sighting.member.leaving
-        ]
-        lost.sort(reverse=True)
-        return [instance for _, instance in lost[:_MAX_LOST]]
+        An outdated process is linked under its address, which no instance
+        has for a name.
+        """
+        links = {entry.instance: entry.address for entry in self._list_listed()}
+        for member in (*self._sightings.list_lost(now_s), *heard):
+            links[member.instance] = member.address
+        for outdated in self._sightings.list_outdated():
+            links[outdated.address] = outdated.address
+        return links
 
     def _gossip(self, now_s: float) -> None:
-        heard = self._list_heard(now_s)
+        heard = [
+            member.instance for member in self._sightings.list_heard(now_s)
+        ]
         targets = self._sample(heard, self._plan.fanout)
         if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
             self._probed_at_s = now_s
-            strangers = sorted(
-                self._links.keys() - set(heard) - self._outdated.keys(),
-            )
-            targets.extend(self._sample(strangers, _MAX_PROBES))
-        heartbeat = self._make_heartbeat(now_s)
-        for instance in targets:
-            self._send(instance, heartbeat)
-        for address, outdated in self._outdated.items():
-            newer = self._sightings[outdated.member.instance].member
-            self._send(
-                address,
-                messages.Heartbeat(self._own.instance, (self._own, newer)),
-            )
-
-    def _make_heartbeat(self, now_s: float) -> messages.Heartbeat:
+            silent = sorted(self._links.keys() - set(heard))
+            targets.extend(self._sample(silent, _MAX_PROBES))
         members = [self._own]
         if self.is_settled():
-            alive = [
-                sighting.member
-                for instance, sighting in self._sightings.items()
-                if self._is_alive(instance, now_s)
-            ]
+            alive = self._list_alive_members()
             members.extend(self._sample(alive, self._plan.sample))
-        return messages.Heartbeat(self._own.instance, tuple(members))
+        self._send_members(targets, members)
+        for outdated in self._sightings.list_outdated():
+            newest = self._sightings.get_member(outdated.instance)
+            if newest is not None:
+                self._send_members([outdated.address], [self._own, newest])
+
+    def _send_members(
+        self, targets: list[str], members: list[messages.Member]
+    ) -> None:
+        heartbeat = messages.Heartbeat(self._own.instance, tuple(members))
+        for instance in targets:
+            self._send(instance, heartbeat)
 
     def _sample(self, population: list[_Item], count: int) -> list[_Item]:
         return self._rng.sample(population, min(count, len(population)))
-
-
-def _read_lasting(member: messages.Member) -> tuple[int, bool, str]:
-    return (member.incarnation, member.leaving, member.address)
-
-
-def _is_forgotten(sighting: gossip.Sighting, now_s: float) -> bool:
-    age_s = now_s - sighting.advanced_at_s
-    return age_s >= gossip.FORGET_AFTER.total_seconds()
--- a/lavenderledge/policy/gossip.py
+++ b/lavenderledge/policy/gossip.py
@@ -86,3 +86,8 @@
     """Return whether the member's heartbeat advanced recently enough."""
     age_s = now_s - sighting.advanced_at_s
     return age_s < failure_timeout.total_seconds()
+
+
+def is_forgotten(sighting: Sighting, now_s: float) -> bool:
+    """Return whether the member has been silent for a long time."""
+    return not is_alive(sighting, now_s, FORGET_AFTER)
