--- /dev/null
+++ b/lavenderledge/load/__init__.py
@@ -0,0 +1,1 @@
+"""A load tool that replays one seeded trace against several policies."""
--- /dev/null
+++ b/lavenderledge/load/__main__.py
@@ -0,0 +1,15 @@
+"""Entry point of the load tool."""
+
+import sys
+
+from lavenderledge import environment
+from lavenderledge.load import core
+
+
+def main() -> None:
+    """Run the load tool and leave with its status."""
+    sys.exit(core.main(sys.argv[1:], environment.Environment()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lavenderledge/load/replay.py
@@ -0,0 +1,113 @@
+"""Open-loop replay of a trace against a fleet."""
+
+import asyncio
+import typing
+from collections import abc
+
+import aiohttp
+
+from lavenderledge import clock as clocks
+from lavenderledge import timing
+from lavenderledge.load import client, traces, usage
+from lavenderledge.load import fleet as fleets
+
+_LEAD_S = 0.5
+_SETTLE_S = 1.0
+
+
+class Run(typing.NamedTuple):
+    """One replay: what callers saw and what engines logged.
+
+    ``started_wall_s`` is the wall clock at the trace's start. ``metrics``
+    holds each instance's metrics after the run.
+    """
+
+    label: str
+    trace: traces.Trace
+    answers: list[client.Answer]
+    records: list[fleets.Record]
+    started_wall_s: float
+    usage: usage.Usage
+    metrics: dict[str, dict[str, float]]
+
+
+async def replay_trace(
+    fleet: fleets.Fleet,
+    trace: traces.Trace,
+    *,
+    policy: str,
+    label: str,
+    clock: clocks.Clock,
+) -> Run:
+    """Send every request at its time, whatever became of those before."""
+    entries = fleet.list_entries(policy)
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        started_s = clock.read_monotonic() + _LEAD_S
+        started_wall_s = clock.read_wall().timestamp() + _LEAD_S
+        caller = client.Caller(
+            session=session,
+            clock=clock,
+            seed=trace.seed,
+            model=fleet.user.pool,
+            started_s=started_s,
+        )
+        meter = usage.Meter(
+            pids=fleet.list_pids(), now_s=clock.read_monotonic()
+        )
+        slowing = asyncio.create_task(
+            _run_episodes(fleet, trace.episodes, caller.read_s, clock)
+        )
+        answers = await _send_all(caller, trace, entries, clock)
+        used = meter.read(clock.read_monotonic())
+        await slowing
+    await clock.sleep(timing.seconds(_SETTLE_S))
+    return Run(
+        label=label,
+        trace=trace,
+        answers=answers,
+        records=await fleet.read_records(),
+        started_wall_s=started_wall_s,
+        usage=used,
+        metrics={
+            name: await fleet.read_metrics(name)
+            for name in fleet.instances
+            if name in fleet.programs
+        },
+    )
+
+
+async def _send_all(
+    caller: client.Caller,
+    trace: traces.Trace,
+    entries: abc.Sequence[str],
+    clock: clocks.Clock,
+) -> list[client.Answer]:
+    sent = []
+    for arrival in trace.arrivals:
+        await _wait_until(arrival.at_s, caller.read_s, clock)
+        address = entries[arrival.entry % len(entries)]
+        sent.append(asyncio.create_task(caller.call(arrival, address)))
+    return list(await asyncio.gather(*sent))
+
+
+async def _run_episodes(
+    fleet: fleets.Fleet,
+    episodes: abc.Iterable[traces.Episode],
+    read_s: abc.Callable[[], float],
+    clock: clocks.Clock,
+) -> None:
+    for episode in episodes:
+        await _wait_until(episode.window.start_s, read_s, clock)
+        await fleet.slow(episode.engines, episode.factor)
+        await _wait_until(episode.window.end_s, read_s, clock)
+        await fleet.slow(episode.engines, 1)
+
+
+async def _wait_until(
+    at_s: float, read_s: abc.Callable[[], float], clock: clocks.Clock
+) -> None:
+    delay_s = at_s - read_s()
+    if delay_s > 0:
+        await clock.sleep(timing.seconds(delay_s))
--- /dev/null
+++ b/lavenderledge/load/summary.py
@@ -0,0 +1,211 @@
+"""The measures of one run, by name."""
+
+import typing
+from collections import abc
+
+from hdrh import histogram
+
+from lavenderledge.load import client, replay, traces, truth, workloads
+from lavenderledge.load import fleet as fleets
+
+FIRST_TOKEN_TARGET_S: typing.Final = 0.76
+
+_MOST_US = 600_000_000
+_DIGITS = 3
+_US_PER_S = 1_000_000
+_MS_PER_US = 0.001
+_MS_PER_S = 1000
+_PERCENTILES = (50, 95, 99)
+
+Measures: typing.TypeAlias = dict[str, float]
+
+
+class Scope(typing.NamedTuple):
+    """Some of a trace: those that arrive in its windows."""
+
+    prefix: str
+    windows: tuple[traces.Window, ...]
+
+    @property
+    def length_s(self) -> float:
+        """Return the seconds in all windows."""
+        return sum(window.end_s - window.start_s for window in self.windows)
+
+    def select(self, answers: abc.Iterable[client.Answer]) -> 'Answers':
+        """Return the answers to requests of these windows."""
+        return [
+            answer
+            for answer in answers
+            if any(window.holds(answer.arrival.at_s) for window in self.windows)
+        ]
+
+
+Answers: typing.TypeAlias = list[client.Answer]
+
+
+class Latencies:
+    """A histogram of times from the scheduled arrival on."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._histogram = histogram.HdrHistogram(1, _MOST_US, _DIGITS)
+
+    def note(self, seconds: float) -> None:
+        """Add one time."""
+        self._histogram.record_value(max(1, round(seconds * _US_PER_S)))
+
+    def read_ms(self, percentile: float) -> float:
+        """Return a percentile in milliseconds, 0 of an empty one."""
+        found = self._histogram.get_value_at_percentile(percentile)
+        return float(found) * _MS_PER_US
+
+
+def measure_run(user: workloads.User, run: replay.Run) -> Measures:
+    """Return every measure of a run, in the order they are shown."""
+    measures: Measures = {}
+    tiers = sorted({arrival.tier for arrival in run.trace.arrivals})
+    for scope in _list_scopes(run.trace):
+        answers = scope.select(run.answers)
+        _add_goodput(measures, scope, answers, tiers)
+        _add_latencies(measures, scope, answers, tiers)
+    _add_waste(measures, user, run)
+    _add_sheds(measures, run)
+    _add_costs(measures, run)
+    return measures
+
+
+def is_good(answer: client.Answer) -> bool:
+    """Return whether an answer was whole and in time."""
+    first_s = answer.first_s
+    if not answer.whole or first_s is None:
+        return False
+    arrival = answer.arrival
+    first_in_time = first_s - arrival.at_s <= FIRST_TOKEN_TARGET_S
+    return first_in_time and is_in_time(answer)
+
+
+def is_in_time(answer: client.Answer) -> bool:
+    """Return whether an answer was whole by its deadline."""
+    elapsed_s = answer.ended_s - answer.arrival.at_s
+    return answer.whole and elapsed_s <= answer.arrival.timeout_s
+
+
+def _list_scopes(trace: traces.Trace) -> list[Scope]:
+    scopes = [Scope('', (trace.counted,))]
+    if trace.bursts:
+        scopes.append(Scope('crest ', trace.bursts))
+    if trace.episodes:
+        windows = tuple(episode.window for episode in trace.episodes)
+        scopes.append(Scope('straggler ', windows))
+    return scopes
+
+
+def _add_goodput(
+    measures: Measures, scope: Scope, answers: Answers, tiers: list[int]
+) -> None:
+    total = float(0)
+    for tier in tiers:
+        chosen = _select_tier(answers, tier)
+        good = [answer for answer in chosen if is_good(answer)]
+        rate = sum(answer.tokens for answer in good) / scope.length_s
+        in_time = sum(1 for answer in chosen if is_in_time(answer))
+        name = f'{scope.prefix}tier {tier}'
+        measures[f'{name} requests'] = len(chosen)
+        measures[f'{name} goodput, tokens/s'] = rate
+        measures[f'{name} goodput, %'] = _percent(len(good), len(chosen))
+        measures[f'{name} whole in time, %'] = _percent(in_time, len(chosen))
+        total += rate
+    measures[f'{scope.prefix}goodput, tokens/s'] = total
+
+
+def _add_latencies(
+    measures: Measures, scope: Scope, answers: Answers, tiers: list[int]
+) -> None:
+    for tier in tiers:
+        first, whole, gaps = Latencies(), Latencies(), Latencies()
+        for answer in _select_tier(answers, tier):
+            arrival = answer.arrival
+            first.note(_count_first_s(answer))
+            whole.note(
+                answer.ended_s - arrival.at_s
+                if answer.whole
+                else arrival.timeout_s
+            )
+            if answer.first_s is not None and answer.tokens > 1:
+                spent_s = answer.ended_s - answer.first_s
+                gaps.note(spent_s / (answer.tokens - 1))
+        name = f'{scope.prefix}tier {tier}'
+        for percentile in _PERCENTILES:
+            label = f'p{percentile}, ms'
+            measures[f'{name} first token {label}'] = first.read_ms(percentile)
+            measures[f'{name} whole answer {label}'] = whole.read_ms(percentile)
+        measures[f'{name} token gap p95, ms'] = gaps.read_ms(95)
+
+
+def _count_first_s(answer: client.Answer) -> float:
+    """Return the time to the first token; without one, the timeout."""
+    if answer.first_s is None:
+        return answer.arrival.timeout_s
+    return answer.first_s - answer.arrival.at_s
+
+
+def _add_waste(
+    measures: Measures, user: workloads.User, run: replay.Run
+) -> None:
+    whole = {answer.arrival.number for answer in run.answers if answer.whole}
+    waste = truth.measure_waste(user, run.trace, run.records, whole)
+    measures['wasted prefill, tokens'] = waste.wasted
+    measures['lost prefill, tokens'] = waste.lost
+    measures['recomputed prefill, tokens'] = waste.recomputed
+    measures['prefill, tokens'] = waste.computed
+
+
+def _add_sheds(measures: Measures, run: replay.Run) -> None:
+    sheds = truth.list_sheds(run.answers, run.records, run.started_wall_s)
+    over_lower = [shed for shed in sheds if shed.over_lower]
+    measures['sheds'] = len(sheds)
+    measures['sheds over lower tiers'] = len(over_lower)
+    measures['sheds over lower tiers, not run'] = sum(
+        1 for shed in over_lower if not shed.ran
+    )
+    for tier in sorted({shed.tier for shed in sheds}):
+        chosen = [shed for shed in sheds if shed.tier == tier]
+        for reason in sorted({shed.reason for shed in chosen}):
+            measures[f'tier {tier} {reason}'] = sum(
+                1 for shed in chosen if shed.reason == reason
+            )
+    broken = truth.count_broken(run.answers, run.records)
+    measures['run twice'] = broken.run_twice
+    measures['denied but run'] = broken.denied_but_run
+    measures['faulty answers'] = broken.faulty
+    measures['other failures'] = sum(
+        1
+        for answer in run.answers
+        if not answer.whole and answer.reason not in truth.SHED_REASONS
+    )
+
+
+def _add_costs(measures: Measures, run: replay.Run) -> None:
+    used = run.usage
+    late = Latencies()
+    for answer in run.answers:
+        late.note(max(0, answer.sent_s - answer.arrival.at_s))
+    entries = [
+        cores
+        for name, cores in used.programs.items()
+        if name.startswith('entry-')
+    ]
+    measures['tool late p99, ms'] = late.read_ms(99)
+    measures['tool, cores'] = used.programs[fleets.TOOL_NAME]
+    measures['instances, cores'] = sum(entries)
+    measures['busiest instance, cores'] = max(entries, default=0)
+    measures['machine busy, %'] = used.machine * 100
+    measures['load average before'] = used.load_average
+
+
+def _select_tier(answers: Answers, tier: int) -> Answers:
+    return [answer for answer in answers if answer.arrival.tier == tier]
+
+
+def _percent(count: int, total: int) -> float:
+    return 100 * count / total if total else 0
--- /dev/null
+++ b/lavenderledge/load/targets.py
@@ -0,0 +1,111 @@
+"""The targets of issue 4, judged on the runs of one scenario."""
+
+import typing
+from collections import abc
+
+from lavenderledge.load import summary
+
+OURS: typing.Final = 'lavenderledge'
+ALONE: typing.Final = 'alone'
+CALM: typing.Final = 'calm'
+
+_ALONE_LEAST = 0.99
+_WASTE_MOST = 0.5
+_STRAGGLER_MOST = 1.5
+_TAILS = ('first token p99, ms', 'whole answer p99, ms')
+_WASTED = 'wasted prefill, tokens'
+_CREST = 'crest goodput, tokens/s'
+_SHEDS = 'sheds over lower tiers'
+
+Runs: typing.TypeAlias = abc.Mapping[str, summary.Measures]
+
+
+class Target(typing.NamedTuple):
+    """One target: the bound, what was measured and whether it was met."""
+
+    name: str
+    bound: str
+    measured: float
+    met: bool
+
+
+def judge_runs(runs: Runs) -> list[Target]:
+    """Return every target that these runs can tell of."""
+    ours = runs.get(OURS)
+    if ours is None:
+        return []
+    baselines = [
+        measures
+        for label, measures in runs.items()
+        if label not in {OURS, ALONE, CALM}
+    ]
+    found = [_judge_most('higher-tier sheds over lower', ours[_SHEDS], 0)]
+    found.extend(_judge_alone(ours, runs.get(ALONE)))
+    if baselines:
+        found.extend(_judge_baselines(ours, baselines))
+    found.extend(_judge_stragglers(ours, runs.get(CALM), baselines))
+    return found
+
+
+def _judge_alone(
+    ours: summary.Measures, alone: summary.Measures | None
+) -> abc.Iterator[Target]:
+    if alone is None:
+        return
+    for prefix in ('', 'crest '):
+        name = f'{prefix}tier 1 goodput, tokens/s'
+        goodput = alone.get(name)
+        if goodput is not None:
+            ratio = _divide(ours[name], goodput)
+            yield _judge_least(f'{name} over alone', ratio, _ALONE_LEAST)
+
+
+def _judge_baselines(
+    ours: summary.Measures, baselines: list[summary.Measures]
+) -> abc.Iterator[Target]:
+    least = min(measures[_WASTED] for measures in baselines)
+    yield _judge_most(
+        f'{_WASTED} over the better baseline',
+        _divide(ours[_WASTED], least),
+        _WASTE_MOST,
+    )
+    crest = ours.get(_CREST)
+    if crest is not None:
+        most = max(measures[_CREST] for measures in baselines)
+        yield _judge_least(
+            f'{_CREST} over the better baseline', _divide(crest, most), 1
+        )
+
+
+def _judge_stragglers(
+    ours: summary.Measures,
+    calm: summary.Measures | None,
+    baselines: list[summary.Measures],
+) -> abc.Iterator[Target]:
+    for tail in _TAILS:
+        name = f'straggler tier 1 {tail}'
+        tail_ms = ours.get(name)
+        if tail_ms is None:
+            continue
+        if calm is not None:
+            ratio = _divide(tail_ms, calm[name])
+            yield _judge_most(f'{name} over calm', ratio, _STRAGGLER_MOST)
+        if baselines:
+            least = min(measures[name] for measures in baselines)
+            yield _judge_most(
+                f'{name} over the better baseline',
+                _divide(tail_ms, least),
+                1,
+            )
+
+
+def _judge_most(name: str, measured: float, bound: float) -> Target:
+    return Target(name, f'at most {bound:g}', measured, measured <= bound)
+
+
+def _judge_least(name: str, measured: float, bound: float) -> Target:
+    return Target(name, f'at least {bound:g}', measured, measured >= bound)
+
+
+def _divide(measured: float, other: float) -> float:
+    return measured / other if other else float('inf')
--- /dev/null
+++ b/lavenderledge/load/truth.py
@@ -0,0 +1,244 @@
+"""What the engines' logs say that callers can't see."""
+
+import bisect
+import heapq
+import typing
+from collections import abc
+
+from lavenderledge.load import client, traces, workloads
+from lavenderledge.load import fleet as fleets
+from lavenderledge.standins import prefixcache
+
+# Refusals for want of capacity or time, as against malformed requests.
+SHED_REASONS: typing.Final = frozenset(
+    (
+        'overloaded',
+        'displaced',
+        'preempted',
+        'queue_full',
+        'memory_full',
+        'caller_limit',
+        'deadline_exceeded',
+        'deadline_unreachable',
+        'client_timeout',
+    )
+)
+_NOT_RUN = 'not_run'
+_MATCH, _STORE = range(2)
+
+
+class Waste(typing.NamedTuple):
+    """Prompt tokens that were computed for nothing.
+
+    ``lost`` were computed for requests that were not answered whole;
+    ``recomputed`` for whole ones although a replica of the pool had them in
+    its cache when the request started. ``computed`` are all.
+    """
+
+    lost: int
+    recomputed: int
+    computed: int
+
+    @property
+    def wasted(self) -> int:
+        """Return the tokens wasted in all."""
+        return self.lost + self.recomputed
+
+
+class Shed(typing.NamedTuple):
+    """A request refused for want of capacity; seconds from the start.
+
+    ``over_lower`` says that work of a lower tier ran at the refusal, or was
+    started between the request's arrival and its refusal.
+    """
+
+    number: int
+    tier: int
+    reason: str
+    at_s: float
+    ran: bool
+    over_lower: bool
+
+
+class Broken(typing.NamedTuple):
+    """How often promises were broken; all must be 0."""
+
+    run_twice: int
+    denied_but_run: int
+    faulty: int
+
+
+class _Step(typing.NamedTuple):
+    at_s: float
+    kind: int
+    record: int
+
+
+class _Lower(typing.NamedTuple):
+    started_s: float
+    finished_s: float
+
+
+def measure_waste(
+    user: workloads.User,
+    trace: traces.Trace,
+    records: abc.Sequence[fleets.Record],
+    whole: abc.Container[int],
+) -> Waste:
+    """Return the wasted prefill, by replaying every replica's cache."""
+    lost = sum(
+        record.prefill_tokens
+        for record in records
+        if record.number not in whole
+    )
+    recomputed = sum(
+        avoidable
+        for record, avoidable in zip(
+            records, _find_avoidable(user, trace, records), strict=True
+        )
+        if record.number in whole
+    )
+    computed = sum(record.prefill_tokens for record in records)
+    return Waste(lost, recomputed, computed)
+
+
+def list_sheds(
+    answers: abc.Iterable[client.Answer],
+    records: abc.Iterable[fleets.Record],
+    started_wall_s: float,
+) -> list[Shed]:
+    """Return every shed request, and whether lower-tier work ran."""
+    answers = list(answers)
+    records = list(records)
+    tiers = {answer.arrival.number: answer.arrival.tier for answer in answers}
+    lower = _group_by_tier(records, tiers, started_wall_s)
+    started = {record.number for record in records}
+    return [
+        _judge_shed(answer, lower, answer.arrival.number in started)
+        for answer in answers
+        if answer.reason in SHED_REASONS
+    ]
+
+
+def count_broken(
+    answers: abc.Iterable[client.Answer],
+    records: abc.Iterable[fleets.Record],
+) -> Broken:
+    """Return how often a promise was broken."""
+    runs: dict[int, int] = {}
+    for record in records:
+        runs[record.number] = runs.get(record.number, 0) + 1
+    answers = list(answers)
+    return Broken(
+        run_twice=sum(1 for count in runs.values() if count > 1),
+        denied_but_run=sum(
+            1
+            for answer in answers
+            if answer.outcome == _NOT_RUN and answer.arrival.number in runs
+        ),
+        faulty=sum(1 for answer in answers if answer.fault),
+    )
+
+
+def _judge_shed(
+    answer: client.Answer, lower: abc.Mapping[int, list[_Lower]], ran: bool
+) -> Shed:
+    arrival = answer.arrival
+    below = (held for tier, held in lower.items() if tier > arrival.tier)
+    return Shed(
+        number=arrival.number,
+        tier=arrival.tier,
+        reason=answer.reason,
+        at_s=answer.ended_s,
+        ran=ran,
+        over_lower=any(
+            _overlaps(held, arrival.at_s, answer.ended_s) for held in below
+        ),
+    )
+
+
+def _overlaps(held: list[_Lower], from_s: float, until_s: float) -> bool:
+    """Return whether work ran at ``until_s`` or started since ``from_s``."""
+    end = bisect.bisect_right(held, until_s, key=_read_start)
+    return any(
+        work.started_s >= from_s or work.finished_s > until_s
+        for work in held[:end]
+    )
+
+
+def _read_start(work: _Lower) -> float:
+    return work.started_s
+
+
+def _group_by_tier(
+    records: abc.Iterable[fleets.Record],
+    tiers: abc.Mapping[int, int],
+    started_wall_s: float,
+) -> dict[int, list[_Lower]]:
+    grouped: dict[int, list[_Lower]] = {}
+    for record in records:
+        if record.started_s is None:
+            continue
+        finished_s = record.finished_s or float('inf')
+        work = _Lower(
+            record.started_s - started_wall_s, finished_s - started_wall_s
+        )
+        grouped.setdefault(tiers[record.number], []).append(work)
+    for held in grouped.values():
+        held.sort()
+    return grouped
+
+
+def _find_avoidable(
+    user: workloads.User,
+    trace: traces.Trace,
+    records: abc.Sequence[fleets.Record],
+) -> list[int]:
+    """Return, for each record, the tokens another replica had cached."""
+    arrivals = {arrival.number: arrival for arrival in trace.arrivals}
+    digests = [
+        prefixcache.digest_blocks(
+            traces.render_prompt(trace.seed, arrivals[record.number])
+        )
+        for record in records
+    ]
+    caches = _build_caches(user)
+    avoidable = [0 for _ in records]
+    for step in _order_steps(records):
+        record = records[step.record]
+        cache = caches[record.replica]
+        blocks = digests[step.record]
+        if step.kind == _STORE:
+            cache.store(blocks)
+            continue
+        most = max(other.peek(blocks) for other in caches.values())
+        cache.match(blocks)
+        best = min(most * prefixcache.BLOCK_TOKENS, record.prompt_tokens - 1)
+        avoidable[step.record] = max(
+            0, min(best - record.cached_tokens, record.prefill_tokens)
+        )
+    return avoidable
+
+
+def _build_caches(user: workloads.User) -> dict[str, prefixcache.PrefixCache]:
+    return {
+        f'{user.pool}-{number}': prefixcache.PrefixCache(
+            capacity=engine.cache_blocks
+        )
+        for number, engine in enumerate(user.engines)
+    }
+
+
+def _order_steps(records: abc.Sequence[fleets.Record]) -> list[_Step]:
+    """Return when records looked into and filled their replica's cache."""
+    starts = [
+        _Step(record.started_s, _MATCH, place)
+        for place, record in enumerate(records)
+        if record.started_s is not None
+    ]
+    stores = [
+        _Step(record.first_token_s, _STORE, place)
+        for place, record in enumerate(records)
+        if record.first_token_s is not None
+    ]
+    return list(heapq.merge(sorted(starts), sorted(stores)))
--- a/lavenderledge/standins/launcher.py
+++ b/lavenderledge/standins/launcher.py
@@ -99,7 +99,7 @@
                 pathlib.Path(log_path).open('ab')
             )
 
-    async def __aenter__(self) -> 'Launcher':
+    async def __aenter__(self) -> typing.Self:
         """Open the HTTP session of the launcher."""
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True)
--- a/lavenderledge/standins/prefixcache.py
+++ b/lavenderledge/standins/prefixcache.py
@@ -71,12 +71,17 @@
 
     def match(self, digests: tuple[int, ...]) -> int:
         """Return how many leading blocks are cached, and use them."""
+        found = self.peek(digests)
+        self._use(digests[:found])
+        return found
+
+    def peek(self, digests: tuple[int, ...]) -> int:
+        """Return how many leading blocks are cached."""
         found = 0
         for digest in digests:
             if digest not in self._blocks:
                 break
             found += 1
-        self._use(digests[:found])
         return found
 
     def store(
