--- a/lavenderledge/peers/guard.py
+++ b/lavenderledge/peers/guard.py
@@ -12,6 +12,7 @@
 from lavenderledge.peers import sockets
 
 _ZAP_ENDPOINT = 'inproc://zeromq.zap.01'
+_MONITOR_ENDPOINT = 'inproc://connections'
 _ZAP_VERSION = b'1.0'
 _MAX_LOGGED_ADDRESSES = 64
 _LOGGER = logging.getLogger(__name__)
@@ -56,6 +57,7 @@
         """Take the accepted public keys in Z85."""
         self._accepted = frozenset(accepted)
         self._count = count
+        self._context = context
         self._logged: set[bytes] = set()
         self._replies = context.socket(zmq.REP)
         self._replies.bind(_ZAP_ENDPOINT)
@@ -70,11 +72,14 @@
                 (_ZAP_VERSION, request.request_id, status, b'', b'', b''),
             )
 
-    async def watch(self, pull: zmq.asyncio.Socket) -> None:
+    async def watch(self, pull: zmq.Socket[bytes]) -> None:
         """Count the connection events of a socket until cancelled."""
-        watched = pull.get_monitor_socket(
+        pull.monitor(
+            _MONITOR_ENDPOINT,
             sum((*_FAILED_HANDSHAKES, *_CONNECTION_STATES)),
         )
+        watched = self._context.socket(zmq.PAIR)
+        watched.connect(_MONITOR_ENDPOINT)
         while True:
             frames = await watched.recv_multipart()
             self._note(monitor.parse_monitor_message(frames)['event'])
--- a/lavenderledge/peers/link.py
+++ b/lavenderledge/peers/link.py
@@ -79,6 +79,7 @@
         self._traffic: dict[tuple[str, str], list[int]] = {}
         self._encoded: tuple[messages.Message, channel.Parcel] | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._pull: zmq.Socket[bytes] | None = None
         self._address = ''
 
     @property
@@ -88,8 +89,9 @@
 
     def start(self) -> expression.Result[str, ListenFailure]:
         """Bind and receive on the running loop; return ``host:port``."""
-        pull = self._context.socket(zmq.PULL)
+        pull: zmq.Socket[bytes] = zmq.Socket(self._context, zmq.PULL)
         sockets.configure_server(pull, self._pair)
+        self._pull = pull
         checker = guard.Guard(
             context=self._context,
             accepted=self._public_keys,
@@ -103,12 +105,13 @@
         self._tasks = [
             asyncio.ensure_future(work)
             for work in (
-                self._receive(pull),
                 checker.answer(),
                 checker.watch(pull),
                 self._sweep(),
             )
         ]
+        asyncio.get_running_loop().add_reader(pull.FD, self._receive)
+        self._receive()
         return expression.Ok(self._address)
 
     async def close(self) -> None:
@@ -117,6 +120,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
+        if self._pull is not None:
+            asyncio.get_running_loop().remove_reader(self._pull.FD)
+            self._pull.close(linger=0)
+            self._pull = None
         for each in self._channels.values():
             each.close(linger=_CLOSE_LINGER)
         self._channels.clear()
@@ -226,14 +233,18 @@
             for each in self._channels.values():
                 each.close_idle()
 
-    async def _receive(self, pull: zmq.asyncio.Socket) -> None:
-        direct: zmq.Socket[bytes] = zmq.Socket.shadow(pull)
-        while True:
-            self._accept(await pull.recv())
-            with contextlib.suppress(zmq.Again):
-                for _ in range(_MAX_BATCH - 1):
-                    self._accept(direct.recv(zmq.NOBLOCK))
-            await asyncio.sleep(0)
+    def _receive(self) -> None:
+        """Take a batch of messages; the rest waits for the next turn.
+
+        ZeroMQ signals its descriptor once for all that has arrived, so the
+        socket must be read until it is empty.
+        """
+        with contextlib.suppress(zmq.Again):
+            for _ in range(_MAX_BATCH):
+                if self._pull is None:
+                    return
+                self._accept(self._pull.recv(zmq.NOBLOCK))
+            asyncio.get_running_loop().call_soon(self._receive)
 
     def _accept(self, encoded: bytes) -> None:
         decoded = codec.decode(encoded)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,9 +185,9 @@
     network.step(20)
     assert not paused.membership.is_settled()
     paused.frozen = False
-    network.step()
+    paused.membership.beat()
+    assert paused.membership.list_alive() == NAMES[:5]
     assert not paused.membership.is_settled()
-    assert set(NAMES[1:4]) < set(paused.membership.list_alive())
     network.step(TIMEOUT_BEATS)
     assert paused.membership.is_settled()
     assert set(network.list_views()) == {(*NAMES[:4], NAMES[5])}
@@ -195,7 +195,7 @@
 
 def test_a_slow_loop_does_not_blame_its_peers():
     network = start_fleet()
-    network.clock.now_s += 2.9
+    network.clock.now_s += 3.4
     node = network.list_nodes(NAMES[0])[0]
     node.membership.beat()
     assert node.membership.list_alive() == NAMES[:5]
@@ -215,9 +215,9 @@
 
 def test_a_restart_under_a_wall_clock_gone_back_is_heard():
     network = start_fleet()
-    network.stop(NAMES[0])
+    network.stop(NAMES[4])
     network.incarnation = 0
-    network.start(NAMES[0])
+    network.start(NAMES[4])
     network.step(JOIN_BEATS + TIMEOUT_BEATS)
     assert set(network.list_views()) == {NAMES[:5]}
 
