Ask for one token's time for a plain call

Cause: an ask for a plain call carried its row's output_tokens (default 256), so that the allocator refused every call of a row with a timeout of 5 s as deadline_unreachable, though the service answers in milliseconds.

--- a/lavenderledge/filters/admit.py
+++ b/lavenderledge/filters/admit.py
@@ -6,10 +6,13 @@
 from lavenderledge.controllers import admission
 from lavenderledge.filters import exchange
 from lavenderledge.peers import messages
-from lavenderledge.policy import digests
+from lavenderledge.policy import digests, table
 
 CHARS_PER_TOKEN = 4
 
+# A plain service's whole answer is counted as one token.
+_PLAIN_OUTPUT_TOKENS = 1
+
 
 def make_admit(
     *,
@@ -54,9 +57,6 @@
     work = current.work
     assert row is not None
     assert work is not None
-    output_tokens = row.output_tokens
-    if work.output_limit is not None:
-        output_tokens = min(output_tokens, work.output_limit)
     return messages.Ask(
         request_id=current.request_id,
         row=row.row,
@@ -64,10 +64,18 @@
         tier=row.tier,
         weight=row.weight,
         prompt_tokens=math.ceil(len(work.prompt) / CHARS_PER_TOKEN),
-        output_tokens=output_tokens,
+        output_tokens=_estimate_output(work, row),
         prefix=digests.digest_prefix(work.prompt),
         remaining_s=current.deadline_s - now_s,
         waited_s=0,
         preemptible=bool(work.model) and row.repeatable,
         pressed=current.pressed,
     )
+
+
+def _estimate_output(work: exchange.Work, row: table.Row) -> int:
+    if not work.model:
+        return _PLAIN_OUTPUT_TOKENS
+    if work.output_limit is None:
+        return row.output_tokens
+    return min(row.output_tokens, work.output_limit)
