Take up a response of which no event was seen

Cause: the request for a resume said starting_after=-1 where nothing had come yet; the engine refuses that as malformed, so a response whose creation was answered with silence was given up as lost after the limit. Now the parameter is left out. Proof: python -m pytest tests/test_dispatch.py -k silent_creation (2 failed with upstream_lost before, 2 pass after; one creation arrives in both).

--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -90,10 +90,10 @@
 
     async def open(self) -> 'expression.Result[None, CreateFailure]':
         """Take up a response that was created before."""
+        after = f'&starting_after={self.last}' if self.last >= 0 else ''
         sent = await self._client.send(
             'GET',
-            f'{self._url}/{self._response_id}'
-            f'?stream=true&starting_after={self.last}',
+            f'{self._url}/{self._response_id}?stream=true{after}',
             headers=_ACCEPT_STREAM,
             silence_s=self._silence_s,
         )
