Wait after a failed connect before asking again

Cause: five attempts followed each other within milliseconds, before the allocator had the report of the first failed connect, and all went to the same dead replica. Proof: python -m pytest tests/test_dispatch.py -k goes_elsewhere (5 of 20 calls told connect_failed before, none after).

--- a/lavenderledge/filters/dispatch.py
+++ b/lavenderledge/filters/dispatch.py
@@ -6,13 +6,15 @@
 import expression
 
 from lavenderledge import clock as clocks
-from lavenderledge import outcomes
+from lavenderledge import outcomes, timing
 from lavenderledge.controllers import admission
 from lavenderledge.filters import deadlines, exchange, refusals, relay
 from lavenderledge.upstreams import connection, plain
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 
+_FIRST_PAUSE_S = 0.1
+
 
 class Upstreams(typing.NamedTuple):
     """What dispatching needs; durations in seconds, sizes in bytes."""
@@ -33,18 +35,24 @@
     """Return a filter that asks again after an attempt without a byte.
 
     It stands around admission and dispatch. Only an attempt that wrote
-    nothing is repeated: a failed connect, or a grant that lapsed.
+    nothing is repeated: a failed connect, or a grant that lapsed. After a
+    failed connect it waits, so that the allocator hears of it first.
     """
 
     async def readmit(
         current: exchange.Exchange, proceed: exchange.Handler
     ) -> exchange.Outcome:
-        for _ in range(attempts):
+        pause_s = _FIRST_PAUSE_S
+        for _ in range(attempts - 1):
             outcome = await proceed(current)
             if outcome.is_ok() or not _may_repeat(current, outcome.error):
                 return outcome
-            upstreams.count_retry(outcome.error.reason)
-        return outcome
+            reason = outcome.error.reason
+            upstreams.count_retry(reason)
+            if reason is outcomes.Reason.CONNECT_FAILED:
+                await upstreams.clock.sleep(timing.seconds(pause_s))
+                pause_s *= 2
+        return await proceed(current)
 
     return readmit
 
