Close a connection that is withdrawn; prove at most one dispatch

Cause: where the check before the first byte said no, the client library let go of the new connection without closing it; it stayed open for as long as the upstream let it. The check now stands in the connector, which closes it.

The tests prove that a request is dispatched at most once: refused connections, connections closed before and after the run (GET, PUT, DELETE, POST), an engine's 503, a silent creation, a late grant; and that not run is true.

--- a/lavenderledge/upstreams/connection.py
+++ b/lavenderledge/upstreams/connection.py
@@ -1,5 +1,6 @@
 """HTTP connections to upstreams: fresh for each request, never resent."""
 
+import contextvars
 import typing
 from collections import abc
 
@@ -36,9 +37,41 @@
     """Raised inside the client to stop before the first byte."""
 
 
-class _Trace(typing.NamedTuple):
-    before_first_byte: BeforeFirstByte
-    connected: list[bool]
+class _Attempt:
+    """One request's way to an upstream; at most one connection is used."""
+
+    def __init__(self, *, before_first_byte: BeforeFirstByte) -> None:
+        """Start without a connection."""
+        self._before_first_byte = before_first_byte
+        self.connected = False
+
+    def begin(self) -> bool:
+        """Return whether the request may go out on a new connection.
+
+        The client library resends some methods by itself; a second
+        connection for the same request is where that shows.
+        """
+        if self.connected or not self._before_first_byte():
+            return False
+        self.connected = True
+        return True
+
+
+_ATTEMPT: contextvars.ContextVar[_Attempt] = contextvars.ContextVar('attempt')
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Makes connections, and closes one that must not be used after all."""
+
+    async def connect(
+        self, *args: typing.Any, **named: typing.Any
+    ) -> aiohttp.connector.Connection:
+        """Return a connection; raises ``_WithdrawnError``."""
+        connected = await super().connect(*args, **named)
+        if _ATTEMPT.get().begin():
+            return connected
+        connected.close()
+        raise _WithdrawnError
 
 
 class UpstreamClient:
@@ -50,11 +83,8 @@
 
     def __init__(self, *, connect_timeout_s: float) -> None:
         """Prepare the client; it must be made inside a running loop."""
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(_check_before_first_byte)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
-            trace_configs=[trace],
+            connector=_Connector(force_close=True, limit=0),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=_READ_BUFFER_BYTES,
@@ -82,7 +112,8 @@
         returns False nothing is written. ``silence_s`` bounds each wait for
         bytes. The caller closes the response.
         """
-        state = _Trace(before_first_byte or _allow, [])
+        attempt = _Attempt(before_first_byte=before_first_byte or _allow)
+        _ATTEMPT.set(attempt)
         try:
             response = await self._session.request(
                 method,
@@ -90,7 +121,6 @@
                 headers=headers,
                 data=body,
                 allow_redirects=False,
-                trace_request_ctx=state,
                 timeout=aiohttp.ClientTimeout(
                     total=None,
                     sock_connect=self._connect_timeout_s,
@@ -98,9 +128,9 @@
                 ),
             )
         except _WithdrawnError:
-            return expression.Error(_tell_withdrawn(state))
+            return expression.Error(_tell_withdrawn(attempt))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return expression.Error(_tell_failure(state, error))
+            return expression.Error(_tell_failure(attempt, error))
         return expression.Ok(response)
 
 
@@ -108,25 +138,12 @@
     return True
 
 
-async def _check_before_first_byte(
-    session: aiohttp.ClientSession,
-    context: typing.Any,
-    parameters: aiohttp.TraceConnectionCreateEndParams,
-) -> None:
-    state: _Trace = context.trace_request_ctx
-    # The client library resends some methods by itself; a second connection
-    # for the same request is where that shows.
-    if state.connected or not state.before_first_byte():
-        raise _WithdrawnError
-    state.connected.append(True)
-
-
-def _tell_withdrawn(state: _Trace) -> Failure:
-    if state.connected:
+def _tell_withdrawn(attempt: _Attempt) -> Failure:
+    if attempt.connected:
         return Lost('the connection ended without an answer')
     return Withdrawn('the grant had lapsed when the connection was made')
 
 
-def _tell_failure(state: _Trace, error: Exception) -> Failure:
+def _tell_failure(attempt: _Attempt, error: Exception) -> Failure:
     detail = f'{type(error).__name__}: {error}'
-    return Lost(detail) if state.connected else NotSent(detail)
+    return Lost(detail) if attempt.connected else NotSent(detail)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -39,10 +39,18 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def request_id(self):
+        return self.headers['x-request-id']
+
 
 class Fleet(launcher.Launcher):
     """A launcher with the calls that tests make."""
 
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.answers = []
+
     async def call(self, instance, method, path, **options):
         """Send one request through an instance and read the answer."""
         address = self.programs[instance].addresses['listen']
@@ -50,11 +58,13 @@
         async with self.session.request(
             method, f'http://{address}{path}', headers=headers, **options
         ) as response:
-            return Answer(
+            answer = Answer(
                 status=response.status,
-                headers=dict(response.headers),
+                headers=response.headers,
                 body=await response.text(),
             )
+        self.answers.append(answer)
+        return answer
 
     async def ask(self, instance, *, kind='plan', tokens=20, **fields):
         """Send one model request."""
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -24,6 +24,10 @@
     def address(self) -> str:
         return self._address
 
+    def count_open(self) -> int:
+        """Return how many connections are open."""
+        return len(self._pipes)
+
     async def start(self) -> str:
         """Listen, and return ``host:port``; the port never changes."""
         self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,212 @@
+"""A request is dispatched at most once, and "not run" is true."""
+
+import asyncio
+import datetime
+import socket
+
+import pytest
+import pytest_asyncio
+
+from lavenderledge import clock as clocks
+from lavenderledge.controllers import admission
+from lavenderledge.filters import admit, chain, dispatch, exchange
+from lavenderledge.peers import messages
+from lavenderledge.policy import table
+from lavenderledge.standins import launcher, plain, server
+from lavenderledge.upstreams import connection
+from tests import oracle, processes, relay, serving
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+FLAGS = ('--silence-timeout=0.5', '--lost-timeout=3')
+ENGINES = ('engine-0', 'engine-1')
+ROWS = (
+    *processes.ROWS,
+    table.Row('jobs', '*', 'jobs', '*', 1, timeout_s=5, repeatable=True),
+    table.Row('gone', '*', 'gone', '*', 1, timeout_s=5, repeatable=True),
+    table.Row('odd', '*', 'odd', '*', 1, timeout_s=5, repeatable=True),
+)
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def fleet():
+    with socket.socket() as dead:
+        # Bound and not listening: connections to it are refused.
+        dead.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{dead.getsockname()[1]}'
+        async with processes.run_fleet(flags=FLAGS, rows=ROWS) as running:
+            await running.start_service('jobs-0', 'jobs')
+            for name, pool in (('jobs-dead', 'jobs'), ('gone-0', 'gone')):
+                await running.list_upstream(
+                    launcher.Upstream(name, pool, 'plain', 'zone-a', address)
+                )
+            await wait_until_listed(running, 'jobs', 'gone')
+            yield running
+            await oracle.audit(running)
+
+
+async def wait_until_listed(running, *pools):
+    """Wait until both instances know the pools."""
+
+    async def is_listed():
+        known = set()
+        for name in ('entry-0', 'entry-1'):
+            status = await running.read_json(name, '/status')
+            known.update(status['pools'])
+        return known.issuperset(pools)
+
+    await processes.wait_for(is_listed)
+
+
+async def count_retries(running, reason):
+    total = 0
+    for name in ('entry-0', 'entry-1'):
+        address = running.programs[name].addresses['admin']
+        async with running.session.get(f'http://{address}/metrics') as answer:
+            lines = (await answer.text()).splitlines()
+        wanted = f'lavenderledge_retries_total{{reason="{reason}"}}'
+        total += sum(
+            float(line.split()[-1]) for line in lines if line.startswith(wanted)
+        )
+    return total
+
+
+async def test_a_refused_connection_goes_elsewhere(fleet):
+    answers = await asyncio.gather(
+        *(
+            fleet.call(f'entry-{number % 2}', 'POST', '/services/jobs/note')
+            for number in range(20)
+        )
+    )
+    assert [(a.status, a.body) for a in answers if a.status != 200] == []
+    assert await count_retries(fleet, 'connect_failed')
+    runs = await oracle.read_runs(fleet)
+    assert all(answer.request_id in runs for answer in answers)
+
+
+@pytest.mark.parametrize('switch', ['close_before', 'close_after'])
+@pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST'])
+async def test_a_call_without_an_answer_is_never_resent(fleet, method, switch):
+    before = await oracle.count_calls(fleet, 'call', 'orders-0')
+    await fleet.set_switches('orders-0', **{switch: 1})
+    answer = await fleet.call(
+        'entry-1',
+        method,
+        '/services/orders/confirm',
+        headers={'Idempotency-Key': f'{method}-{switch}'},
+    )
+    calls = await oracle.count_calls(fleet, 'call', 'orders-0')
+    await fleet.set_switches('orders-0', close_before=0, close_after=0)
+    oracle.check_refused(answer, 'upstream_lost', 'unknown')
+    assert calls == before + 1
+
+
+async def test_an_engines_refusal_is_final(fleet):
+    before = await oracle.count_calls(fleet, 'create', *ENGINES)
+    for name in ENGINES:
+        await fleet.set_switches(name, refuse=True)
+    answer = await fleet.ask('entry-0')
+    for name in ENGINES:
+        await fleet.set_switches(name, refuse=False)
+    oracle.check_refused(answer, 'upstream_refused', 'failed')
+    assert await oracle.count_calls(fleet, 'create', *ENGINES) == before + 1
+    assert await oracle.read_status(fleet, answer.request_id) is None
+
+
+@pytest.mark.parametrize('streamed', [True, False])
+async def test_a_silent_creation_is_resumed_not_sent_again(fleet, streamed):
+    before = await oracle.count_calls(fleet, 'create', *ENGINES)
+    for name in ENGINES:
+        await fleet.set_switches(name, silent_new=1)
+    answer = await fleet.ask('entry-1', tokens=30, stream=streamed)
+    for name in ENGINES:
+        await fleet.set_switches(name, silent_new=0)
+    oracle.check_whole(answer, 30)
+    assert await oracle.count_calls(fleet, 'create', *ENGINES) == before + 1
+
+
+async def test_not_run_is_true(fleet):
+    answers = await asyncio.gather(
+        fleet.call('entry-0', 'POST', '/services/gone/note'),
+        fleet.call(
+            'entry-1',
+            'POST',
+            '/services/gone/note',
+            headers={'X-Request-Timeout': '0.2'},
+        ),
+        fleet.ask('entry-0', headers={'X-Request-Timeout': '0.000001'}),
+        fleet.call('entry-0', 'POST', '/services/orders/confirm'),
+    )
+    for answer in answers:
+        assert answer.headers['x-request-outcome'] == 'not_run'
+    assert await oracle.audit(fleet) >= len(answers)
+
+
+async def test_a_late_grant_is_given_back():
+    """The instance is frozen between its grant and its dispatch."""
+    clock = serving.ManualClock()
+    service = plain.Plain(
+        clock=clocks.SystemClock(), name='jobs', work=datetime.timedelta()
+    )
+    asked = []
+    retried = []
+
+    def grant(instance, message):
+        if not isinstance(message, messages.NewAsk):
+            return
+        asked.append(message)
+        granted = messages.Grant(
+            'a', 'jobs', len(asked), 'late', 'jobs-0', path.address, clock.now_s
+        )
+        requests.receive(granted)
+        if len(asked) == 1:
+            clock.now_s += 2 * admission.GRANT_TTL.total_seconds()
+
+    requests = admission.Admission(
+        instance='a',
+        incarnation=1,
+        clock=clock,
+        send=grant,
+        find_allocator=lambda pool: 'a',
+        on_preempt=retried.append,
+    )
+    client = connection.UpstreamClient(connect_timeout_s=5)
+    upstreams = dispatch.Upstreams(
+        client=client,
+        clock=clock,
+        requests=requests,
+        silence_s=5,
+        lost_after_s=5,
+        answer_limit_bytes=1024,
+        count_retry=retried.append,
+        run_detached=asyncio.ensure_future,
+    )
+    handler = chain.build_chain(
+        (
+            dispatch.make_readmit(upstreams, attempts=2),
+            admit.make_admit(
+                requests=requests, clock=clock, granted_exchanges={}
+            ),
+        ),
+        dispatch.make_dispatch(upstreams),
+    )
+    call = exchange.Call('POST', '/', '', {}, b'', clock.now_s)
+    current = exchange.Exchange(request_id='late', call=call)
+    current.row = ROWS[-1]
+    current.work = exchange.Work('jobs', '/note', '', '', False, None)
+    current.deadline_s = clock.now_s + 60
+    async with server.serving(plain.build_app(service)) as address:
+        path = relay.Relay(target=address)
+        await path.start()
+        outcome = await handler(current)
+
+        async def is_closed():
+            return not path.count_open()
+
+        await processes.wait_for(is_closed)
+        await path.close()
+    await client.close()
+    assert outcome.ok.status == 200
+    assert retried == ['grant_lapsed']
+    assert len(asked) == path.accepted == 2
+    assert service.runs == {'late': 1}
