--- a/lavenderledge/controllers/claims.py
+++ b/lavenderledge/controllers/claims.py
@@ -24,6 +24,8 @@
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 5.0
 _SETTLE_S = 600
+# A creation that was sent may take effect after the first deletion.
+_UNDO_ATTEMPTS = 6
 
 
 class StoredAnswer(typing.NamedTuple):
@@ -85,7 +87,7 @@
         clock: clocks.Clock,
         count_retry: abc.Callable[[str], None],
         run_detached: abc.Callable[
-            [abc.Coroutine[typing.Any, typing.Any, None]], None
+            [abc.Coroutine[typing.Any, typing.Any, object]], None
         ],
     ) -> None:
         """Hold no claims; ``run_detached`` runs what outlives a request."""
@@ -124,20 +126,12 @@
             await self._clock.sleep(timing.seconds(pause_s))
             pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
         if doubtful:
-            self.abandon(claim)
+            self._run_detached(self._undo(claim))
         return expression.Error(Unavailable(repr(told.error)))
 
     def abandon(self, claim: Claim) -> None:
         """Delete a claim whose call was not and will not be dispatched."""
-        removal = operations.Nested(
-            (
-                operations.Compare(
-                    claim.name, operations.Target.VALUE, claim.value
-                ),
-            ),
-            (operations.Delete(claim.name),),
-        )
-        self._run_detached(self._settle(removal, 'claim_abandon'))
+        self._run_detached(self._settle(_remove(claim), 'claim_abandon'))
 
     def store_answer(self, claim: Claim, answer: StoredAnswer) -> None:
         """Keep a short answer in the claim; a long one is left out."""
@@ -154,17 +148,30 @@
         )
         self._run_detached(self._settle(change, 'claim_answer'))
 
-    async def _settle(self, change: operations.Nested, name: str) -> None:
-        """Repeat a change that is idempotent by its comparison."""
+    async def _undo(self, claim: Claim) -> None:
+        """Delete a claim whose creation may still be under way."""
+        for _ in range(_UNDO_ATTEMPTS):
+            if await self._settle(_remove(claim), 'claim_abandon'):
+                return
+            await self._clock.sleep(timing.seconds(_LONGEST_PAUSE_S))
+
+    async def _settle(self, change: operations.Nested, name: str) -> bool:
+        """Repeat a change that is idempotent by its comparison.
+
+        Returns whether its comparison held at the last try.
+        """
         give_up_s = self._clock.read_monotonic() + _SETTLE_S
         pause_s = _FIRST_PAUSE_S
         while self._clock.read_monotonic() < give_up_s:
             told = await self._commits.commit(change)
-            if told.is_ok() or isinstance(told.error, operations.Rejected):
-                return
+            if told.is_ok():
+                return told.ok.succeeded
+            if isinstance(told.error, operations.Rejected):
+                return False
             self._count_retry(name)
             await self._clock.sleep(timing.seconds(pause_s))
             pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+        return False
 
     def _build_claim(self, customer: str, key: str, fingerprint: str) -> Claim:
         record = Record(
@@ -185,6 +192,11 @@
     )
 
 
+def _remove(claim: Claim) -> operations.Nested:
+    held = operations.Compare(claim.name, operations.Target.VALUE, claim.value)
+    return operations.Nested((held,), (operations.Delete(claim.name),))
+
+
 def _judge_creation(claim: Claim, told: operations.TransactAnswer) -> Created:
     if told.succeeded:
         return expression.Ok(claim)
--- a/lavenderledge/daemon/tasks.py
+++ b/lavenderledge/daemon/tasks.py
@@ -26,14 +26,14 @@
         self._clock = clock
         self._count = count
         self._loops: list[asyncio.Task[None]] = []
-        self._detached: set[asyncio.Task[None]] = set()
+        self._detached: set[asyncio.Task[object]] = set()
 
     def keep_running(self, name: str, loop: Loop) -> None:
         """Run a loop, and start it again where it fails."""
         self._loops.append(asyncio.create_task(self._supervise(name, loop)))
 
     def run_detached(
-        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+        self, work: abc.Coroutine[typing.Any, typing.Any, object]
     ) -> None:
         """Run work that outlives the request that it comes from."""
         task = asyncio.create_task(work)
@@ -64,7 +64,7 @@
             self._count('loop_failures', loop=name)
             await self._clock.sleep(timing.seconds(_RESTART_PAUSE_S))
 
-    def _forget(self, task: asyncio.Task[None]) -> None:
+    def _forget(self, task: asyncio.Task[object]) -> None:
         self._detached.discard(task)
         if not task.cancelled() and task.exception() is not None:
             self._count('detached_failures')
--- a/lavenderledge/standins/demo.py
+++ b/lavenderledge/standins/demo.py
@@ -58,7 +58,13 @@
     async def _start(self) -> None:
         self._tell('Starting a key-value service, an instance list, three')
         self._tell('engines of unlike speed, an order service, 3 instances.')
-        fleet = self._fleet
+        await self._start_programs(self._fleet)
+        await self._run_command('table', 'import', '-', given=_TABLE)
+        await self._fleet.wait_until_ready(*_INSTANCES)
+        await self._run_command('table', 'show')
+        await self._run_command('status')
+
+    async def _start_programs(self, fleet: launcher.Launcher) -> None:
         await fleet.start_platform()
         await asyncio.gather(
             *(
@@ -73,10 +79,6 @@
                 for name, zone in zip(_INSTANCES, _ZONES)
             ),
         )
-        await self._run_command('table', 'import', '-', given=_TABLE)
-        await fleet.wait_until_ready(*_INSTANCES)
-        await self._run_command('table', 'show')
-        await self._run_command('status')
 
     async def _serve_models(self) -> None:
         self._tell('\nA lacing plan through entry-a, streamed:')
