Gossip plan with a constant number of members a second; fewer pings

Cause: members sent per instance and second grew with the fleet (3 x 64 every 0.5 s), and random targets out of 370 would keep dozens of links open, each with ZeroMQ pings. A large fleet now gossips with 8 neighbours drawn anew each minute, 80 members a second; the failure timeout grows with the fleet instead (a third of a second per member), and forgetting with it.

--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -79,6 +79,8 @@
             now_s=now_s, failure_timeout=self._plan.failure_timeout
         )
         self._probed_at_s = now_s - _PROBE_INTERVAL_S
+        self._redraw_at_s = now_s
+        self._neighbours: list[str] = []
         self._alive: tuple[str, ...] = (own.instance,)
         self._links: dict[str, str] = {}
 
@@ -137,7 +139,7 @@
     def list_members(self) -> tuple[messages.Member, ...]:
         """Return every member heard of lately, itself first, alive or not."""
         now_s = self._clock.read_monotonic()
-        return (self._own, *self._sightings.list_heard(now_s))
+        return (self._own, *self._list_heard(now_s))
 
     def get_member(self, instance: str) -> messages.Member | None:
         """Return the newest facts heard of an instance."""
@@ -198,10 +200,13 @@
         )
 
     def _list_alive_members(self) -> list[messages.Member]:
-        return self._sightings.list_alive(
+        return self._sightings.list_advanced(
             self._clock.read_monotonic(), self._plan.failure_timeout
         )
 
+    def _list_heard(self, now_s: float) -> list[messages.Member]:
+        return self._sightings.list_advanced(now_s, self._plan.forget_after)
+
     def _list_listed(self) -> list[Listed]:
         return [
             entry
@@ -263,7 +268,7 @@
 
     def _refresh(self, now_s: float) -> None:
         self._sightings.purge(now_s)
-        heard = self._sightings.list_heard(now_s)
+        heard = self._list_heard(now_s)
         self._plan = self._make_plan(len(heard) + 1)
         alive = [
             member.instance
@@ -298,21 +303,16 @@
         has for a name.
         """
         links = {entry.instance: entry.address for entry in self._list_listed()}
-        for member in (*self._sightings.list_lost(now_s), *heard):
+        lost = self._sightings.list_lost(now_s, self._plan.forget_after)
+        for member in (*lost, *heard):
             links[member.instance] = member.address
         for outdated in self._sightings.list_outdated():
             links[outdated.address] = outdated.address
         return links
 
     def _gossip(self, now_s: float) -> None:
-        heard = [
-            member.instance for member in self._sightings.list_heard(now_s)
-        ]
-        targets = self._sample(heard, self._plan.fanout)
-        if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
-            self._probed_at_s = now_s
-            silent = sorted(self._links.keys() - set(heard))
-            targets.extend(self._sample(silent, _MAX_PROBES))
+        heard = {member.instance for member in self._list_heard(now_s)}
+        targets = self._pick_targets(now_s, heard)
         members = [self._own]
         if self.is_settled():
             alive = self._list_alive_members()
@@ -323,6 +323,21 @@
             if newest is not None:
                 self._send_members([outdated.address], [self._own, newest])
 
+    def _pick_targets(self, now_s: float, heard: set[str]) -> list[str]:
+        wanted = min(self._plan.neighbours, len(heard))
+        kept = [each for each in self._neighbours if each in heard]
+        if now_s >= self._redraw_at_s or len(kept) != wanted:
+            kept = self._sample(sorted(heard), wanted)
+            lifetime = gossip.NEIGHBOUR_LIFETIME
+            self._redraw_at_s = now_s + lifetime.total_seconds()
+        self._neighbours = kept
+        targets = self._sample(kept, self._plan.fanout)
+        if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
+            self._probed_at_s = now_s
+            silent = sorted(self._links.keys() - heard)
+            targets.extend(self._sample(silent, _MAX_PROBES))
+        return targets
+
     def _send_members(
         self, targets: list[str], members: list[messages.Member]
     ) -> None:
--- a/lavenderledge/controllers/sightings.py
+++ b/lavenderledge/controllers/sightings.py
@@ -26,9 +26,9 @@
 class Sightings:
     """The newest facts of each instance, and when it last advanced.
 
-    Instances are *heard* until ``gossip.FORGET_AFTER`` of silence. After
-    that they are *lost*: remembered for two hours, so that stale gossip
-    brings none back and a region cut off for an hour is found again.
+    Instances are *heard* until they are forgotten. After that they are
+    *lost*: remembered for two hours, so that stale gossip brings none back
+    and a region cut off for an hour is found again.
     """
 
     def __init__(self) -> None:
@@ -113,30 +113,24 @@
             return False
         return gossip.is_alive(sighting, now_s, failure_timeout)
 
-    def list_alive(
-        self, now_s: float, failure_timeout: datetime.timedelta
+    def list_advanced(
+        self, now_s: float, within: datetime.timedelta
     ) -> list[messages.Member]:
-        """Return the members that are alive, leaving or not."""
+        """Return the members that advanced within a time, leaving or not."""
         return [
             sighting.member
             for sighting in self._sightings.values()
-            if gossip.is_alive(sighting, now_s, failure_timeout)
+            if gossip.is_alive(sighting, now_s, within)
         ]
 
-    def list_heard(self, now_s: float) -> list[messages.Member]:
-        """Return the members not forgotten yet, alive or not."""
-        return [
-            sighting.member
-            for sighting in self._sightings.values()
-            if not gossip.is_forgotten(sighting, now_s)
-        ]
-
-    def list_lost(self, now_s: float) -> list[messages.Member]:
+    def list_lost(
+        self, now_s: float, forget_after: datetime.timedelta
+    ) -> list[messages.Member]:
         """Return the members lost last, but for those that left."""
         lost = [
             sighting
             for sighting in self._sightings.values()
-            if gossip.is_forgotten(sighting, now_s)
+            if not gossip.is_alive(sighting, now_s, forget_after)
             and not sighting.member.leaving
         ]
         lost.sort(key=lambda sighting: sighting.advanced_at_s, reverse=True)
--- a/lavenderledge/policy/gossip.py
+++ b/lavenderledge/policy/gossip.py
@@ -9,52 +9,69 @@
 from lavenderledge.peers import messages
 
 SMALL_FLEET = 9
-FORGET_AFTER = datetime.timedelta(seconds=60)
-_BASE_INTERVAL = datetime.timedelta(milliseconds=500)
-_BASE_TIMEOUT = datetime.timedelta(seconds=3)
-_LARGE_FANOUT = 3
-_SMALL_SAMPLE = 2
+NEIGHBOUR_LIFETIME = datetime.timedelta(seconds=60)
+_SMALL_INTERVAL = datetime.timedelta(milliseconds=500)
+_SMALL_TIMEOUT = datetime.timedelta(seconds=3)
+_SMALL_SAMPLE = 3
+_LARGE_NEIGHBOURS = 8
 _MAX_SAMPLE = 64
+_MEMBERS_PER_S = 80
+_FORGET_AFTER = datetime.timedelta(seconds=60)
 
 
 class Plan(typing.NamedTuple):
     """How a fleet of some size gossips.
 
     Each ``interval`` an instance sends itself and at most ``sample`` other
-    members to ``fanout`` members. A member whose heartbeat has not advanced
-    for ``failure_timeout`` is no longer believed alive.
+    members to ``fanout`` of its ``neighbours``, which it draws anew every
+    ``NEIGHBOUR_LIFETIME``. A member whose heartbeat has not advanced for
+    ``failure_timeout`` is no longer believed alive, and is forgotten after
+    ``forget_after``.
     """
 
     interval: datetime.timedelta
+    neighbours: int
     fanout: int
     sample: int
     failure_timeout: datetime.timedelta
-
-
-class Sighting(typing.NamedTuple):
-    """A member as last heard of, and when its heartbeat last advanced."""
-
-    member: messages.Member
-    advanced_at_s: float
+    forget_after: datetime.timedelta
 
 
 def plan_gossip(members: int) -> Plan:
-    """Return the plan of a fleet with so many members, itself included."""
+    """Return the plan of a fleet with so many members, itself included.
+
+    A small fleet gossips with everyone. In a larger one each instance sends
+    a constant number of members a second, so that bytes do not grow with
+    the fleet; what grows is the time to detect a failure.
+    """
     if members <= SMALL_FLEET:
         return Plan(
-            interval=_BASE_INTERVAL,
+            interval=_SMALL_INTERVAL,
+            neighbours=max(members - 1, 0),
             fanout=max(members - 1, 0),
             sample=_SMALL_SAMPLE,
-            failure_timeout=_BASE_TIMEOUT,
+            failure_timeout=_SMALL_TIMEOUT,
+            forget_after=_FORGET_AFTER,
         )
+    sample = min(members - 1, _MAX_SAMPLE)
+    failure_timeout = _SMALL_TIMEOUT * (members / SMALL_FLEET)
     return Plan(
-        interval=_BASE_INTERVAL,
-        fanout=_LARGE_FANOUT,
-        sample=min(members - 1, _MAX_SAMPLE),
-        failure_timeout=_BASE_TIMEOUT * (members / SMALL_FLEET),
+        interval=datetime.timedelta(seconds=(sample + 1) / _MEMBERS_PER_S),
+        neighbours=_LARGE_NEIGHBOURS,
+        fanout=1,
+        sample=sample,
+        failure_timeout=failure_timeout,
+        forget_after=max(_FORGET_AFTER, 2 * failure_timeout),
     )
 
 
+class Sighting(typing.NamedTuple):
+    """A member as last heard of, and when its heartbeat last advanced."""
+
+    member: messages.Member
+    advanced_at_s: float
+
+
 def supersedes(new: messages.Member, old: messages.Member) -> bool:
     """Return whether the new facts are younger than the old ones."""
     return (new.incarnation, new.heartbeat) > (old.incarnation, old.heartbeat)
@@ -86,8 +103,3 @@
     """Return whether the member's heartbeat advanced recently enough."""
     age_s = now_s - sighting.advanced_at_s
     return age_s < failure_timeout.total_seconds()
-
-
-def is_forgotten(sighting: Sighting, now_s: float) -> bool:
-    """Return whether the member has been silent for a long time."""
-    return not is_alive(sighting, now_s, FORGET_AFTER)
