--- a/lavenderledge/controllers/allocator.py
+++ b/lavenderledge/controllers/allocator.py
@@ -10,6 +10,8 @@
 from lavenderledge.policy import (
     allocation,
     intake,
+    placement,
+    pool as pools,
     prefix,
     replicas,
     requests,
@@ -17,7 +19,7 @@
 )
 
 TICK: typing.Final = datetime.timedelta(milliseconds=50)
-POLICIES: typing.Final = allocation.POLICIES
+POLICIES: typing.Final = placement.POLICIES
 
 ReplicaInfo: typing.TypeAlias = replicas.ReplicaInfo
 CacheEvent: typing.TypeAlias = prefix.CacheEvent
@@ -80,8 +82,8 @@
         self._find_row = find_row
         self._is_allocator = is_allocator
         self._count_alive = count_alive
-        self._policy = allocation.make_policy(decide)
-        self._pools: dict[str, allocation.Pool] = {}
+        self._policy = placement.make_policy(decide)
+        self._pools: dict[str, pools.Pool] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
         self._scheduled = False
 
@@ -150,10 +152,10 @@
             self._scheduled = True
             self._loop.call_soon(self.tick)
 
-    def _find_pool(self, name: str) -> allocation.Pool:
+    def _find_pool(self, name: str) -> pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
-            pool = allocation.Pool(
+            pool = pools.Pool(
                 policy=self._policy,
                 find_row=self._find_row,
                 now_s=self._clock.read_monotonic(),
@@ -166,7 +168,7 @@
         return pool
 
     def _take_report(
-        self, pool: allocation.Pool, report: messages.Report, now_s: float
+        self, pool: pools.Pool, report: messages.Report, now_s: float
     ) -> None:
         fresh = pool.intake.apply_report(
             report, share=pool.fleet.share, now_s=now_s
@@ -182,13 +184,13 @@
                 )
         pool.judge_replicas(now_s)
 
-    def _decide(self, name: str, pool: allocation.Pool, now_s: float) -> None:
+    def _decide(self, name: str, pool: pools.Pool, now_s: float) -> None:
         pool.list_replicas(self._list_replicas(name))
         pool.intake.forget_silent(now_s)
-        pool.fleet = allocation.Fleet(
+        pool.fleet = pools.Fleet(
             pool.intake.count_reporting(), self._count_alive()
         )
-        decisions = pool.decide(now_s)
+        decisions = allocation.decide(pool, now_s)
         for refused in pool.intake.refused:
             self._send_refusal(name, refused)
         pool.intake.refused.clear()
@@ -198,7 +200,7 @@
             self._send_preemption(name, request)
 
     def _send_grant(
-        self, name: str, pool: allocation.Pool, granted: allocation.Granted
+        self, name: str, pool: pools.Pool, granted: allocation.Granted
     ) -> None:
         request = granted.request
         grant = messages.Grant(
@@ -229,7 +231,7 @@
         self._send(request.sender, preempt)
 
 
-def _describe_pool(name: str, pool: allocation.Pool) -> PoolStatus:
+def _describe_pool(name: str, pool: pools.Pool) -> PoolStatus:
     book = pool.book
     return PoolStatus(
         pool=name,
--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -1,55 +1,25 @@
 """Who gets which replica now: the decisions of one pool's allocator."""
 
-import math
 import typing
 from collections import abc
 
 from lavenderledge import outcomes
 from lavenderledge.policy import (
-    book as books,
     digests,
-    intake as intakes,
-    limits,
     placement,
+    pool as pools,
     preemption,
-    prefix,
     replicas,
     requests,
-    stragglers,
 )
 
 # Flows of a tier that are looked at before lower tiers have their turn.
 _LOOK_AHEAD: typing.Final = 8
+_TELL_AGAIN_S: typing.Final = 0.5
+_LOWEST_TIER: typing.Final = 4
 _TOKENS_PER_BLOCK: typing.Final = digests.BLOCK_CHARS // 4
 
 
-class Policy(typing.NamedTuple):
-    """How a daemon decides; the baselines know neither limits nor tiers."""
-
-    name: str
-    choose: placement.Choose
-    limited: bool
-
-
-def make_policy(name: str) -> Policy:
-    """Return the policy of a name; raises ``KeyError`` for others."""
-    makers: dict[str, abc.Callable[[], Policy]] = {
-        'lavenderledge': lambda: Policy(
-            'lavenderledge', placement.choose_by_finish, limited=True
-        ),
-        'round-robin': lambda: Policy(
-            'round-robin', placement.make_round_robin(), limited=False
-        ),
-        'least-loaded': lambda: Policy(
-            'least-loaded', placement.make_least_loaded(), limited=False
-        ),
-    }
-    return makers[name]()
-
-
-POLICIES: typing.Final = ('lavenderledge', 'round-robin', 'least-loaded')
-
-
 class Granted(typing.NamedTuple):
     """A request that was granted its replica."""
 
@@ -57,18 +27,6 @@
     info: replicas.ReplicaInfo
 
 
-class Fleet(typing.NamedTuple):
-    """How many instances report for the pool, of those believed alive."""
-
-    reporting: int
-    alive: int
-
-    @property
-    def share(self) -> float:
-        """Return the part of the capacity that this view may grant."""
-        return min(1, self.reporting / max(self.alive, 1))
-
-
 class Decisions(typing.NamedTuple):
     """What one round has decided."""
 
@@ -76,94 +34,23 @@
     preempted: list[requests.Request]
 
 
-class Pool:
-    """The state of one pool and its decisions."""
+def decide(pool: pools.Pool, now_s: float) -> Decisions:
+    """Grant what can be granted; name whom to cancel for the rest."""
+    pool.update_blocked()
+    current = _Round(pool=pool, now_s=now_s)
+    granted = current.grant()
+    preempted: list[requests.Request] = []
+    if pool.limited:
+        preempted.extend(current.preempt())
+        preempted.extend(_list_overdue(pool, now_s))
+        current.settle_pressed()
+    return Decisions(granted, preempted)
 
-    def __init__(
-        self, *, policy: Policy, find_row: intakes.FindRow, now_s: float
-    ) -> None:
-        """Start empty."""
-        self.book = books.Book()
-        self.prefixes = prefix.Prefixes()
-        self.intake = intakes.Intake(
-            book=self.book, find_row=find_row, now_s=now_s
-        )
-        self.fleet = Fleet(0, 1)
-        self.sequence = 0
-        self._policy = policy
-        self._find_row = find_row
-
-    def list_replicas(self, infos: abc.Sequence[replicas.ReplicaInfo]) -> None:
-        """Take the replicas that may be granted now."""
-        listed = {info.name: info for info in infos}
-        for name, replica in tuple(self.book.replicas.items()):
-            replica.info = listed.get(name)
-            if replica.info is None and not replica.load.held:
-                self.book.replicas.pop(name)
-        for name, info in listed.items():
-            if name not in self.book.replicas:
-                self.book.replicas[name] = replicas.Replica(info=info)
-        self.prefixes.retain(self.book.replicas)
-
-    def judge_replicas(self, now_s: float) -> None:
-        """Tell stragglers from the rest."""
-        common = stragglers.find_common_ratio(
-            replica.pace.ratio() for replica in self.book.replicas.values()
-        )
-        for replica in self.book.replicas.values():
-            replica.judge(common=common, now_s=now_s)
-
-    def decide(self, now_s: float) -> Decisions:
-        """Grant what can be granted; name whom to cancel for the rest."""
-        self._update_blocked()
-        turn = _Turn(pool=self, now_s=now_s)
-        granted = turn.grant()
-        preempted = turn.preempt() if self._policy.limited else []
-        return Decisions(granted, preempted)
-
-    def count_room(self) -> int:
-        """Return how many more grants the share of capacity allows."""
-        listed = [
-            replica
-            for replica in self.book.replicas.values()
-            if replica.info is not None
-        ]
-        capacity = sum(replica.limit.most for replica in listed)
-        most = max(1, math.floor(capacity * self.fleet.share))
-        return most - sum(replica.load.held for replica in listed)
-
-    @property
-    def limited(self) -> bool:
-        """Return whether the policy knows limits and tiers."""
-        return self._policy.limited
-
-    def choose(
-        self,
-        request: requests.Request,
-        options: abc.Sequence[placement.Option],
-        now_s: float,
-    ) -> placement.Choice:
-        """Return the policy's choice for a request."""
-        return self._policy.choose(measure(request, now_s), options)
-
-    def is_over_limit(self, row: str) -> bool:
-        """Return whether a row runs as many requests as it may."""
-        found = self._find_row(row)
-        if found is None or found.concurrency is None or not self.limited:
-            return False
-        most = limits.share_count(found.concurrency, self.fleet.share)
-        return self.book.count_row_held(row) >= most
-
-    def _update_blocked(self) -> None:
-        for row in self.book.queue.list_blocked():
-            if not self.is_over_limit(row):
-                self.book.queue.unblock(row)
-
-
-class _Turn:
-    """One round of decisions at one time."""
-
-    def __init__(self, *, pool: Pool, now_s: float) -> None:
+
+class _Round:
+    """Decisions at one time, each counting on those before."""
+
+    def __init__(self, *, pool: pools.Pool, now_s: float) -> None:
         """Look at the replicas once."""
         self._pool = pool
         self._book = pool.book
@@ -197,6 +84,29 @@
                 chosen.extend(self._preempt_for(tier, need))
         return chosen
 
+    def settle_pressed(self) -> None:
+        """Make room for pressed requests, or refuse them.
+
+        One is refused only where every instance reports and nothing of a
+        lower tier waits or runs that could give way.
+        """
+        for request in tuple(self._book.pressed.values()):
+            tier = request.ask.tier
+            gone = request.request_id not in self._book.pressed
+            if gone or self._book.has_lower_held(tier):
+                continue
+            lowest = self._book.queue.list_tiers()[-1]
+            if lowest > tier:
+                newest = self._book.queue.find_newest(lowest)
+                self._refuse(newest, outcomes.Reason.DISPLACED)
+            elif self._pool.fleet.share >= 1 or tier >= _LOWEST_TIER:
+                self._refuse(request, outcomes.Reason.OVERLOADED)
+
+    def _refuse(
+        self, request: requests.Request, reason: outcomes.Reason
+    ) -> None:
+        self._pool.intake.refuse(request, reason, self._now_s)
+
     def _has_room(self) -> bool:
         if not self._pool.limited:
             return bool(self._options)
@@ -221,9 +131,7 @@
                 self._place(request, choice.replica)
                 return True
             if choice.verdict is placement.Verdict.UNREACHABLE:
-                self._pool.intake.refuse(
-                    request, outcomes.Reason.DEADLINE_UNREACHABLE, self._now_s
-                )
+                self._refuse(request, outcomes.Reason.DEADLINE_UNREACHABLE)
                 return True
             if choice.replica:
                 self._reserve(choice.replica)
@@ -257,12 +165,29 @@
 
     def _fit_options(self, request: requests.Request) -> list[placement.Option]:
         """Return the options with what each has cached of the prompt."""
-        if not request.ask.prefix or not self._pool.limited:
-            return list(self._options.values())
-        return [
-            option._replace(cached_tokens=self._count_cached(request, name))
-            for name, option in self._options.items()
-        ]
+        options = self._options
+        if request.ask.prefix and self._pool.limited:
+            options = {
+                name: option._replace(
+                    cached_tokens=self._count_cached(request, name)
+                )
+                for name, option in options.items()
+            }
+        if self._book.has_lower_held(request.ask.tier):
+            return [
+                self._discount_lower(request.ask.tier, option)
+                for option in options.values()
+            ]
+        return list(options.values())
+
+    def _discount_lower(
+        self, tier: int, option: placement.Option
+    ) -> placement.Option:
+        """Return the option with its gap were lower tiers cancelled."""
+        replica = self._book.replicas[option.replica]
+        lower = replica.load.count_lower(tier)
+        gap_s = replica.speed.gap_s(replica.load.held + 1 - lower)
+        return option._replace(least_gap_s=gap_s * replica.slow_factor())
 
     def _build_option(
         self, name: str, replica: replicas.Replica
@@ -287,17 +212,24 @@
         )
 
     def _count_impatient(self, tier: int) -> int:
-        count = 0
+        """Return how many of a tier wait too long; pressed ones all do."""
+        pressed = self._book.pressed
+        blocked = self._book.queue.is_blocked
+        count = sum(
+            1
+            for request in pressed.values()
+            if request.ask.tier == tier and not blocked(request.ask.row)
+        )
         for request in self._book.queue.walk_arrivals(tier):
-            if self._book.queue.is_blocked(request.ask.row):
+            if blocked(request.ask.row):
                 continue
             if not self._is_impatient(request):
                 break
-            count += 1
+            count += request.request_id not in pressed
         return count
 
     def _is_impatient(self, request: requests.Request) -> bool:
-        wanted = measure(request, self._now_s)
+        wanted = pools.measure(request, self._now_s)
         first_s = min(
             placement.estimate_first_s(wanted, option)
             for option in self._options.values()
@@ -314,9 +246,9 @@
         return request.ask.pressed or wanted.waited_s >= patience_s
 
     def _preempt_for(self, tier: int, need: int) -> list[requests.Request]:
-        victims = preemption.select_victims(
-            self._list_victims(tier), tier=tier, need=need
-        )
+        lower = list(self._list_victims(tier))
+        useful = [victim for victim in lower if self._gives_slot(victim)]
+        victims = preemption.select_victims(useful, tier=tier, need=need)
         chosen = [self._book.requests[victim.request_id] for victim in victims]
         for request in chosen:
             self._book.preempt(request, now_s=self._now_s)
@@ -329,15 +261,27 @@
             for request in held.values():
                 if request.ask.preemptible and request.preempted_s is None:
                     yield preemption.Victim(
-                        number, request.work_done, request.request_id
+                        number,
+                        request.work_done,
+                        request.request_id,
+                        request.replica,
                     )
 
+    def _gives_slot(self, victim: preemption.Victim) -> bool:
+        """Return whether cancelling would free a slot that can be used."""
+        replica = self._book.replicas[victim.replica]
+        return replica.is_open(self._now_s) and (
+            replica.count_most(share=self._pool.fleet.share, now_s=self._now_s)
+            >= replica.load.held
+        )
+
 
-def measure(request: requests.Request, now_s: float) -> placement.Wanted:
-    """Return what placement is to know of a request."""
-    return placement.Wanted(
-        prompt_tokens=request.ask.prompt_tokens,
-        output_tokens=request.ask.output_tokens,
-        remaining_s=request.deadline_s - now_s,
-        waited_s=now_s - request.arrived_s,
-    )
+def _list_overdue(pool: pools.Pool, now_s: float) -> list[requests.Request]:
+    """Return those told to end long ago, to be told again."""
+    overdue = []
+    for request in pool.book.freeing.values():
+        told_s = request.preempted_s
+        if told_s is not None and now_s - told_s > _TELL_AGAIN_S:
+            request.preempted_s = now_s
+            overdue.append(request)
+    return overdue
--- a/lavenderledge/policy/book.py
+++ b/lavenderledge/policy/book.py
@@ -133,9 +133,11 @@
         """Return how many requests hold grants."""
         return sum(map(len, self.held.values()))
 
-    def count_tier_held(self, tier: int) -> int:
-        """Return how many requests of a tier hold grants."""
-        return len(self.held.get(tier, ()))
+    def has_lower_held(self, tier: int) -> bool:
+        """Return whether lower-tier work holds grants and may be cancelled."""
+        return any(
+            replica.load.count_lower(tier) for replica in self.replicas.values()
+        )
 
     def _wait(self, request: requests.Request) -> None:
         request.stage = requests.Stage.WAITING
@@ -168,6 +170,7 @@
 
     def _load(self, request: requests.Request, now_s: float) -> None:
         self.find_replica(request.replica).load.add(
+            tier=request.cancel_tier,
             prefill=request.prefill_left,
             output=request.output_left,
             now_s=now_s,
@@ -176,6 +179,7 @@
     def _unload(self, request: requests.Request, now_s: float) -> None:
         replica = self.find_replica(request.replica)
         replica.load.remove(
+            tier=request.cancel_tier,
             prefill=request.prefill_left,
             output=request.output_left,
             now_s=now_s,
--- a/lavenderledge/policy/intake.py
+++ b/lavenderledge/policy/intake.py
@@ -13,9 +13,10 @@
 SILENCE_S: typing.Final = 4.0
 
 # After a takeover, requests that have waited longer than this were charged
-# by the allocator before.
+# by the allocator before, and limits are not yet shared: not all instances
+# have reported.
 _CHARGED_AFTER_S: typing.Final = 0.3
-_YOUNG_S: typing.Final = 4.0
+_YOUNG_S: typing.Final = 2.5
 
 FindRow: typing.TypeAlias = abc.Callable[[str], limits.RowLimits | None]
 
@@ -222,6 +223,7 @@
         if young and ask.waited_s > _CHARGED_AFTER_S:
             self._rates.note_charged(ask.request_id, now_s=now_s)
             return True
+        share = 1 if young else share
         waiting = self._book.queue.count_row(ask.row)
         if row is not None and waiting >= limits.share_count(row.queue, share):
             self._refuse_ask(name, ask, outcomes.Reason.QUEUE_FULL, 1)
--- /dev/null
+++ b/lavenderledge/policy/outstanding.py
@@ -0,0 +1,197 @@
+"""What one instance holds of its own requests, and how it reports them."""
+
+import asyncio
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import outcomes
+from lavenderledge.peers import messages
+from lavenderledge.policy import progress
+
+FindStanding: typing.TypeAlias = abc.Callable[[str], tuple[int, float] | None]
+
+
+class Placement(typing.NamedTuple):
+    """Leave to dispatch a request; expires on this instance's own clock."""
+
+    pool: str
+    request_id: str
+    replica: str
+    address: str
+    expires_s: float
+
+
+class Denial(typing.NamedTuple):
+    """Why a request that waited was not placed."""
+
+    reason: outcomes.Reason
+    detail: str
+    retry_after_s: float | None
+
+
+Verdict: typing.TypeAlias = expression.Result[Placement, Denial]
+
+
+class Entry:
+    """One request that waits, holds a grant or runs.
+
+    It waits while it has a waiter; one with neither waiter nor placement has
+    let its grant lapse, and is nobody's until it is asked for again.
+    """
+
+    def __init__(
+        self, *, pool: str, ask: messages.Ask, asked_s: float, deadline_s: float
+    ) -> None:
+        """Start without a waiter."""
+        self.pool = pool
+        self.ask = ask
+        self.asked_s = asked_s
+        self.deadline_s = deadline_s
+        self.placement: Placement | None = None
+        self.mark: progress.Mark | None = None
+        self.output_done = 0
+        self.preempted = False
+        self.waiter: asyncio.Future[Verdict] | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's id."""
+        return self.ask.request_id
+
+    def lapse(self) -> None:
+        """Give up a grant that was not used."""
+        self.placement = None
+        self.mark = None
+        self.preempted = False
+        self.waiter = None
+
+    def renew_ask(self, now_s: float) -> messages.Ask:
+        """Return the ask with its times as they are now."""
+        return self.ask._replace(
+            remaining_s=self.deadline_s - now_s,
+            waited_s=now_s - self.asked_s,
+        )
+
+
+Entries: typing.TypeAlias = dict[str, Entry]
+
+
+class Side:
+    """What this instance holds for one pool, and whom it tells."""
+
+    def __init__(self) -> None:
+        """Start empty, with a report due at once."""
+        self.entries: Entries = {}
+        self.progress = progress.Progress()
+        self.allocator: str | None = None
+        self.grant_seen = 0
+        self.grant_reported = 0
+        self.sequence = 0
+        self.reported_s = float('-inf')
+        self.early = False
+
+    def turn_to(self, allocator: str | None) -> None:
+        """Report to another allocator from now on, at once."""
+        self.allocator = allocator
+        self.grant_seen = 0
+        self.grant_reported = 0
+        self.reported_s = float('-inf')
+
+    def build_report(
+        self, *, sender: str, incarnation: int, pool: str, now_s: float
+    ) -> messages.Report:
+        """Return the next report, which takes the readings with it."""
+        self.sequence += 1
+        self.grant_reported = self.grant_seen
+        self.reported_s = now_s
+        self.early = False
+        return messages.Report(
+            sender=sender,
+            incarnation=incarnation,
+            pool=pool,
+            sequence=self.sequence,
+            stamp_s=now_s,
+            grant_seen=self.grant_seen,
+            waiting=tuple(
+                entry.renew_ask(now_s)
+                for entry in self.entries.values()
+                if entry.waiter is not None
+            ),
+            running=tuple(
+                _build_running(entry, entry.placement)
+                for entry in self.entries.values()
+                if entry.placement is not None
+            ),
+            readings=self._take_readings(now_s),
+        )
+
+    def _take_readings(self, now_s: float) -> tuple[messages.Reading, ...]:
+        for entry in self.entries.values():
+            if entry.mark is not None:
+                self.progress.note_open_gap(entry.mark, now_s=now_s)
+        return self.progress.take()
+
+
+class WaitingList:
+    """This instance's waiting requests by tier, in order of arrival."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._tiers: dict[int, Entries] = {}
+
+    def add(self, entry: Entry) -> None:
+        """Add an entry as its tier's newest."""
+        tier = self._tiers.setdefault(entry.ask.tier, {})
+        tier[entry.request_id] = entry
+
+    def remove(self, entry: Entry) -> None:
+        """Remove an entry, if it is there."""
+        self._tiers.get(entry.ask.tier, {}).pop(entry.request_id, None)
+
+    def count(self) -> int:
+        """Return how many requests wait."""
+        return sum(map(len, self._tiers.values()))
+
+    def find_newest_below(self, tier: int) -> Entry | None:
+        """Return the newest entry of the lowest tier under ``tier``."""
+        lowest = max(
+            (key for key, held in self._tiers.items() if held), default=0
+        )
+        if lowest <= tier:
+            return None
+        return next(reversed(self._tiers[lowest].values()))
+
+    def update_standings(self, find: FindStanding) -> None:
+        """Give every entry its row's present tier and weight."""
+        found: dict[str, tuple[int, float] | None] = {}
+        for tier in tuple(self._tiers.values()):
+            for entry in tuple(tier.values()):
+                row = entry.ask.row
+                if row not in found:
+                    found[row] = find(row)
+                self._update(entry, found[row])
+
+    def _update(self, entry: Entry, standing: tuple[int, float] | None) -> None:
+        if standing is None or standing == (entry.ask.tier, entry.ask.weight):
+            return
+        tier, weight = standing
+        self.remove(entry)
+        entry.ask = entry.ask._replace(tier=tier, weight=weight)
+        self.add(entry)
+
+
+def _build_running(entry: Entry, placement: Placement) -> messages.Running:
+    return messages.Running(
+        request_id=entry.request_id,
+        row=entry.ask.row,
+        customer=entry.ask.customer,
+        tier=entry.ask.tier,
+        replica=placement.replica,
+        prompt_tokens=entry.ask.prompt_tokens,
+        output_tokens=entry.ask.output_tokens,
+        output_done=entry.output_done,
+        preemptible=entry.ask.preemptible,
+        started=entry.mark is not None,
+    )
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -62,6 +62,7 @@
 
 Choose: typing.TypeAlias = abc.Callable[[Wanted, abc.Sequence[Option]], Choice]
 
+POLICIES: typing.Final = ('lavenderledge', 'round-robin', 'least-loaded')
 _WAIT: typing.Final = Choice(Verdict.WAIT)
 
 
@@ -147,6 +148,30 @@
     return choose
 
 
+class Policy(typing.NamedTuple):
+    """How a daemon decides; the baselines know neither limits nor tiers."""
+
+    name: str
+    choose: Choose
+    limited: bool
+
+
+def make_policy(name: str) -> Policy:
+    """Return the policy of a name; raises ``KeyError`` for others."""
+    makers: dict[str, abc.Callable[[], Policy]] = {
+        'lavenderledge': lambda: Policy(
+            'lavenderledge', choose_by_finish, limited=True
+        ),
+        'round-robin': lambda: Policy(
+            'round-robin', make_round_robin(), limited=False
+        ),
+        'least-loaded': lambda: Policy(
+            'least-loaded', make_least_loaded(), limited=False
+        ),
+    }
+    return makers[name]()
+
+
 def _read_reported(option: Option) -> int:
     return option.reported
 
--- a/lavenderledge/policy/preemption.py
+++ b/lavenderledge/policy/preemption.py
@@ -18,6 +18,7 @@
     tier: int
     work: int
     request_id: str
+    replica: str
 
 
 def find_patience_s(
--- a/lavenderledge/policy/replicas.py
+++ b/lavenderledge/policy/replicas.py
@@ -32,11 +32,9 @@
 
     def __init__(self, *, info: ReplicaInfo | None) -> None:
         """Start without load; ``info`` is None while it is not listed."""
-        self.info = info
-        plain = info is not None and info.kind == 'plain'
-        self.plain = plain
-        start = PLAIN_LIMIT if plain else knees.START_LIMIT
-        self.limit = knees.Limit(start=start)
+        self.info: ReplicaInfo | None = None
+        self.plain = False
+        self.limit = knees.Limit()
         self.speed = speed.Speed()
         self.pace = stragglers.Pace()
         self.standing = stragglers.Standing(stragglers.State.NORMAL, 0)
@@ -44,15 +42,31 @@
         self.reported = 0
         self.failures = 0
         self.closed_until_s = float('-inf')
+        self.list_as(info)
+
+    def list_as(self, info: ReplicaInfo | None) -> None:
+        """Take the replica's entry in the list, None where it is gone."""
+        self.info = info
+        if info is not None and info.kind == 'plain' and not self.plain:
+            self.plain = True
+            self.limit = knees.Limit(start=PLAIN_LIMIT)
 
     def count_slots(self, *, share: float, now_s: float) -> int:
         """Return how many more requests may be granted here."""
-        if self.info is None or now_s < self.closed_until_s:
+        if not self.is_open(now_s):
             return 0
-        most = math.ceil(self.limit.most * share)
-        most = stragglers.scale_limit(self.standing, most, now_s=now_s)
+        most = self.count_most(share=share, now_s=now_s)
         return max(0, most - self.load.held)
 
+    def is_open(self, now_s: float) -> bool:
+        """Return whether the replica is listed and has not just failed."""
+        return self.info is not None and now_s >= self.closed_until_s
+
+    def count_most(self, *, share: float, now_s: float) -> int:
+        """Return how many requests may be held here in all."""
+        most = math.ceil(self.limit.most * share)
+        return stragglers.scale_limit(self.standing, most, now_s=now_s)
+
     def slow_factor(self) -> float:
         """Return by how much the replica is slower than usual now."""
         if self.standing.state is stragglers.State.NORMAL:
@@ -143,26 +157,41 @@
     def __init__(self) -> None:
         """Start without any."""
         self.held = 0
-        self.freeing = 0
+        self.cancellable: dict[int, int] = {}
         self.prefill_left = 0
         self.output_left = 0
         self._mean = float(0)
         self._read_s: float | None = None
 
-    def add(self, *, prefill: int, output: int, now_s: float) -> None:
-        """Count one more request with so much left to do."""
+    def add(
+        self, *, tier: int, prefill: int, output: int, now_s: float
+    ) -> None:
+        """Count one more request with so much left to do.
+
+        ``tier`` is that of a request that may be cancelled, else 0.
+        """
         self.mean_batch(now_s)
         self.held += 1
+        self.cancellable[tier] = self.cancellable.get(tier, 0) + 1
         self.prefill_left += prefill
         self.output_left += output
 
-    def remove(self, *, prefill: int, output: int, now_s: float) -> None:
+    def remove(
+        self, *, tier: int, prefill: int, output: int, now_s: float
+    ) -> None:
         """Count one request less that had so much left to do."""
         self.mean_batch(now_s)
         self.held -= 1
+        self.cancellable[tier] -= 1
         self.prefill_left -= prefill
         self.output_left -= output
 
+    def count_lower(self, tier: int) -> int:
+        """Return how many requests of lower tiers may be cancelled."""
+        return sum(
+            count for number, count in self.cancellable.items() if number > tier
+        )
+
     def mean_batch(self, now_s: float) -> float:
         """Return the number held of late, averaged over half a second."""
         if self._read_s is None:
--- a/lavenderledge/policy/requests.py
+++ b/lavenderledge/policy/requests.py
@@ -63,6 +63,11 @@
         """Return the request's id."""
         return self.ask.request_id
 
+    @property
+    def cancel_tier(self) -> int:
+        """Return the tier if the request may be cancelled, else 0."""
+        return self.ask.tier if self.ask.preemptible else 0
+
     @property
     def work_done(self) -> int:
         """Return the tokens that a cancel would throw away."""
