Edits of the table, and the operator's command line

Cause: operators need to change the table safely while others edit it and answers are lost. An edit is one transaction on the table's revision and its own id; a lost answer is settled by the id, and nothing is told as refused while a sent write can still land.

--- /dev/null
+++ b/lavenderledge/cli/context.py
@@ -0,0 +1,30 @@
+"""What every command is given to work with."""
+
+import argparse
+import random
+import typing
+
+import aiohttp
+
+from lavenderledge import clock as clocks
+from lavenderledge import environment
+from lavenderledge.cli import settings
+from lavenderledge.platform import instancelist, keyvalue
+
+
+class Context(typing.NamedTuple):
+    """A command's arguments and settings, and the services it calls."""
+
+    env: environment.Environment
+    given: argparse.Namespace
+    settings: settings.Settings
+    session: aiohttp.ClientSession
+    keyvalue: keyvalue.KeyValue
+    instances: instancelist.InstanceList
+    clock: clocks.Clock
+    rng: random.Random
+
+    @property
+    def json(self) -> bool:
+        """Return whether to write JSON."""
+        return getattr(self.given, 'json', False)
--- /dev/null
+++ b/lavenderledge/cli/definition.py
@@ -0,0 +1,233 @@
+"""The command line's options and commands, declared as data."""
+
+import typing
+from collections import abc
+
+from lavenderledge.daemon import formats
+
+PROGRAM = 'lavenderledge'
+DESCRIPTION = 'Shows and edits the table, and shows the instances.'
+ENDING = """\
+Each setting can also be given by the environment variable named with it; a
+flag goes first.
+
+Exit statuses: 0 done; 1 refused; 2 wrong usage or settings; 3 somebody else
+changed the same cells; 4 a service is unavailable, nothing was changed;
+5 the edit's outcome is unknown; 6 the edit is accepted but not yet in force
+on every instance.
+"""
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+class Setting(typing.NamedTuple):
+    """A setting of every command: a flag, and an environment variable.
+
+    ``default`` is text that is parsed like a given one.
+    """
+
+    flag: str
+    variable: str
+    metavar: str
+    parse: abc.Callable[[str], typing.Any]
+    text: str
+    default: str | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the setting's name in ``Settings``."""
+        return self.flag.removeprefix('--').replace('-', '_')
+
+
+class Argument(typing.NamedTuple):
+    """A positional argument or flag of one command.
+
+    ``action`` and ``nargs`` are argparse's.
+    """
+
+    name: str
+    text: str
+    metavar: str | None = None
+    nargs: str | None = None
+    action: str | None = None
+    default: str | int | None = None
+    parse: abc.Callable[[str], typing.Any] | None = None
+
+
+class Command(typing.NamedTuple):
+    """One command: its words, arguments, and the settings it can't lack."""
+
+    words: tuple[str, ...]
+    text: str
+    arguments: tuple[Argument, ...] = ()
+    needs: tuple[str, ...] = ('keyvalue',)
+    examples: tuple[str, ...] = ()
+
+
+SETTINGS: typing.Final = (
+    Setting(
+        '--keyvalue',
+        'LAVENDERLEDGE_KEYVALUE',
+        'URL[,URL]',
+        formats.parse_urls,
+        'the key-value service',
+    ),
+    Setting(
+        '--instance-list',
+        'LAVENDERLEDGE_INSTANCE_LIST',
+        'URL',
+        formats.parse_url,
+        'the instance list',
+    ),
+    Setting(
+        '--timeout',
+        'LAVENDERLEDGE_TIMEOUT',
+        'SECONDS',
+        formats.parse_positive_duration,
+        'how long to try to make an edit, and then to wait until it is in '
+        'force',
+        default='16',
+    ),
+    Setting(
+        '--log-level',
+        'LAVENDERLEDGE_LOG_LEVEL',
+        'LEVEL',
+        formats.make_parse_choice(LOG_LEVELS),
+        'least severe events that are logged on standard error',
+        default='error',
+    ),
+)
+
+JSON = Argument('--json', 'write JSON', action='store_true')
+
+_EDIT_ARGUMENTS = (
+    Argument(
+        '--author',
+        'who makes the edit; the default is the variable USER',
+        metavar='NAME',
+    ),
+    Argument(
+        '--edit-id',
+        'the id of an edit whose outcome was unknown; it is made only once',
+        metavar='ID',
+        parse=formats.parse_name,
+    ),
+    Argument(
+        '--no-wait',
+        'do not wait until the edit is in force on every instance',
+        action='store_true',
+    ),
+)
+
+TABLE_SHOW = Command(
+    ('table', 'show'),
+    'show the stored table',
+    (Argument('rows', 'only these rows', metavar='ROW', nargs='*'),),
+    examples=('table show', 'table show plans --json'),
+)
+TABLE_SET = Command(
+    ('table', 'set'),
+    'change cells of a row, or create the row',
+    (
+        Argument('row', 'the row', metavar='ROW'),
+        Argument(
+            'cells',
+            'a cell; a new row needs pool and tier, and nothing after the = '
+            'stands for the default',
+            metavar='COLUMN=VALUE',
+            nargs='+',
+        ),
+        *_EDIT_ARGUMENTS,
+    ),
+    needs=('keyvalue', 'instance_list'),
+    examples=(
+        'table set plans pool=calculator tier=1 repeatable=yes',
+        'table set notes rate=5 burst=10',
+        'table set notes rate= burst=',
+    ),
+)
+TABLE_REMOVE = Command(
+    ('table', 'remove'),
+    'remove a row',
+    (Argument('row', 'the row', metavar='ROW'), *_EDIT_ARGUMENTS),
+    needs=('keyvalue', 'instance_list'),
+    examples=('table remove notes',),
+)
+TABLE_IMPORT = Command(
+    ('table', 'import'),
+    'replace the whole table by a spreadsheet in CSV',
+    (
+        Argument('file', 'the spreadsheet; - is standard input', 'FILE'),
+        Argument(
+            '--base-revision',
+            'the revision that the spreadsheet was exported at; changes that '
+            'others have made since are kept',
+            metavar='REVISION',
+            parse=formats.parse_count,
+        ),
+        *_EDIT_ARGUMENTS,
+    ),
+    needs=('keyvalue', 'instance_list'),
+    examples=(
+        'table import table.csv',
+        'table import table.csv --base-revision 17',
+    ),
+)
+TABLE_EXPORT = Command(
+    ('table', 'export'),
+    'write the stored table as a spreadsheet in CSV',
+    (
+        Argument(
+            'file',
+            'where to; standard output if not given',
+            metavar='FILE',
+            nargs='?',
+            default='-',
+        ),
+    ),
+    examples=('table export table.csv',),
+)
+TABLE_HISTORY = Command(
+    ('table', 'history'),
+    'list the accepted edits, newest first',
+    (
+        Argument(
+            '--limit',
+            'most edits to list; the default is 20',
+            metavar='COUNT',
+            parse=formats.parse_count,
+            default=20,
+        ),
+    ),
+    examples=('table history --limit 5',),
+)
+TABLE_STATUS = Command(
+    ('table', 'status'),
+    'show which instances have which revision of the table in force',
+    (
+        Argument(
+            '--edit',
+            'whether this edit is accepted and where it is in force',
+            metavar='ID',
+            parse=formats.parse_name,
+        ),
+    ),
+    needs=('keyvalue', 'instance_list'),
+    examples=('table status', 'table status --edit ID'),
+)
+STATUS = Command(
+    ('status',),
+    'show the instances',
+    needs=('instance_list',),
+    examples=('status', 'status --json'),
+)
+
+COMMANDS: typing.Final = (
+    TABLE_SHOW,
+    TABLE_SET,
+    TABLE_REMOVE,
+    TABLE_IMPORT,
+    TABLE_EXPORT,
+    TABLE_HISTORY,
+    TABLE_STATUS,
+    STATUS,
+)
--- /dev/null
+++ b/lavenderledge/cli/reporting.py
@@ -0,0 +1,147 @@
+"""Failures in words, with a hint, and as exit statuses."""
+
+import typing
+
+from lavenderledge import environment, status
+from lavenderledge.cli import definition
+from lavenderledge.controllers import edit, pasttable
+from lavenderledge.platform import operations
+from lavenderledge.policy import problems, spreadsheet, tablemerge
+
+
+class Report(typing.NamedTuple):
+    """What is written of a failure."""
+
+    status: status.ExitStatus
+    messages: tuple[str, ...]
+    hint: str | None = None
+
+
+def report(
+    env: environment.Environment,
+    failure: edit.Failure | pasttable.Failure,
+) -> status.ExitStatus:
+    """Write a failure and return the exit status for it."""
+    return write_report(env, _describe(failure))
+
+
+def write_report(
+    env: environment.Environment, told: Report
+) -> status.ExitStatus:
+    """Write each message as an error, and the hint last."""
+    *first, last = told.messages
+    for message in first:
+        env.write_error(program=definition.PROGRAM, message=message)
+    env.write_error(program=definition.PROGRAM, message=last, hint=told.hint)
+    return told.status
+
+
+def refuse(
+    env: environment.Environment, found: problems.Problems
+) -> status.ExitStatus:
+    """Write the problems of a table and return the exit status."""
+    return write_report(env, _describe_problems(found))
+
+
+def _describe(failure: edit.Failure | pasttable.Failure) -> Report:
+    match failure:
+        case edit.Refused():
+            return _describe_problems(failure.problems)
+        case edit.Conflicted():
+            return Report(
+                status.ExitStatus.CONFLICT,
+                tuple(map(_describe_conflict, failure.conflicts)),
+                'nothing was changed; look at "table show" and edit again',
+            )
+        case edit.StoredInvalid():
+            return Report(
+                status.ExitStatus.ERROR,
+                (
+                    'the stored table is not valid',
+                    *map(problems.describe, failure.problems),
+                ),
+                'replace it with "table import"',
+            )
+        case edit.NotAccepted() | edit.EditUnknown():
+            return _describe_lost(failure)
+        case edit.NoSuchRow() | edit.EditIdReused() | pasttable.PastUnknown():
+            return _describe_refusal(failure)
+        case _:
+            return _describe_service(failure)
+
+
+def _describe_problems(found: problems.Problems) -> Report:
+    return Report(
+        status.ExitStatus.ERROR,
+        tuple(map(problems.describe, found)),
+        'nothing was changed; correct the table and try again',
+    )
+
+
+def _describe_conflict(conflict: tablemerge.Conflict) -> str:
+    found = spreadsheet.format_cell(conflict.found)
+    return (
+        f'row {conflict.row}, column {conflict.column}: '
+        f'somebody else has changed it meanwhile, now {found!r}'
+    )
+
+
+def _describe_lost(failure: edit.NotAccepted | edit.EditUnknown) -> Report:
+    if isinstance(failure, edit.NotAccepted):
+        return Report(
+            status.ExitStatus.UNAVAILABLE,
+            (f'the edit was not accepted: {failure.detail}',),
+            'nothing was changed; try again later',
+        )
+    return Report(
+        status.ExitStatus.UNKNOWN_OUTCOME,
+        (
+            f'the outcome of edit {failure.edit_id} is unknown: '
+            f'{failure.detail}',
+        ),
+        suggest_status(failure.edit_id),
+    )
+
+
+def suggest_status(edit_id: str) -> str:
+    """Return the hint for an edit whose outcome is unknown."""
+    return (
+        f'see {definition.PROGRAM} table status --edit {edit_id}, or make '
+        f'the same edit again with --edit-id {edit_id}'
+    )
+
+
+def _describe_refusal(
+    failure: edit.NoSuchRow | edit.EditIdReused | pasttable.PastUnknown,
+) -> Report:
+    refused = status.ExitStatus.ERROR
+    match failure:
+        case edit.NoSuchRow():
+            return Report(
+                refused,
+                (f'no row {failure.row}',),
+                'see "table show" for the rows',
+            )
+        case edit.EditIdReused():
+            return Report(
+                refused,
+                (
+                    f'edit id {failure.edit_id} belongs to another edit: '
+                    f'{failure.summary}',
+                ),
+                'leave out --edit-id to make a new edit',
+            )
+        case pasttable.PastUnknown():
+            return Report(
+                refused,
+                (f'revision {failure.revision}: {failure.detail}',),
+                'export the table again and repeat the changes there',
+            )
+
+
+def _describe_service(failure: operations.Failure) -> Report:
+    return Report(
+        status.ExitStatus.UNAVAILABLE,
+        (f'key-value service: {failure.detail}',),
+        'check --keyvalue, or try again later',
+    )
--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,93 @@
+"""A key-value service and clock that a test moves one call at a time."""
+
+import datetime
+import types
+
+import expression
+import msgspec
+
+from lavenderledge.platform import gateway, operations, shapes
+from lavenderledge.standins import gateway as wire
+from lavenderledge.standins import protocol, store
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+@types.coroutine
+def pause(what):
+    return (yield what)
+
+
+class SteppedClock:
+    def __init__(self):
+        self.now_s = 0
+
+    def read_monotonic(self):
+        return self.now_s
+
+    def read_wall(self):
+        return START + datetime.timedelta(seconds=self.now_s)
+
+    async def sleep(self, delay):
+        await pause('sleep')
+        self.now_s += delay.total_seconds()
+
+
+class SteppedKeyValue:
+    """Each call waits to be told its fate: ok, refused, lost or late."""
+
+    def __init__(self, clock):
+        self.store = store.Store(clock=clock)
+        self.late = []
+
+    async def read_many(self, keys):
+        if await pause('read') != 'ok':
+            return expression.Error(operations.Unavailable('outage'))
+        gets = [operations.Get(key) for key in keys]
+        answer = self.run(gateway.build_transaction((), gets, ()))
+        entries = sum((each.entries for each in answer.answers), ())
+        return expression.Ok(operations.Snapshot(answer.revision, entries))
+
+    async def transact(self, compares, then, otherwise=()):
+        request = gateway.build_transaction(compares, then, otherwise)
+        fate = await pause('write')
+        if fate == 'refused':
+            return expression.Error(operations.Unavailable('refused'))
+        if fate == 'late':
+            self.late.append(request)
+            return expression.Error(operations.OutcomeUnknown('silence'))
+        answer = self.run(request)
+        if fate == 'lost':
+            return expression.Error(operations.OutcomeUnknown('cut'))
+        return expression.Ok(answer)
+
+    def run(self, request):
+        body = msgspec.json.encode(request)
+        form = wire.decode(body, protocol.TxnRequest).ok
+        answer = wire.encode(self.store.txn(form).ok)
+        return gateway.read_transaction(
+            gateway.decode(answer, shapes.TransactionAnswer).ok
+        )
+
+    def read(self, key):
+        answer = self.run(
+            gateway.build_transaction((), [operations.Get(key)], ())
+        )
+        return operations.Snapshot(answer.revision, answer.answers[0].entries)
+
+
+class Stepped:
+    """A coroutine that is moved from one service call to the next."""
+
+    def __init__(self, coroutine):
+        self._coroutine = coroutine
+        self.result = None
+        self.waits = None
+        self.move(None)
+
+    def move(self, fate):
+        try:
+            self.waits = self._coroutine.send(fate)
+        except StopIteration as stopped:
+            self.waits = None
+            self.result = stopped.value
--- /dev/null
+++ b/tests/test_table.py
@@ -0,0 +1,458 @@
+import datetime
+import random
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lavenderledge.controllers import edit as editing
+from lavenderledge.controllers import table as controller
+from lavenderledge.controllers import tablecopy
+from lavenderledge.peers import messages
+from lavenderledge.platform import gateway, operations
+from lavenderledge.policy import (
+    history,
+    problems,
+    spreadsheet,
+    table,
+    tablecheck,
+    tablemerge,
+    tableplan,
+)
+from tests import operators
+
+PLANS = table.Row('plans', '*', 'calculator', '*', 1)
+NAMES = st.text(
+    st.characters(exclude_categories=['C', 'Z']), min_size=1, max_size=5
+)
+NUMBERS = st.floats(0.1, 80_000)
+COUNTS = st.integers(1, 1_000_000)
+
+
+@st.composite
+def draw_rows(draw):
+    rows = {}
+    for name in draw(st.lists(NAMES, unique=True, max_size=4)):
+        rate = draw(st.none() | NUMBERS)
+        rows[name] = table.Row(
+            name,
+            draw(st.sampled_from(['*', '=1+1', 'a,"b', name])),
+            name.replace('*', '+'),
+            draw(NAMES),
+            draw(st.integers(1, 4)),
+            draw(NUMBERS),
+            rate,
+            draw(st.none() | COUNTS) if rate else None,
+            draw(st.none() | COUNTS),
+            draw(COUNTS),
+            draw(NUMBERS),
+            draw(COUNTS),
+            draw(st.booleans()),
+        )
+    return tuple(rows.values())
+
+
+def test_the_most_specific_row_is_matched():
+    rows = [
+        PLANS._replace(row=customer + kind, customer=customer, kind=kind)
+        for customer in ('*', 'abyssinia')
+        for kind in ('*', 'plan')
+    ]
+    index = table.RowIndex(rows=rows)
+    found = [
+        index.match_row(customer=customer, pool='calculator', kind=kind).row
+        for customer in ('abyssinia', 'akwaaba')
+        for kind in ('plan', 'note')
+    ]
+    assert found == ['abyssiniaplan', 'abyssinia*', '*plan', '**']
+    assert index.match_row(customer='x', pool='orders', kind='') is None
+
+
+def test_every_problem_is_told_with_its_row_and_column():
+    rows = [
+        PLANS._replace(tier=5, weight=float('nan'), burst=2),
+        PLANS._replace(row='twin', timeout_s=0, pool='*'),
+        PLANS._replace(row='twin', customer=' a'),
+        PLANS._replace(row='same'),
+    ]
+    found = {(each.row, each.column) for each in tablecheck.check_rows(rows)}
+    assert found == {
+        ('plans', 'tier'),
+        ('plans', 'weight'),
+        ('plans', 'burst'),
+        ('twin', 'timeout_s'),
+        ('twin', 'pool'),
+        ('twin', 'customer'),
+        ('twin', 'row'),
+        ('same', 'customer'),
+    }
+
+
+def test_an_oversize_table_is_refused_before_it_is_written():
+    rows = tuple(
+        PLANS._replace(row=f'{number}', kind=f'{number}' + 'x' * 90)
+        for number in range(5001)
+    )
+    large = tuple(row._replace(customer='y' * 99) for row in rows[:5000])
+    many = tablecheck.encode_checked(table.Table(rows))
+    size = tablecheck.encode_checked(table.Table(large))
+    assert many.error == (problems.TooManyRows(5001),)
+    assert isinstance(size.error[0], problems.TooLarge)
+
+
+@pytest.mark.parametrize(
+    ('stored', 'column'),
+    [
+        (b'{', ''),
+        (b'\xff', ''),
+        (b'{"format":2,"edit_id":"","columns":[],"rows":[]}', ''),
+        (
+            b'{"format":1,"edit_id":"","columns":["row","pool","tier","x"],'
+            b'"rows":[]}',
+            'x',
+        ),
+        (
+            b'{"format":1,"edit_id":"","columns":["row","pool","tier"],'
+            b'"rows":[["a","b","c"]]}',
+            'tier',
+        ),
+    ],
+)
+def test_a_stored_table_that_does_not_check_is_refused(stored, column):
+    assert tablecheck.decode_table(stored).error[0].column == column
+
+
+@hypothesis.given(draw_rows())
+def test_rows_survive_the_stored_form_and_the_spreadsheet(rows):
+    stored = tablecheck.encode_checked(table.Table(rows, 'e')).ok
+    text = spreadsheet.write_rows(rows)
+    foreign = '\ufeff' + text.replace('\n', '\r\n\r\n')
+    assert tablecheck.decode_table(stored).ok == table.Table(rows, 'e')
+    assert spreadsheet.read_rows(text).ok == rows
+    assert spreadsheet.read_rows(foreign).ok == rows
+
+
+def test_a_spreadsheet_names_each_bad_row_and_column():
+    text = 'row,pool,tier,rate\nplans,p,first,fast\n\nnotes,,4,1,extra\n'
+    found = spreadsheet.read_rows(text).error
+    assert [(each.row, each.column) for each in found] == [
+        ('plans', 'tier'),
+        ('plans', 'rate'),
+        ('notes', '5'),
+    ]
+    assert spreadsheet.read_rows('row,tier,tier\n').error == (
+        problems.RepeatedColumn('', 'tier'),
+        problems.MissingCell('', 'pool'),
+    )
+
+
+@hypothesis.given(draw_rows(), draw_rows(), draw_rows())
+def test_a_merge_keeps_both_edits_or_names_the_cell(base, mine, theirs):
+    changes = tablemerge.list_changes(base, mine)
+    others = tablemerge.list_changes(base, theirs)
+    alone = tablemerge.apply_changes(changes, base).ok
+    merged = tablemerge.apply_changes(changes, theirs)
+    swapped = tablemerge.apply_changes(others, mine)
+    assert set(alone) == set(mine)
+    assert set(tablemerge.undo_changes(changes, alone).ok) == set(base)
+    assert merged.is_ok() == swapped.is_ok()
+    if merged.is_ok():
+        assert set(merged.ok) == set(swapped.ok)
+        return
+    found = {row.row: row for row in theirs}
+    before = {row.row: row for row in base}
+    for conflict in merged.error:
+        now = found.get(conflict.row)
+        then = before.get(conflict.row)
+        assert (
+            now is None
+            or then is None
+            or (getattr(now, conflict.column) != getattr(then, conflict.column))
+        )
+
+
+@hypothesis.given(draw_rows(), draw_rows())
+def test_history_keeps_every_change(before, after):
+    changes = tablemerge.list_changes(before, after)
+    entry = history.HistoryEntry('e', 't', 'a', 's', 'r', 1, changes)
+    assert history.decode_entry(history.encode_entry(entry)).ok == entry
+
+
+def make_controller(clock, sent):
+    return controller.TableController(
+        instance='entry-0',
+        clock=clock,
+        on_change=lambda in_force: None,
+        send_to=lambda instance, message: sent.append(message),
+        count=lambda event: None,
+    )
+
+
+class OperatorRaces(stateful.RuleBasedStateMachine):
+    """Operators who edit at once while answers are lost or writes late.
+
+    The oracle applies each write that the service did to a plain model, cell
+    by cell, and holds what operators and instances were told against it.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = operators.SteppedClock()
+        self.service = operators.SteppedKeyValue(self.clock)
+        self.edits = {}
+        self.wanted = {}
+        self.seen = {}
+        self.planning = set()
+        self.model = {}
+        self.written = {}
+        self.bodies = {}
+        self.snapshots = []
+        self.sent = []
+        self.instances = [
+            make_controller(self.clock, self.sent) for _ in range(2)
+        ]
+        self.revisions = [0, 0]
+
+        rows = tuple(
+            PLANS._replace(row=name, pool=name, queue=1) for name in 'ab'
+        )
+        body = tablecheck.encode_checked(table.Table(rows, 'first')).ok
+        put = operations.Put(controller.TABLE_KEY, body)
+        revision = self.service.run(
+            gateway.build_transaction((), [put], ())
+        ).revision
+        self.bodies[revision] = body
+        self.model = {row.row: row for row in rows}
+
+    @stateful.rule(
+        row=st.sampled_from('ab'),
+        cells=st.fixed_dictionaries(
+            {},
+            optional={
+                'tier': st.sampled_from('123'),
+                'queue': st.sampled_from('123'),
+            },
+        ),
+    )
+    def begin(self, row, cells):
+        if len(self.list_open()) < 3:
+            edit_id = f'e{len(self.wanted)}'
+            self.wanted[edit_id] = (row, cells)
+            self.start(edit_id)
+
+    @stateful.rule(number=st.integers(0, 9))
+    def begin_again(self, number):
+        ended = [each for each in self.edits if not self.edits[each].waits]
+        if ended:
+            self.start(ended[number % len(ended)])
+
+    @stateful.rule(row=st.sampled_from('ab'))
+    def put_back(self, row):
+        if len(self.list_open()) < 3 and row not in self.model:
+            edit_id = f'e{len(self.wanted)}'
+            cells = {'tier': '1', 'queue': '2', 'pool': row}
+            self.wanted[edit_id] = (row, cells)
+            self.start(edit_id)
+
+    def list_open(self):
+        return [each for each in self.edits.values() if each.waits]
+
+    def start(self, edit_id):
+        editor = editing.Editor(
+            edit=editing.Edit(
+                edit_id,
+                'a',
+                's',
+                edit_id,
+                lambda rows: self.plan(edit_id, rows),
+                repeated=edit_id in self.edits,
+            ),
+            keyvalue=self.service,
+            clock=self.clock,
+            rng=random.Random(0),
+        )
+        run = editor.run(datetime.timedelta(seconds=1))
+        self.planning.discard(edit_id)
+        self.edits[edit_id] = operators.Stepped(run)
+        self.edits[edit_id].move('ok')
+
+    def plan(self, edit_id, rows):
+        row, cells = self.wanted[edit_id]
+        if edit_id not in self.planning:
+            seen = self.seen.setdefault(edit_id, [])
+            seen.append({each.row: each for each in rows})
+        self.planning.add(edit_id)
+        if cells:
+            planned = tableplan.plan_set(rows, row, cells)
+            return planned.map_error(editing.Refused)
+        changes = tableplan.plan_remove(rows, row)
+        if changes:
+            return editing.expression.Ok(changes)
+        return editing.expression.Error(editing.NoSuchRow(row))
+
+    @stateful.rule(
+        number=st.integers(0, 2),
+        fate=st.sampled_from(['ok', 'ok', 'lost', 'late', 'refused']),
+        moves=st.integers(1, 4),
+    )
+    def move(self, number, fate, moves):
+        for _ in range(moves):
+            open_edits = self.list_open()
+            if open_edits:
+                chosen = open_edits[number % len(open_edits)]
+                chosen.move(fate)
+                self.every_write_is_one_edit_upon_the_last()
+
+    @stateful.rule(number=st.integers(0, 2))
+    def give_up(self, number):
+        open_edits = self.list_open()
+        if open_edits:
+            chosen = open_edits[number % len(open_edits)]
+            while chosen.waits:
+                chosen.move('refused')
+
+    @stateful.rule(number=st.integers(0, 3))
+    def deliver_late(self, number):
+        if self.service.late:
+            late = self.service.late
+            self.service.run(late.pop(number % len(late)))
+
+    @stateful.rule(
+        which=st.sampled_from([0, 1]),
+        what=st.sampled_from(['read', 'answer', 'spread']),
+        number=st.integers(0, 5),
+    )
+    def follow(self, which, what, number):
+        here, there = self.instances[which], self.instances[1 - which]
+        if what == 'read':
+            self.snapshots.append(self.service.read(controller.TABLE_KEY))
+        elif what == 'answer' and self.snapshots:
+            snapshot = self.snapshots[number % len(self.snapshots)]
+            here.take_snapshot(snapshot)
+        elif what == 'spread':
+            wanted = messages.TableRequest('entry-0', here.revision)
+            there.answer_request(wanted)
+            if self.sent:
+                here.accept_copy(self.sent.pop())
+
+    @stateful.invariant()
+    def every_write_is_one_edit_upon_the_last(self):
+        for event in self.service.store.history:
+            pair = event['kv']
+            revision = pair['mod_revision']
+            if pair['key'] != controller.TABLE_KEY.encode():
+                continue
+            if revision in self.bodies:
+                continue
+            self.bodies[revision] = pair['value']
+            stored = tablecheck.decode_table(pair['value']).ok
+            self.check_write(stored.edit_id)
+            self.written[stored.edit_id] = revision
+            assert {row.row: row for row in stored.rows} == self.model
+
+    def check_write(self, edit_id):
+        assert edit_id not in self.written
+        name, cells = self.wanted[edit_id]
+        now = self.model.get(name)
+        seen = [rows.get(name) for rows in self.seen[edit_id]]
+        if not cells:
+            assert now in seen
+            self.model.pop(name)
+            return
+        made = self.make_row(name, cells)
+        if now is None:
+            assert None in seen
+            self.model[name] = made
+            return
+        for column in cells:
+            wanted = getattr(made, column)
+            allowed = {getattr(each or made, column) for each in seen}
+            assert getattr(now, column) in allowed | {wanted}
+            now = now._replace(**{column: wanted})
+        self.model[name] = now
+
+    def make_row(self, name, cells):
+        texts = {'row': name, 'pool': name, 'tier': '1'} | cells
+        return spreadsheet.read_row(texts).ok
+
+    def check_unchanged(self, edit_id, revision):
+        name, cells = self.wanted[edit_id]
+        stored = tablecheck.decode_table(self.bodies[revision]).ok
+        found = {row.row: row for row in stored.rows}.get(name)
+        if not cells:
+            assert found is None
+            return
+        made = self.make_row(name, cells)
+        for column in cells:
+            assert getattr(found, column) == getattr(made, column)
+
+    @stateful.invariant()
+    def operators_are_told_the_truth(self):
+        for edit_id, stepped in self.edits.items():
+            told = stepped.result
+            if told is None:
+                continue
+            if told.is_ok() and told.ok.changes:
+                assert self.written.get(edit_id) == told.ok.revision
+            elif told.is_ok():
+                assert edit_id not in self.written
+                self.check_unchanged(edit_id, told.ok.revision)
+            elif not isinstance(told.error, editing.EditUnknown):
+                assert edit_id not in self.written
+
+    @stateful.invariant()
+    def the_table_in_force_never_goes_back(self):
+        for which, instance in enumerate(self.instances):
+            assert instance.revision >= self.revisions[which]
+            self.revisions[which] = instance.revision
+            if instance.in_force:
+                body = self.bodies[instance.revision]
+                decoded = tablecheck.decode_table(body).ok
+                assert instance.in_force.table == decoded
+
+
+OperatorRaces.TestCase.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=50
+)
+TestOperatorRaces = OperatorRaces.TestCase
+
+
+def test_an_invalid_table_is_refused_whole_and_the_one_in_force_stays():
+    clock = operators.SteppedClock()
+    sent = []
+    instance = make_controller(clock, sent)
+    good = tablecheck.encode_checked(table.Table((PLANS,), 'e')).ok
+    bad = msgspec.json.encode(
+        table.StoredTable(
+            format=1,
+            edit_id='f',
+            columns=['row', 'pool', 'tier'],
+            rows=[['plans', 'calculator', 9]],
+        )
+    )
+
+    def offer(revision, stored):
+        body = tablecopy.compress(stored)
+        instance.accept_copy(messages.TableCopy('entry-1', revision, body))
+
+    offer(5, good)
+    offer(7, bad)
+    offer(8, b'x' * 2_000_000)
+    told = instance.read_status()
+    instance.note_peer_revision('entry-1', 7)
+    assert (told.revision, told.refused_revision) == (5, 7)
+    assert 'row plans, column tier' in told.problems[0]
+    assert instance.in_force.rows.find_row('plans') == PLANS
+    assert not sent
+
+
+def test_a_peer_with_a_higher_revision_is_asked_once_a_second():
+    clock = operators.SteppedClock()
+    sent = []
+    instance = make_controller(clock, sent)
+    for now_s in (0, 0.5, 1.1):
+        clock.now_s = now_s
+        instance.note_peer_revision('entry-1', 3)
+    assert sent == [messages.TableRequest('entry-0', 0)] * 2
