--- a/lavenderledge/load/core.py
+++ b/lavenderledge/load/core.py
@@ -8,7 +8,10 @@
 from lavenderledge import clock as clocks
 from lavenderledge import environment, status
 from lavenderledge.load import (
+    chart,
     definition,
+    fairness,
+    overhead,
     report,
     scenarios,
     settings as configuration,
@@ -19,7 +22,10 @@
     [scenarios.Bench], abc.Coroutine[typing.Any, typing.Any, report.Report]
 ]
 
-_RUNS: typing.Final[dict[str, Run]] = {}
+_RUNS: typing.Final[dict[str, Run]] = {
+    'fairness': fairness.run_fairness,
+    'overhead': overhead.run_overhead,
+}
 
 
 def main(
@@ -67,6 +73,8 @@
     env.stdout.write(report.render_text(found))
     if settings.json is not None:
         pathlib.Path(settings.json).write_bytes(report.render_json(found))
+    if settings.plot is not None:
+        pathlib.Path(settings.plot).write_text(chart.render_svg(found))
 
 
 def _refuse(
--- a/lavenderledge/load/replay.py
+++ b/lavenderledge/load/replay.py
@@ -11,15 +11,18 @@
 from lavenderledge.load import client, traces, usage
 from lavenderledge.load import fleet as fleets
 
-_LEAD_S = 0.5
+_LEAD_S = 1.0
 _SETTLE_S = 1.0
 
 
+Metrics: typing.TypeAlias = dict[str, float]
+
+
 class Run(typing.NamedTuple):
     """One replay: what callers saw and what engines logged.
 
-    ``started_wall_s`` is the wall clock at the trace's start. ``metrics``
-    holds each instance's metrics after the run.
+    ``started_wall_s`` is the wall clock at the trace's start. ``growth``
+    holds by how much each instance's metrics grew in the run.
     """
 
     label: str
@@ -28,7 +31,7 @@
     records: list[fleets.Record]
     started_wall_s: float
     usage: usage.Usage
-    metrics: dict[str, dict[str, float]]
+    growth: dict[str, Metrics]
 
 
 async def replay_trace(
@@ -40,12 +43,35 @@
     clock: clocks.Clock,
 ) -> Run:
     """Send every request at its time, whatever became of those before."""
-    entries = fleet.list_entries(policy)
+    before = await _read_metrics(fleet)
+    meter = usage.Meter(pids=fleet.list_pids(), now_s=clock.read_monotonic())
+    started_wall_s = clock.read_wall().timestamp() + _LEAD_S
+    answers = await _replay(fleet, trace, fleet.list_entries(policy), clock)
+    used = meter.read(clock.read_monotonic())
+    growth = _subtract(await _read_metrics(fleet), before)
+    await clock.sleep(timing.seconds(_SETTLE_S))
+    return Run(
+        label=label,
+        trace=trace,
+        answers=answers,
+        records=await fleet.read_records(),
+        started_wall_s=started_wall_s,
+        usage=used,
+        growth=growth,
+    )
+
+
+async def _replay(
+    fleet: fleets.Fleet,
+    trace: traces.Trace,
+    entries: abc.Sequence[str],
+    clock: clocks.Clock,
+) -> list[client.Answer]:
+    """Return the answers, at the trace's end at the earliest."""
+    started_s = clock.read_monotonic() + _LEAD_S
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0)
     ) as session:
-        started_s = clock.read_monotonic() + _LEAD_S
-        started_wall_s = clock.read_wall().timestamp() + _LEAD_S
         caller = client.Caller(
             session=session,
             clock=clock,
@@ -53,29 +79,33 @@
             model=fleet.user.pool,
             started_s=started_s,
         )
-        meter = usage.Meter(
-            pids=fleet.list_pids(), now_s=clock.read_monotonic()
-        )
         slowing = asyncio.create_task(
             _run_episodes(fleet, trace.episodes, caller.read_s, clock)
         )
         answers = await _send_all(caller, trace, entries, clock)
-        used = meter.read(clock.read_monotonic())
+        await _wait_until(trace.counted.end_s, caller.read_s, clock)
         await slowing
-    await clock.sleep(timing.seconds(_SETTLE_S))
-    return Run(
-        label=label,
-        trace=trace,
-        answers=answers,
-        records=await fleet.read_records(),
-        started_wall_s=started_wall_s,
-        usage=used,
-        metrics={
-            name: await fleet.read_metrics(name)
-            for name in fleet.instances
-            if name in fleet.programs
-        },
-    )
+    return answers
+
+
+def _subtract(
+    after: abc.Mapping[str, Metrics], before: abc.Mapping[str, Metrics]
+) -> dict[str, Metrics]:
+    return {
+        name: {
+            metric: amount - before[name].get(metric, 0)
+            for metric, amount in found.items()
+        }
+        for name, found in after.items()
+    }
+
+
+async def _read_metrics(fleet: fleets.Fleet) -> dict[str, Metrics]:
+    return {
+        name: await fleet.read_metrics(name)
+        for name in fleet.instances
+        if name in fleet.programs
+    }
 
 
 async def _send_all(
--- a/lavenderledge/load/summary.py
+++ b/lavenderledge/load/summary.py
@@ -125,7 +125,7 @@
         first, whole, gaps = Latencies(), Latencies(), Latencies()
         for answer in _select_tier(answers, tier):
             arrival = answer.arrival
-            first.note(_count_first_s(answer))
+            first.note(count_first_s(answer))
             whole.note(
                 answer.ended_s - arrival.at_s
                 if answer.whole
@@ -142,7 +142,7 @@
         measures[f'{name} token gap p95, ms'] = gaps.read_ms(95)
 
 
-def _count_first_s(answer: client.Answer) -> float:
+def count_first_s(answer: client.Answer) -> float:
     """Return the time to the first token; without one, the timeout."""
     if answer.first_s is None:
         return answer.arrival.timeout_s
--- a/lavenderledge/load/targets.py
+++ b/lavenderledge/load/targets.py
@@ -39,7 +39,7 @@
         for label, measures in runs.items()
         if label not in {OURS, ALONE, CALM}
     ]
-    found = [_judge_most('higher-tier sheds over lower', ours[_SHEDS], 0)]
+    found = [judge_most('higher-tier sheds over lower', ours[_SHEDS], 0)]
     found.extend(_judge_alone(ours, runs.get(ALONE)))
     if baselines:
         found.extend(_judge_baselines(ours, baselines))
@@ -57,14 +57,14 @@
         goodput = alone.get(name)
         if goodput is not None:
             ratio = _divide(ours[name], goodput)
-            yield _judge_least(f'{name} over alone', ratio, _ALONE_LEAST)
+            yield judge_least(f'{name} over alone', ratio, _ALONE_LEAST)
 
 
 def _judge_baselines(
     ours: summary.Measures, baselines: list[summary.Measures]
 ) -> abc.Iterator[Target]:
     least = min(measures[_WASTED] for measures in baselines)
-    yield _judge_most(
+    yield judge_most(
         f'{_WASTED} over the better baseline',
         _divide(ours[_WASTED], least),
         _WASTE_MOST,
@@ -72,7 +72,7 @@
     crest = ours.get(_CREST)
     if crest is not None:
         most = max(measures[_CREST] for measures in baselines)
-        yield _judge_least(
+        yield judge_least(
             f'{_CREST} over the better baseline', _divide(crest, most), 1
         )
 
@@ -89,21 +89,23 @@
             continue
         if calm is not None:
             ratio = _divide(tail_ms, calm[name])
-            yield _judge_most(f'{name} over calm', ratio, _STRAGGLER_MOST)
+            yield judge_most(f'{name} over calm', ratio, _STRAGGLER_MOST)
         if baselines:
             least = min(measures[name] for measures in baselines)
-            yield _judge_most(
+            yield judge_most(
                 f'{name} over the better baseline',
                 _divide(tail_ms, least),
                 1,
             )
 
 
-def _judge_most(name: str, measured: float, bound: float) -> Target:
+def judge_most(name: str, measured: float, bound: float) -> Target:
+    """Return a target with an upper bound."""
     return Target(name, f'at most {bound:g}', measured, measured <= bound)
 
 
-def _judge_least(name: str, measured: float, bound: float) -> Target:
+def judge_least(name: str, measured: float, bound: float) -> Target:
+    """Return a target with a lower bound."""
     return Target(name, f'at least {bound:g}', measured, measured >= bound)
 
 
--- a/lavenderledge/load/traces.py
+++ b/lavenderledge/load/traces.py
@@ -87,7 +87,7 @@
     """Return the trace of a plan, the same for the same seed."""
     capacity = capacities.find_capacity(user)
     bursts = _place_bursts(plan) if plan.bursts else ()
-    draw = _Draw(user=user, shares=capacity.shares, seed=plan.seed)
+    draw = Draw(user=user, shares=capacity.shares, seed=plan.seed)
     times = _draw_times(plan, bursts, capacity.requests)
     return Trace(
         seed=plan.seed,
@@ -128,7 +128,7 @@
     return plan.base
 
 
-class _Draw:
+class Draw:
     """Draws requests of a user's mix."""
 
     def __init__(
--- a/lavenderledge/standins/launcher.py
+++ b/lavenderledge/standins/launcher.py
@@ -330,9 +330,9 @@
                 'LAVENDERLEDGE_PEER_SECRET_KEY': self.pair.secret.decode(),
             },
         )
-        addresses = await _read_ready(name, process)
-        program = Program(name=name, process=process, addresses=addresses)
+        program = Program(name=name, process=process, addresses={})
         self.programs[name] = program
+        program.addresses = await _read_ready(name, process)
         return program
 
 
