--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -101,7 +101,7 @@
                 heartbeat=0,
                 leaving=False,
                 availability_zone=self._settings.availability_zone,
-                address=self.link.address,
+                address=str(self._settings.peer_address or self.link.address),
                 table_revision=0,
             ),
             clock=self._clock,
--- a/lavenderledge/daemon/definition.py
+++ b/lavenderledge/daemon/definition.py
@@ -72,7 +72,14 @@
         'HOST:PORT',
         formats.parse_address,
         '127.0.0.1:8082',
-        'where other instances connect',
+        'where this instance listens for other instances',
+    ),
+    _declare(
+        '--peer-address',
+        'HOST:PORT',
+        formats.parse_optional_address,
+        '',
+        'where other instances reach it, where that is not --peer-listen',
     ),
     _declare(
         '--keyvalue',
--- a/lavenderledge/daemon/formats.py
+++ b/lavenderledge/daemon/formats.py
@@ -39,6 +39,11 @@
     raise ValueError('expected HOST:PORT')
 
 
+def parse_optional_address(text: str) -> Address | None:
+    """Parse ``HOST:PORT``, or None from an empty text."""
+    return parse_address(text) if text else None
+
+
 def parse_url(text: str) -> str:
     """Parse an ``http`` or ``https`` address without a path."""
     url = parse.urlsplit(text)
--- a/lavenderledge/daemon/settings.py
+++ b/lavenderledge/daemon/settings.py
@@ -22,6 +22,7 @@
     listen: formats.Address
     admin_listen: formats.Address
     peer_listen: formats.Address
+    peer_address: formats.Address | None
     keyvalue: tuple[str, ...]
     instance_list: str
     peer_secret_key: keys.KeyPair
--- a/lavenderledge/peers/keys.py
+++ b/lavenderledge/peers/keys.py
@@ -4,6 +4,7 @@
 in ZeroMQ's Z85 encoding.
 """
 
+import sys
 import typing
 
 import expression
@@ -63,3 +64,12 @@
     if len(key) != _KEY_BYTES or z85.encode(key) != text.encode():
         return expression.Error(KeyFailure('a key is Z85 text'))
     return expression.Ok(text.encode())
+
+
+def main() -> None:
+    """Print a new secret key, for the setting of the whole fleet."""
+    sys.stdout.write(f'{generate_pair().secret.decode()}\n')
+
+
+if __name__ == '__main__':
+    main()
