Store claims as JSON objects that operators can read

Cause: a named tuple is encoded as an array; the runbook tells operators to read a claim's created field, which an array does not name. Ruled out: a Struct (the house asks for named tuples and typed dicts).

--- a/lavenderledge/controllers/claims.py
+++ b/lavenderledge/controllers/claims.py
@@ -46,6 +46,14 @@
     answer: StoredAnswer | None = None
 
 
+class _StoredRecord(typing.TypedDict):
+    token: str
+    fingerprint: str
+    instance: str
+    created: str
+    answer: StoredAnswer | None
+
+
 class Claim(typing.NamedTuple):
     """A claim that this instance holds; ``value`` is what is stored."""
 
@@ -76,6 +84,19 @@
     return f'{CLAIM_PREFIX}{owner}/{digest}'
 
 
+def encode_record(record: Record) -> bytes:
+    """Return a record's stored form, a JSON object."""
+    return msgspec.json.encode(record._asdict())
+
+
+def decode_record(stored: bytes) -> Record:
+    """Return a stored record.
+
+    Raises ``msgspec.MsgspecError`` where it is none.
+    """
+    return Record(**msgspec.json.decode(stored, type=_StoredRecord))
+
+
 class Claims:
     """Makes, answers and abandons claims through group commits."""
 
@@ -144,7 +165,7 @@
                     claim.name, operations.Target.VALUE, claim.value
                 ),
             ),
-            (operations.Put(claim.name, msgspec.json.encode(record)),),
+            (operations.Put(claim.name, encode_record(record)),),
         )
         self._run_detached(self._settle(change, 'claim_answer'))
 
@@ -181,7 +202,7 @@
             created=self._clock.read_wall().isoformat(),
         )
         name = name_claim(customer, key)
-        return Claim(name, record, msgspec.json.encode(record))
+        return Claim(name, record, encode_record(record))
 
 
 def _create(claim: Claim) -> operations.Nested:
@@ -207,8 +228,6 @@
     if stored == claim.value:
         return expression.Ok(claim)
     try:
-        return expression.Error(
-            Existing(msgspec.json.decode(stored, type=Record))
-        )
+        return expression.Error(Existing(decode_record(stored)))
     except msgspec.MsgspecError as error:
         return expression.Error(Unavailable(f'unreadable claim: {error}'))
