Gossip at size: pulses of all members, ring neighbours, revisions at once

A large fleet therefore sends pulses, a 32-bit digest and a heartbeat each, with 16 whole members, the last changed ones first; bytes stay at 5 KB/s by the interval. Ruled out: sampling the freshest (starves the others).

They are now the successors on 8 rings, so that everyone is the neighbour of as many as it has; an unknown sender is answered at once.

A table revision is told to the neighbours at once by tell_neighbours().

--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -79,8 +79,8 @@
             now_s=now_s, failure_timeout=self._plan.failure_timeout
         )
         self._probed_at_s = now_s - _PROBE_INTERVAL_S
-        self._redraw_at_s = now_s
-        self._neighbours: list[str] = []
+        self._neighbours: tuple[str, ...] = ()
+        self._candidates: set[str] = set()
         self._alive: tuple[str, ...] = (own.instance,)
         self._links: dict[str, str] = {}
 
@@ -101,19 +101,31 @@
         if not self._superseded:
             self._gossip(now_s)
 
+    def tell_neighbours(self) -> None:
+        """Gossip at once, as after a new table revision."""
+        self._own = self._own._replace(
+            table_revision=self._read_table_revision(),
+        )
+        if not self._superseded:
+            now_s = self._observe()
+            self._send_to(self._neighbours, self._make_heartbeat(now_s))
+
     def receive(self, heartbeat: messages.Heartbeat) -> None:
         """Merge what another instance believes alive."""
         now_s = self._observe()
+        known = heartbeat.sender in self._candidates
         changed = False
         for member in heartbeat.members:
-            if member.instance == self._own.instance:
-                self._hear_of_self(member, now_s)
-            else:
-                changed |= self._hear(member, now_s)
-            if member.instance == heartbeat.sender:
-                changed |= self._sightings.hear_sender(member, now_s)
+            changed |= self._hear(member, now_s, heartbeat.sender)
+        for pulse in heartbeat.pulses:
+            changed |= self._sightings.hear_pulse(
+                pulse, now_s, self._plan.failure_timeout
+            )
         if changed:
             self._refresh(now_s)
+        if not known and heartbeat.sender in self._candidates:
+            # A newcomer has no neighbours that know it yet.
+            self._send_to([heartbeat.sender], self._make_heartbeat(now_s))
 
     def note_listed(self, endpoints: abc.Iterable[Listed]) -> None:
         """Take the platform's present list; it replaces the last one.
@@ -131,6 +143,7 @@
         """Tell everyone that this instance is stopping; can't be undone."""
         self._own = self._own._replace(leaving=True)
         self.beat()
+        self.tell_neighbours()
 
     def list_alive(self) -> tuple[str, ...]:
         """Return the sorted names of those alive and not leaving."""
@@ -246,8 +259,16 @@
             settled=self.is_settled(),
         )
 
-    def _hear(self, member: messages.Member, now_s: float) -> bool:
-        return self._sightings.hear(member, now_s, self._plan.failure_timeout)
+    def _hear(self, member: messages.Member, now_s: float, sender: str) -> bool:
+        if member.instance == self._own.instance:
+            self._hear_of_self(member, now_s)
+            return False
+        changed = self._sightings.hear(
+            member, now_s, self._plan.failure_timeout
+        )
+        if member.instance == sender:
+            changed |= self._sightings.hear_sender(member, now_s)
+        return changed
 
     def _hear_of_self(self, member: messages.Member, now_s: float) -> None:
         if member.incarnation <= self._own.incarnation or self._superseded:
@@ -270,15 +291,20 @@
         self._sightings.purge(now_s)
         heard = self._list_heard(now_s)
         self._plan = self._make_plan(len(heard) + 1)
-        alive = [
-            member.instance
-            for member in self._list_alive_members()
-            if not member.leaving
-        ]
+        members = self._list_alive_members()
+        alive = [each.instance for each in members if not each.leaving]
         if not self._own.leaving:
             alive.append(self._own.instance)
+        self._pick_neighbours({each.instance for each in members})
         self._announce(tuple(sorted(alive)), self._plan_links(now_s, heard))
 
+    def _pick_neighbours(self, alive: set[str]) -> None:
+        if alive != self._candidates:
+            self._candidates = alive
+            self._neighbours = gossip.pick_neighbours(
+                self._own.instance, alive, self._plan.neighbours
+            )
+
     def _announce(self, alive: tuple[str, ...], links: dict[str, str]) -> None:
         if alive == self._alive and links == self._links:
             return
@@ -311,39 +337,53 @@
         return links
 
     def _gossip(self, now_s: float) -> None:
-        heard = {member.instance for member in self._list_heard(now_s)}
-        targets = self._pick_targets(now_s, heard)
-        members = [self._own]
-        if self.is_settled():
-            alive = self._list_alive_members()
-            members.extend(self._sample(alive, self._plan.sample))
-        self._send_members(targets, members)
+        targets = self._pick_targets(now_s)
+        self._send_to(targets, self._make_heartbeat(now_s))
         for outdated in self._sightings.list_outdated():
             newest = self._sightings.get_member(outdated.instance)
             if newest is not None:
-                self._send_members([outdated.address], [self._own, newest])
-
-    def _pick_targets(self, now_s: float, heard: set[str]) -> list[str]:
-        wanted = min(self._plan.neighbours, len(heard))
-        kept = [each for each in self._neighbours if each in heard]
-        if now_s >= self._redraw_at_s or len(kept) != wanted:
-            kept = self._sample(sorted(heard), wanted)
-            lifetime = gossip.NEIGHBOUR_LIFETIME
-            self._redraw_at_s = now_s + lifetime.total_seconds()
-        self._neighbours = kept
-        targets = self._sample(kept, self._plan.fanout)
+                told = messages.Heartbeat(
+                    self._own.instance, (self._own, newest)
+                )
+                self._send_to([outdated.address], told)
+
+    def _make_heartbeat(self, now_s: float) -> messages.Heartbeat:
+        if not self.is_settled():
+            return messages.Heartbeat(self._own.instance, (self._own,))
+        alive = self._sightings.list_changed(now_s, self._plan.failure_timeout)
+        news = alive[: self._plan.sample // 2]
+        others = self._sample(alive[len(news) :], self._plan.sample - len(news))
+        return messages.Heartbeat(
+            self._own.instance,
+            (self._own, *news, *others),
+            self._make_pulses(alive),
+        )
+
+    def _make_pulses(
+        self, alive: list[messages.Member]
+    ) -> tuple[messages.Pulse, ...]:
+        if not self._plan.has_pulses:
+            return ()
+        return tuple(
+            self._sightings.make_pulse(member) for member in (self._own, *alive)
+        )
+
+    def _pick_targets(self, now_s: float) -> list[str]:
+        targets = self._sample(self._neighbours, self._plan.fanout)
         if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
             self._probed_at_s = now_s
-            silent = sorted(self._links.keys() - heard)
+            alive = {each.instance for each in self._list_alive_members()}
+            silent = sorted(self._links.keys() - alive)
             targets.extend(self._sample(silent, _MAX_PROBES))
         return targets
 
-    def _send_members(
-        self, targets: list[str], members: list[messages.Member]
+    def _send_to(
+        self, targets: abc.Iterable[str], heartbeat: messages.Heartbeat
     ) -> None:
-        heartbeat = messages.Heartbeat(self._own.instance, tuple(members))
         for instance in targets:
             self._send(instance, heartbeat)
 
-    def _sample(self, population: list[_Item], count: int) -> list[_Item]:
+    def _sample(
+        self, population: abc.Sequence[_Item], count: int
+    ) -> list[_Item]:
         return self._rng.sample(population, min(count, len(population)))
--- a/lavenderledge/controllers/sightings.py
+++ b/lavenderledge/controllers/sightings.py
@@ -34,6 +34,8 @@
     def __init__(self) -> None:
         """Start with nobody heard of."""
         self._sightings: dict[str, gossip.Sighting] = {}
+        self._instances: dict[int, str] = {}
+        self._digests: dict[str, int] = {}
         self._outdated: dict[str, Outdated] = {}
 
     def __contains__(self, instance: str) -> bool:
@@ -54,13 +56,45 @@
         """Merge a member; return whether more than its heartbeat changed."""
         old = self._sightings.get(member.instance)
         new = gossip.merge_sighting(old, member, now_s)
-        if new is old:
+        if new == old:
             return False
         alive = self.is_alive(member.instance, now_s, failure_timeout)
         self._sightings[member.instance] = new
-        if old is None or not alive:
+        if old is None or new.changed_at_s != old.changed_at_s:
+            self._note_digest(member)
             return True
-        return _read_lasting(old.member) != _read_lasting(new.member)
+        return not alive
+
+    def hear_pulse(
+        self,
+        pulse: messages.Pulse,
+        now_s: float,
+        failure_timeout: datetime.timedelta,
+    ) -> bool:
+        """Merge a heartbeat; return whether it brought a member back."""
+        instance = self._instances.get(pulse.digest)
+        if instance is None:
+            return False
+        old = self._sightings[instance]
+        if pulse.heartbeat <= old.member.heartbeat:
+            return False
+        self._sightings[instance] = gossip.merge_pulse(old, pulse, now_s)
+        return not gossip.is_alive(old, now_s, failure_timeout)
+
+    def make_pulse(self, member: messages.Member) -> messages.Pulse:
+        """Return the heartbeat of a member that was heard of, or the own."""
+        digest = self._digests.get(member.instance)
+        if digest is None:
+            digest = gossip.digest_member(member)
+        return messages.Pulse(digest, member.heartbeat)
+
+    def _note_digest(self, member: messages.Member) -> None:
+        old = self._digests.get(member.instance)
+        if old is not None:
+            self._instances.pop(old, None)
+        digest = gossip.digest_member(member)
+        self._digests[member.instance] = digest
+        self._instances[digest] = member.instance
 
     def hear_sender(self, member: messages.Member, now_s: float) -> bool:
         """Note a sender whose name a newer process has at a new address.
@@ -94,6 +128,8 @@
             for instance, sighting in self._sightings.items()
             if now_s - sighting.advanced_at_s < _REMEMBER_FOR_S
         }
+        for instance in self._digests.keys() - self._sightings.keys():
+            self._instances.pop(self._digests.pop(instance), None)
         self._outdated = {
             address: outdated
             for address, outdated in self._outdated.items()
@@ -117,21 +153,35 @@
         self, now_s: float, within: datetime.timedelta
     ) -> list[messages.Member]:
         """Return the members that advanced within a time, leaving or not."""
+        since_s = now_s - within.total_seconds()
         return [
             sighting.member
             for sighting in self._sightings.values()
-            if gossip.is_alive(sighting, now_s, within)
+            if sighting.advanced_at_s > since_s
         ]
 
+    def list_changed(
+        self, now_s: float, within: datetime.timedelta
+    ) -> list[messages.Member]:
+        """Return the members that advanced, the last changed ones first."""
+        since_s = now_s - within.total_seconds()
+        advanced = [
+            sighting
+            for sighting in self._sightings.values()
+            if sighting.advanced_at_s > since_s
+        ]
+        advanced.sort(key=lambda sighting: -sighting.changed_at_s)
+        return [sighting.member for sighting in advanced]
+
     def list_lost(
         self, now_s: float, forget_after: datetime.timedelta
     ) -> list[messages.Member]:
         """Return the members lost last, but for those that left."""
+        until_s = now_s - forget_after.total_seconds()
         lost = [
             sighting
             for sighting in self._sightings.values()
-            if not gossip.is_alive(sighting, now_s, forget_after)
-            and not sighting.member.leaving
+            if sighting.advanced_at_s <= until_s and not sighting.member.leaving
         ]
         lost.sort(key=lambda sighting: sighting.advanced_at_s, reverse=True)
         return [sighting.member for sighting in lost[:_MAX_LOST]]
@@ -139,7 +189,3 @@
     def list_outdated(self) -> list[Outdated]:
         """Return the processes to be told that they were replaced."""
         return list(self._outdated.values())
-
-
-def _read_lasting(member: messages.Member) -> tuple[int, bool, str]:
-    return (member.incarnation, member.leaving, member.address)
--- a/lavenderledge/peers/messages.py
+++ b/lavenderledge/peers/messages.py
@@ -154,11 +154,22 @@
     table_revision: int
 
 
+class Pulse(typing.NamedTuple):
+    """A member's heartbeat alone; ``digest`` as ``gossip.digest_member``."""
+
+    digest: int
+    heartbeat: int
+
+
 class Heartbeat(typing.NamedTuple):
-    """A sample of the members that the sender believes alive."""
+    """A sample of the members that the sender believes alive.
+
+    ``pulses`` holds the heartbeats of all of them in a large fleet.
+    """
 
     sender: str
     members: tuple[Member, ...]
+    pulses: tuple[Pulse, ...] = ()
 
 
 class TableRequest(typing.NamedTuple):
--- a/lavenderledge/policy/gossip.py
+++ b/lavenderledge/policy/gossip.py
@@ -4,18 +4,26 @@
 """
 
 import datetime
+import math
 import typing
+from collections import abc
+
+import xxhash
 
 from lavenderledge.peers import messages
 
 SMALL_FLEET = 9
-NEIGHBOUR_LIFETIME = datetime.timedelta(seconds=60)
-_SMALL_INTERVAL = datetime.timedelta(milliseconds=500)
+_RING_SIZE = 2**64
+_MIN_INTERVAL_S = 0.5
 _SMALL_TIMEOUT = datetime.timedelta(seconds=3)
 _SMALL_SAMPLE = 3
 _LARGE_NEIGHBOURS = 8
-_MAX_SAMPLE = 64
-_MEMBERS_PER_S = 80
+_LARGE_SAMPLE = 16
+_ROUNDS_PER_DOUBLING = 3.2
+_MEMBER_BYTES = 61
+_PULSE_BYTES = 11
+_OVERHEAD_BYTES = 110
+_MAX_BYTES_PER_S = 5000
 _FORGET_AFTER = datetime.timedelta(seconds=60)
 
 
@@ -23,8 +31,8 @@
     """How a fleet of some size gossips.
 
     Each ``interval`` an instance sends itself and at most ``sample`` other
-    members to ``fanout`` of its ``neighbours``, which it draws anew every
-    ``NEIGHBOUR_LIFETIME``. A member whose heartbeat has not advanced for
+    members, with the pulses of all where ``has_pulses``, to ``fanout`` of
+    its ``neighbours``. A member whose heartbeat has not advanced for
     ``failure_timeout`` is no longer believed alive, and is forgotten after
     ``forget_after``.
     """
@@ -33,48 +41,73 @@
     neighbours: int
     fanout: int
     sample: int
+    has_pulses: bool
     failure_timeout: datetime.timedelta
     forget_after: datetime.timedelta
 
 
+class Sighting(typing.NamedTuple):
+    """A member as last heard of.
+
+    ``advanced_at_s`` is when its heartbeat last advanced, ``changed_at_s``
+    when anything else but the table revision did.
+    """
+
+    member: messages.Member
+    advanced_at_s: float
+    changed_at_s: float
+
+
 def plan_gossip(members: int) -> Plan:
     """Return the plan of a fleet with so many members, itself included.
 
-    A small fleet gossips with everyone. In a larger one each instance sends
-    a constant number of members a second, so that bytes do not grow with
-    the fleet; what grows is the time to detect a failure.
+    A small fleet gossips with everyone. In a larger one the interval grows
+    with the fleet, so that bytes a second do not, and the failure timeout
+    grows with the rounds that a heartbeat takes to reach everyone.
     """
     if members <= SMALL_FLEET:
         return Plan(
-            interval=_SMALL_INTERVAL,
+            interval=datetime.timedelta(seconds=_MIN_INTERVAL_S),
             neighbours=max(members - 1, 0),
             fanout=max(members - 1, 0),
             sample=_SMALL_SAMPLE,
+            has_pulses=False,
             failure_timeout=_SMALL_TIMEOUT,
             forget_after=_FORGET_AFTER,
         )
-    sample = min(members - 1, _MAX_SAMPLE)
-    failure_timeout = _SMALL_TIMEOUT * (members / SMALL_FLEET)
+    interval_s = max(_MIN_INTERVAL_S, _count_bytes(members) / _MAX_BYTES_PER_S)
+    rounds = _ROUNDS_PER_DOUBLING * math.log2(members)
+    failure_timeout = datetime.timedelta(seconds=interval_s * rounds)
     return Plan(
-        interval=datetime.timedelta(seconds=(sample + 1) / _MEMBERS_PER_S),
+        interval=datetime.timedelta(seconds=interval_s),
         neighbours=_LARGE_NEIGHBOURS,
         fanout=1,
-        sample=sample,
+        sample=_LARGE_SAMPLE,
+        has_pulses=True,
         failure_timeout=failure_timeout,
         forget_after=max(_FORGET_AFTER, 2 * failure_timeout),
     )
 
 
-class Sighting(typing.NamedTuple):
-    """A member as last heard of, and when its heartbeat last advanced."""
+def pick_neighbours(
+    own: str, members: abc.Collection[str], count: int
+) -> tuple[str, ...]:
+    """Return at most ``count`` members for an instance to gossip with.
 
-    member: messages.Member
-    advanced_at_s: float
+    Each is the instance's successor on a ring of its own, so that everyone
+    is also the neighbour of so many others, and few change with the fleet.
+    """
+    others = sorted(set(members) - {own})
+    if len(others) <= count:
+        return tuple(others)
+    picked = {_find_successor(own, others, ring) for ring in range(count)}
+    return tuple(sorted(picked))
 
 
-def supersedes(new: messages.Member, old: messages.Member) -> bool:
-    """Return whether the new facts are younger than the old ones."""
-    return (new.incarnation, new.heartbeat) > (old.incarnation, old.heartbeat)
+def digest_member(member: messages.Member) -> int:
+    """Return 32 bits that stand for an incarnation of an instance."""
+    text = f'{member.incarnation}:{member.instance}'
+    return xxhash.xxh32_intdigest(text.encode())
 
 
 def merge_sighting(
@@ -82,19 +115,35 @@
 ) -> Sighting:
     """Return what is known of a member after hearing of it once more.
 
-    An older incarnation or heartbeat changes nothing, except that leaving
-    is never taken back within an incarnation.
+    A newer incarnation replaces an older one. Within an incarnation the
+    heartbeat and the table revision only grow, and leaving stays.
     """
-    if old is None:
-        return Sighting(member, now_s)
-    same = member.incarnation == old.member.incarnation
-    leaving = same and (member.leaving or old.member.leaving)
-    if supersedes(member, old.member):
-        leaving = leaving or member.leaving
-        return Sighting(member._replace(leaving=leaving), now_s)
-    if same and leaving and not old.member.leaving:
-        return old._replace(member=old.member._replace(leaving=True))
-    return old
+    if old is None or member.incarnation > old.member.incarnation:
+        return Sighting(member, now_s, now_s)
+    if member.incarnation < old.member.incarnation:
+        return old
+    merged = old.member._replace(
+        heartbeat=max(member.heartbeat, old.member.heartbeat),
+        leaving=member.leaving or old.member.leaving,
+        table_revision=max(member.table_revision, old.member.table_revision),
+    )
+    advanced = merged.heartbeat > old.member.heartbeat
+    changed = merged.leaving != old.member.leaving
+    return Sighting(
+        merged,
+        advanced_at_s=now_s if advanced else old.advanced_at_s,
+        changed_at_s=now_s if changed else old.changed_at_s,
+    )
+
+
+def merge_pulse(
+    sighting: Sighting, pulse: messages.Pulse, now_s: float
+) -> Sighting:
+    """Return what is known of a member after hearing its heartbeat."""
+    if pulse.heartbeat <= sighting.member.heartbeat:
+        return sighting
+    member = sighting.member._replace(heartbeat=pulse.heartbeat)
+    return sighting._replace(member=member, advanced_at_s=now_s)
 
 
 def is_alive(
@@ -103,3 +152,19 @@
     """Return whether the member's heartbeat advanced recently enough."""
     age_s = now_s - sighting.advanced_at_s
     return age_s < failure_timeout.total_seconds()
+
+
+def _find_successor(own: str, others: list[str], ring: int) -> str:
+    start = _place(own, ring)
+    return min(
+        others, key=lambda each: (_place(each, ring) - start) % _RING_SIZE
+    )
+
+
+def _place(instance: str, ring: int) -> int:
+    return xxhash.xxh3_64_intdigest(f'{ring}:{instance}'.encode())
+
+
+def _count_bytes(members: int) -> int:
+    sampled = _MEMBER_BYTES * (1 + _LARGE_SAMPLE)
+    return sampled + _PULSE_BYTES * members + _OVERHEAD_BYTES
