Place late requests after those that can finish; find knees by throughput

Requests with under 1.5 times their estimate left now come after the rest of their tier, and the limit compares throughput with that of smaller batches.

--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -16,6 +16,8 @@
 # Flows of a tier that are looked at before lower tiers have their turn.
 _LOOK_AHEAD: typing.Final = 8
 _TELL_AGAIN_S: typing.Final = 0.5
+# The most requests that are told to end for one tier in one round.
+_MOST_VICTIMS: typing.Final = 16
 _LOWEST_TIER: typing.Final = 4
 _TOKENS_PER_BLOCK: typing.Final = digests.BLOCK_CHARS // 4
 
@@ -77,7 +79,9 @@
             return chosen
         freeing = len(self._book.freeing)
         for tier in self._book.queue.list_tiers():
-            waiting = self._count_impatient(tier)
+            if not self._book.has_lower_held(tier):
+                break
+            waiting = self._count_impatient(tier, freeing + _MOST_VICTIMS)
             need = max(0, waiting - freeing)
             freeing = max(0, freeing - waiting)
             if need:
@@ -133,6 +137,9 @@
             if choice.verdict is placement.Verdict.UNREACHABLE:
                 self._refuse(request, outcomes.Reason.DEADLINE_UNREACHABLE)
                 return True
+            if choice.verdict is placement.Verdict.LATE:
+                self._book.queue.defer(request)
+                return True
             if choice.replica:
                 self._reserve(choice.replica)
         return False
@@ -211,7 +218,7 @@
             reported=replica.reported,
         )
 
-    def _count_impatient(self, tier: int) -> int:
+    def _count_impatient(self, tier: int, most: int) -> int:
         """Return how many of a tier wait too long; pressed ones all do."""
         pressed = self._book.pressed
         blocked = self._book.queue.is_blocked
@@ -223,7 +230,7 @@
         for request in self._book.queue.walk_arrivals(tier):
             if blocked(request.ask.row):
                 continue
-            if not self._is_impatient(request):
+            if count >= most or not self._is_impatient(request):
                 break
             count += request.request_id not in pressed
         return count
--- a/lavenderledge/policy/knees.py
+++ b/lavenderledge/policy/knees.py
@@ -1,9 +1,8 @@
 """The learned limit of concurrent requests on one replica."""
 
+import math
 import typing
 
-from lavenderledge.policy import speed
-
 START_LIMIT: typing.Final = 8
 LEAST_LIMIT: typing.Final = 1
 MOST_LIMIT: typing.Final = 256
@@ -12,27 +11,48 @@
 _PERIOD_S: typing.Final = 0.5
 # Readings of fewer gaps than this decide nothing.
 _LEAST_GAPS: typing.Final = 16
-_GROW: typing.Final = 1.25
-_SHRINK: typing.Final = 0.9
+# Batches within this ratio are taken together.
+_BAND_RATIO: typing.Final = 1.2
+# How many bands lower the throughput is compared with.
+_BANDS_APART: typing.Final = 2
+_KEEP: typing.Final = 0.7
+# A band's reading is too old to compare with after this long.
+_OLD_S: typing.Final = 60.0
+_GROW_FAST: typing.Final = 1.25
+_GROW: typing.Final = 1.1
+_SHRINK: typing.Final = 0.93
+_SHRINK_FAST: typing.Final = 0.9
 # The part of the target up to which the limit grows.
 _HEADROOM: typing.Final = 0.9
-# Throughput must still grow by this part of the batch's growth.
-_LEAST_ELASTICITY: typing.Final = 0.2
 _SATURATED: typing.Final = 0.8
 # Periods over the target in a row before the limit shrinks.
 _PATIENCE: typing.Final = 2
+# The gain in throughput by the gain in batch: the limit grows over the
+# first, and shrinks under the second.
+_GOOD_GAIN: typing.Final = 0.45
+_POOR_GAIN: typing.Final = 0.25
+
+
+class _Band(typing.NamedTuple):
+    """Tokens a second at like batches, when last read."""
+
+    batch: float
+    rate: float
+    read_s: float
 
 
 class Limit:
-    """Grows while a full replica gains by it, and shrinks over the target.
+    """Grows while a full replica gains by it, and shrinks where not.
 
     Readings of a period are put together, so that one noisy reading decides
-    nothing.
+    nothing; throughput is compared with that of smaller batches.
     """
 
     def __init__(self, *, start: int = START_LIMIT) -> None:
         """Start from a cautious limit."""
         self.most = start
+        self._exact = float(start)
+        self._bands: dict[int, _Band] = {}
         self._began_s: float | None = None
         self._gaps = 0
         self._gap_s = float(0)
@@ -40,13 +60,7 @@
         self._over = 0
 
     def note(
-        self,
-        *,
-        batch: float,
-        gaps: int,
-        gap_s: float,
-        usual: speed.Speed,
-        now_s: float,
+        self, *, batch: float, gaps: int, gap_s: float, now_s: float
     ) -> None:
         """Take the summed gaps of a healthy replica at a batch."""
         if self._began_s is None:
@@ -55,8 +69,12 @@
         self._gap_s += gap_s
         self._batch += batch * gaps
         ripe = now_s - self._began_s >= _PERIOD_S
-        if ripe and self._gaps >= _LEAST_GAPS:
-            self._decide(usual)
+        if ripe and self._gaps >= _LEAST_GAPS and self._gap_s > 0:
+            self._decide(
+                batch=max(self._batch / self._gaps, 1),
+                gap_s=self._gap_s / self._gaps,
+                now_s=now_s,
+            )
             self.skip()
 
     def skip(self) -> None:
@@ -66,28 +84,44 @@
         self._gap_s = float(0)
         self._batch = float(0)
 
-    def _decide(self, usual: speed.Speed) -> None:
-        gap_s = self._gap_s / self._gaps
-        batch = self._batch / self._gaps
+    def _decide(self, *, batch: float, gap_s: float, now_s: float) -> None:
+        gain = self._learn_gain(batch, batch / gap_s, now_s)
+        saturated = batch >= _SATURATED * self.most
         if gap_s > TARGET_GAP_S:
             self._over += 1
             if self._over >= _PATIENCE:
                 self._over = 0
-                self._shrink(batch)
+                self._set(min(self._exact, batch) * _SHRINK_FAST)
             return
         self._over = 0
-        saturated = batch >= _SATURATED * self.most
-        if saturated and gap_s <= TARGET_GAP_S * _HEADROOM:
-            self._grow(usual)
+        roomy = gap_s <= TARGET_GAP_S * _HEADROOM
+        if not saturated:
+            return
+        if gain is None and roomy:
+            self._set(self._exact * _GROW_FAST)
+        elif gain is not None and gain < _POOR_GAIN:
+            self._set(self._exact * _SHRINK)
+        elif gain is not None and gain > _GOOD_GAIN and roomy:
+            self._set(self._exact * _GROW)
 
-    def _shrink(self, batch: float) -> None:
-        reached = min(self.most, max(batch, 1))
-        self.most = max(LEAST_LIMIT, int(reached * _SHRINK))
+    def _learn_gain(
+        self, batch: float, rate: float, now_s: float
+    ) -> float | None:
+        """Return how throughput has grown with the batch, if it is known.
 
-    def _grow(self, usual: speed.Speed) -> None:
-        if usual.elasticity(self.most) < _LEAST_ELASTICITY:
-            return
-        goal = max(self.most + 1, int(self.most * _GROW))
-        while goal > self.most + 1 and usual.gap_s(goal) > TARGET_GAP_S:
-            goal -= 1
-        self.most = min(goal, MOST_LIMIT)
+        1 is in proportion and 0 not at all.
+        """
+        number = round(math.log(batch, _BAND_RATIO))
+        known = self._bands.get(number)
+        if known is not None and now_s - known.read_s < _OLD_S:
+            batch = _KEEP * known.batch + (1 - _KEEP) * batch
+            rate = _KEEP * known.rate + (1 - _KEEP) * rate
+        self._bands[number] = _Band(batch, rate, now_s)
+        lower = self._bands.get(number - _BANDS_APART)
+        if lower is None or now_s - lower.read_s > _OLD_S:
+            return None
+        return math.log(rate / lower.rate) / math.log(batch / lower.batch)
+
+    def _set(self, exact: float) -> None:
+        self._exact = min(max(exact, LEAST_LIMIT), MOST_LIMIT)
+        self.most = math.floor(self._exact)
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -12,6 +12,9 @@
 # The part of the estimate that must fit before the deadline: an answer may
 # be shorter than its row's usual one.
 _MUST_FIT: typing.Final = 0.8
+# A request with less than this times its estimate left is late: it may fail,
+# as an answer may be longer than its row's usual one.
+_SAFE_FIT: typing.Final = 1.5
 
 
 class Wanted(typing.NamedTuple):
@@ -21,6 +24,7 @@
     output_tokens: int
     remaining_s: float
     waited_s: float
+    late: bool = False
 
 
 class Option(typing.NamedTuple):
@@ -50,6 +54,7 @@
 
     PLACE = 'place'
     WAIT = 'wait'
+    LATE = 'late'
     UNREACHABLE = 'unreachable'
 
 
@@ -93,7 +98,8 @@
 
     A request waits a little for a much faster replica, and as long as only
     replicas are free that would be too slow for its deadline. It is
-    unreachable where no replica at all could finish it, if granted now.
+    unreachable where no replica at all could finish it, if granted now, and
+    late where that is in doubt.
     """
     if not options:
         return _WAIT
@@ -109,6 +115,8 @@
     if not timely:
         return _WAIT
     finish_s, replica = min(timely)
+    if not wanted.late and _SAFE_FIT * finish_s > wanted.remaining_s:
+        return Choice(Verdict.LATE)
     if wanted.waited_s < MOST_HOLD_S and _find_faster(
         wanted, options, finish_s
     ):
--- a/lavenderledge/policy/pool.py
+++ b/lavenderledge/policy/pool.py
@@ -92,7 +92,9 @@
         now_s: float,
     ) -> placement.Choice:
         """Return the policy's choice for a request."""
-        return self._policy.choose(measure(request, now_s), options)
+        wanted = measure(request, now_s)
+        late = self.book.queue.is_late(request)
+        return self._policy.choose(wanted._replace(late=late), options)
 
     def is_over_limit(self, row: str) -> bool:
         """Return whether a row runs as many requests as it may."""
--- a/lavenderledge/policy/queueing.py
+++ b/lavenderledge/policy/queueing.py
@@ -1,5 +1,6 @@
 """The waiting requests of one pool: strict tiers, fair order inside each."""
 
+import itertools
 from collections import abc
 
 from lavenderledge.policy import fairness, requests
@@ -25,6 +26,7 @@
         self.rows: dict[str, _Row] = {}
         self.rotation = fairness.Rotation()
         self.arrivals: requests.Requests = {}
+        self.late: requests.Requests = {}
 
 
 class Queue:
@@ -57,16 +59,21 @@
         """Remove a request that is in the queue."""
         ask = request.ask
         tier = self._tiers[ask.tier]
-        row = tier.rows[ask.row]
         del tier.arrivals[ask.request_id]  # noqa: WPS420
-        customer = row.customers[ask.customer]
-        del customer[ask.request_id]  # noqa: WPS420
         self._counts[ask.row] -= 1
-        if not customer:
-            row.customers.pop(ask.customer)
-            row.rotation.leave(ask.customer)
-        if not row.customers:
-            tier.rotation.leave(ask.row)
+        if tier.late.pop(ask.request_id, None) is None:
+            self._leave_flow(tier, request)
+
+    def defer(self, request: requests.Request) -> None:
+        """Serve a request after all of its tier that are not late."""
+        tier = self._tiers[request.ask.tier]
+        if request.request_id not in tier.late:
+            self._leave_flow(tier, request)
+            tier.late[request.request_id] = request
+
+    def is_late(self, request: requests.Request) -> bool:
+        """Return whether a request has been deferred."""
+        return request.request_id in self._tiers[request.ask.tier].late
 
     def charge(self, request: requests.Request, cost: float) -> None:
         """Charge the request's flow with a cost in tokens, at its grant."""
@@ -112,7 +119,10 @@
         )
 
     def list_first(self, number: int, most: int) -> list[requests.Request]:
-        """Return a tier's requests due first, one for each flow."""
+        """Return a tier's requests due first, one for each flow.
+
+        Late ones come where no other may be served.
+        """
         tier = self._tiers[number]
         firsts: list[requests.Request] = []
         for name in tier.rotation.list_first(most):
@@ -121,7 +131,7 @@
                 firsts.append(next(iter(row.customers[customer].values())))
             if len(firsts) >= most:
                 break
-        return firsts
+        return firsts or self._list_late(tier, most)
 
     def walk_arrivals(self, number: int) -> abc.Iterator[requests.Request]:
         """Iterate over a tier's requests in order of arrival."""
@@ -139,3 +149,22 @@
         """Return how many requests of a tier wait."""
         tier = self._tiers.get(number)
         return len(tier.arrivals) if tier else 0
+
+    def _leave_flow(self, tier: _Tier, request: requests.Request) -> None:
+        ask = request.ask
+        row = tier.rows[ask.row]
+        customer = row.customers[ask.customer]
+        del customer[ask.request_id]  # noqa: WPS420
+        if not customer:
+            row.customers.pop(ask.customer)
+            row.rotation.leave(ask.customer)
+        if not row.customers:
+            tier.rotation.leave(ask.row)
+
+    def _list_late(self, tier: _Tier, most: int) -> list[requests.Request]:
+        late = (
+            request
+            for request in tier.late.values()
+            if request.ask.row not in self._blocked
+        )
+        return list(itertools.islice(late, most))
--- a/lavenderledge/policy/replicas.py
+++ b/lavenderledge/policy/replicas.py
@@ -117,7 +117,6 @@
                 batch=batch,
                 gaps=reading.token_gaps,
                 gap_s=reading.token_gap_s,
-                usual=self.speed,
                 now_s=now_s,
             )
         else:
--- a/lavenderledge/policy/speed.py
+++ b/lavenderledge/policy/speed.py
@@ -76,14 +76,6 @@
         """Return the usual gap between tokens at a batch, in seconds."""
         return self._base_s + self._slope_s * max(batch, 1)
 
-    def elasticity(self, batch: float) -> float:
-        """Return how throughput grows with the batch there, from 0 to 1.
-
-        At 1 a batch larger by a hundredth gives a hundredth more tokens; at
-        0 it gives no more.
-        """
-        return self._base_s / self.gap_s(batch)
-
     def _fit(self) -> None:
         mean_batch = self._batch / self._weight
         mean_gap = self._gap / self._weight
