--- /dev/null
+++ b/lavenderledge/controllers/gossiper.py
@@ -0,0 +1,114 @@
+"""Whom an instance gossips with, and what it tells them."""
+
+import random
+import typing
+from collections import abc
+
+from lavenderledge.controllers import sightings
+from lavenderledge.peers import messages
+from lavenderledge.policy import gossip
+
+_PROBE_INTERVAL_S = 2.0
+_MAX_PROBES = 8
+_Item = typing.TypeVar('_Item')
+
+
+class Gossiper:
+    """Sends what is known of the members to some of them.
+
+    ``own`` is the newest member facts of the own instance; ``settled`` says
+    whether what is known of the others may be told. Times are seconds on
+    the own monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        known: sightings.Sightings,
+        rng: random.Random,
+        send: abc.Callable[[str, messages.Message], object],
+        plan: gossip.Plan,
+    ) -> None:
+        """Start without neighbours."""
+        self._known = known
+        self._rng = rng
+        self._send = send
+        self._plan = plan
+        self._candidates: set[str] = set()
+        self._neighbours: tuple[str, ...] = ()
+        self._probe_at_s = float('-inf')
+
+    def update(
+        self, own: messages.Member, alive: set[str], plan: gossip.Plan
+    ) -> None:
+        """Take the other members that are alive, and the plan for them."""
+        self._plan = plan
+        if alive != self._candidates:
+            self._candidates = alive
+            self._neighbours = gossip.pick_neighbours(
+                own.instance, alive, plan.neighbours
+            )
+
+    def knows(self, instance: str) -> bool:
+        """Return whether the instance was among those alive."""
+        return instance in self._candidates
+
+    def gossip(
+        self,
+        now_s: float,
+        own: messages.Member,
+        *,
+        settled: bool,
+        linked: abc.Set[str],
+    ) -> None:
+        """Send one round; now and then also to linked silent instances."""
+        targets = self._sample(self._neighbours, self._plan.fanout)
+        if now_s >= self._probe_at_s:
+            self._probe_at_s = now_s + _PROBE_INTERVAL_S
+            silent = sorted(linked - self._candidates)
+            targets.extend(self._sample(silent, _MAX_PROBES))
+        self.tell(targets, now_s, own, settled=settled)
+        for outdated in self._known.list_outdated():
+            newest = self._known.get_member(outdated.instance)
+            if newest is not None:
+                heartbeat = messages.Heartbeat(own.instance, (own, newest))
+                self._send(outdated.address, heartbeat)
+
+    def tell_neighbours(
+        self, now_s: float, own: messages.Member, *, settled: bool
+    ) -> None:
+        """Send to all neighbours at once."""
+        self.tell(self._neighbours, now_s, own, settled=settled)
+
+    def tell(
+        self,
+        targets: abc.Iterable[str],
+        now_s: float,
+        own: messages.Member,
+        *,
+        settled: bool,
+    ) -> None:
+        """Send the same heartbeat to each target."""
+        heartbeat = messages.Heartbeat(own.instance, (own,))
+        if settled:
+            heartbeat = self._make_heartbeat(now_s, own)
+        for instance in targets:
+            self._send(instance, heartbeat)
+
+    def _make_heartbeat(
+        self, now_s: float, own: messages.Member
+    ) -> messages.Heartbeat:
+        sample = self._plan.sample
+        alive = self._known.list_changed(now_s, self._plan.failure_timeout)
+        news = alive[: sample // 2]
+        others = self._sample(alive[len(news) :], sample - len(news))
+        members = (own, *news, *others)
+        if not self._plan.has_pulses:
+            return messages.Heartbeat(own.instance, members)
+        pulses = [self._known.make_pulse(each) for each in (own, *alive)]
+        return messages.Heartbeat(own.instance, members, tuple(pulses))
+
+    def _sample(
+        self, population: abc.Sequence[_Item], count: int
+    ) -> list[_Item]:
+        return self._rng.sample(population, min(count, len(population)))
--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -12,14 +12,11 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
-from lavenderledge.controllers import settling, sightings
+from lavenderledge.controllers import gossiper, settling, sightings
 from lavenderledge.peers import messages
 from lavenderledge.policy import gossip
 
-_PROBE_INTERVAL_S = 2.0
-_MAX_PROBES = 8
 _LOGGER = logging.getLogger(__name__)
-_Item = typing.TypeVar('_Item')
 
 
 class Listed(typing.NamedTuple):
@@ -65,22 +62,20 @@
         """Start with nobody but the own instance."""
         self._own = own
         self._clock = clock
-        self._rng = rng
-        self._send = send
         self._on_change = on_change
         self._read_table_revision = read_table_revision
         self._make_plan = plan
         self._plan = plan(1)
         self._sightings = sightings.Sightings()
+        self._gossiper = gossiper.Gossiper(
+            known=self._sightings, rng=rng, send=send, plan=self._plan
+        )
         self._listed: dict[str, Listed] | None = None
         self._superseded = False
         now_s = clock.read_monotonic()
         self._settling = settling.Settling(
             now_s=now_s, failure_timeout=self._plan.failure_timeout
         )
-        self._probed_at_s = now_s - _PROBE_INTERVAL_S
-        self._neighbours: tuple[str, ...] = ()
-        self._candidates: set[str] = set()
         self._alive: tuple[str, ...] = (own.instance,)
         self._links: dict[str, str] = {}
 
@@ -99,7 +94,12 @@
         )
         self._refresh(now_s)
         if not self._superseded:
-            self._gossip(now_s)
+            self._gossiper.gossip(
+                now_s,
+                self._own,
+                settled=self.is_settled(),
+                linked=self._links.keys(),
+            )
 
     def tell_neighbours(self) -> None:
         """Gossip at once, as after a new table revision."""
@@ -107,13 +107,14 @@
             table_revision=self._read_table_revision(),
         )
         if not self._superseded:
-            now_s = self._observe()
-            self._send_to(self._neighbours, self._make_heartbeat(now_s))
+            self._gossiper.tell_neighbours(
+                self._observe(), self._own, settled=self.is_settled()
+            )
 
     def receive(self, heartbeat: messages.Heartbeat) -> None:
         """Merge what another instance believes alive."""
         now_s = self._observe()
-        known = heartbeat.sender in self._candidates
+        known = self._gossiper.knows(heartbeat.sender)
         changed = False
         for member in heartbeat.members:
             changed |= self._hear(member, now_s, heartbeat.sender)
@@ -123,9 +124,8 @@
             )
         if changed:
             self._refresh(now_s)
-        if not known and heartbeat.sender in self._candidates:
-            # A newcomer has no neighbours that know it yet.
-            self._send_to([heartbeat.sender], self._make_heartbeat(now_s))
+        if not known and self._gossiper.knows(heartbeat.sender):
+            self._welcome(heartbeat.sender, now_s)
 
     def note_listed(self, endpoints: abc.Iterable[Listed]) -> None:
         """Take the platform's present list; it replaces the last one.
@@ -259,6 +259,13 @@
             settled=self.is_settled(),
         )
 
+    def _welcome(self, instance: str, now_s: float) -> None:
+        # A newcomer has no neighbours that know it yet.
+        if not self._superseded:
+            self._gossiper.tell(
+                [instance], now_s, self._own, settled=self.is_settled()
+            )
+
     def _hear(self, member: messages.Member, now_s: float, sender: str) -> bool:
         if member.instance == self._own.instance:
             self._hear_of_self(member, now_s)
@@ -295,16 +302,10 @@
         alive = [each.instance for each in members if not each.leaving]
         if not self._own.leaving:
             alive.append(self._own.instance)
-        self._pick_neighbours({each.instance for each in members})
+        others = {each.instance for each in members}
+        self._gossiper.update(self._own, others, self._plan)
         self._announce(tuple(sorted(alive)), self._plan_links(now_s, heard))
 
-    def _pick_neighbours(self, alive: set[str]) -> None:
-        if alive != self._candidates:
-            self._candidates = alive
-            self._neighbours = gossip.pick_neighbours(
-                self._own.instance, alive, self._plan.neighbours
-            )
-
     def _announce(self, alive: tuple[str, ...], links: dict[str, str]) -> None:
         if alive == self._alive and links == self._links:
             return
@@ -335,55 +336,3 @@
         for outdated in self._sightings.list_outdated():
             links[outdated.address] = outdated.address
         return links
-
-    def _gossip(self, now_s: float) -> None:
-        targets = self._pick_targets(now_s)
-        self._send_to(targets, self._make_heartbeat(now_s))
-        for outdated in self._sightings.list_outdated():
-            newest = self._sightings.get_member(outdated.instance)
-            if newest is not None:
-                told = messages.Heartbeat(
-                    self._own.instance, (self._own, newest)
-                )
-                self._send_to([outdated.address], told)
-
-    def _make_heartbeat(self, now_s: float) -> messages.Heartbeat:
-        if not self.is_settled():
-            return messages.Heartbeat(self._own.instance, (self._own,))
-        alive = self._sightings.list_changed(now_s, self._plan.failure_timeout)
-        news = alive[: self._plan.sample // 2]
-        others = self._sample(alive[len(news) :], self._plan.sample - len(news))
-        return messages.Heartbeat(
-            self._own.instance,
-            (self._own, *news, *others),
-            self._make_pulses(alive),
-        )
-
-    def _make_pulses(
-        self, alive: list[messages.Member]
-    ) -> tuple[messages.Pulse, ...]:
-        if not self._plan.has_pulses:
-            return ()
-        return tuple(
-            self._sightings.make_pulse(member) for member in (self._own, *alive)
-        )
-
-    def _pick_targets(self, now_s: float) -> list[str]:
-        targets = self._sample(self._neighbours, self._plan.fanout)
-        if now_s - self._probed_at_s >= _PROBE_INTERVAL_S:
-            self._probed_at_s = now_s
-            alive = {each.instance for each in self._list_alive_members()}
-            silent = sorted(self._links.keys() - alive)
-            targets.extend(self._sample(silent, _MAX_PROBES))
-        return targets
-
-    def _send_to(
-        self, targets: abc.Iterable[str], heartbeat: messages.Heartbeat
-    ) -> None:
-        for instance in targets:
-            self._send(instance, heartbeat)
-
-    def _sample(
-        self, population: abc.Sequence[_Item], count: int
-    ) -> list[_Item]:
-        return self._rng.sample(population, min(count, len(population)))
