--- a/lavenderledge/controllers/gossiper.py
+++ b/lavenderledge/controllers/gossiper.py
@@ -10,6 +10,7 @@
 
 _PROBE_INTERVAL_S = 2.0
 _MAX_PROBES = 8
+_WELCOME_SAMPLE = 64
 _Item = typing.TypeVar('_Item')
 
 
@@ -67,7 +68,7 @@
             self._probe_at_s = now_s + _PROBE_INTERVAL_S
             silent = sorted(linked - self._candidates)
             targets.extend(self._sample(silent, _MAX_PROBES))
-        self.tell(targets, now_s, own, settled=settled)
+        self._tell(targets, now_s, own, settled)
         for outdated in self._known.list_outdated():
             newest = self._known.get_member(outdated.instance)
             if newest is not None:
@@ -78,27 +79,41 @@
         self, now_s: float, own: messages.Member, *, settled: bool
     ) -> None:
         """Send to all neighbours at once."""
-        self.tell(self._neighbours, now_s, own, settled=settled)
+        self._tell(self._neighbours, now_s, own, settled)
 
-    def tell(
+    def welcome(
         self,
-        targets: abc.Iterable[str],
+        instance: str,
         now_s: float,
         own: messages.Member,
         *,
         settled: bool,
     ) -> None:
-        """Send the same heartbeat to each target."""
+        """Tell a newcomer at once, and of many members.
+
+        It has no neighbours that know it yet.
+        """
+        heartbeat = messages.Heartbeat(own.instance, (own,))
+        if settled:
+            heartbeat = self._make_heartbeat(now_s, own, _WELCOME_SAMPLE)
+        self._send(instance, heartbeat)
+
+    def _tell(
+        self,
+        targets: abc.Iterable[str],
+        now_s: float,
+        own: messages.Member,
+        settled: bool,
+    ) -> None:
         heartbeat = messages.Heartbeat(own.instance, (own,))
         if settled:
-            heartbeat = self._make_heartbeat(now_s, own)
+            heartbeat = self._make_heartbeat(now_s, own, self._plan.sample)
         for instance in targets:
             self._send(instance, heartbeat)
 
     def _make_heartbeat(
-        self, now_s: float, own: messages.Member
+        self, now_s: float, own: messages.Member, sample: int
     ) -> messages.Heartbeat:
-        sample = self._plan.sample
         alive = self._known.list_changed(now_s, self._plan.failure_timeout)
         news = alive[: sample // 2]
         others = self._sample(alive[len(news) :], sample - len(news))
--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -124,8 +124,12 @@
             )
         if changed:
             self._refresh(now_s)
-        if not known and self._gossiper.knows(heartbeat.sender):
-            self._welcome(heartbeat.sender, now_s)
+        if self._superseded or known:
+            return
+        if self._gossiper.knows(heartbeat.sender):
+            self._gossiper.welcome(
+                heartbeat.sender, now_s, self._own, settled=self.is_settled()
+            )
 
     def note_listed(self, endpoints: abc.Iterable[Listed]) -> None:
         """Take the platform's present list; it replaces the last one.
@@ -259,13 +263,6 @@
             settled=self.is_settled(),
         )
 
-    def _welcome(self, instance: str, now_s: float) -> None:
-        # A newcomer has no neighbours that know it yet.
-        if not self._superseded:
-            self._gossiper.tell(
-                [instance], now_s, self._own, settled=self.is_settled()
-            )
-
     def _hear(self, member: messages.Member, now_s: float, sender: str) -> bool:
         if member.instance == self._own.instance:
             self._hear_of_self(member, now_s)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -57,7 +57,8 @@
         if self._server is not None:
             self._server.close()
         self.cut()
-        await asyncio.sleep(0)
+        while self._pipes:
+            await asyncio.sleep(0)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
