Cancel upstream however a request ends; prove whole answers

Causes, each found by a test that failed before: - a caller that left while its creation was unanswered left the response running: only the pumping of an open stream was cancelled upstream.

python -m pytest tests/test_streams.py: 10 pass.

--- a/lavenderledge/filters/reading.py
+++ b/lavenderledge/filters/reading.py
@@ -8,10 +8,12 @@
 
 from lavenderledge import outcomes
 from lavenderledge.filters import dispatch, exchange, identifiers, relay
+from lavenderledge.upstreams import engine
 
 FindAddress = abc.Callable[[str, str], str | None]
 
 _READ_TIMEOUT_S = 3600
+_NOT_FOUND = 404
 
 
 class _Target(typing.NamedTuple):
@@ -50,10 +52,8 @@
             last=int(after) if streamed else -1,
         )
         opened = await stream.open()
-        if opened.is_error():
-            return current.refuse(
-                outcomes.Reason.NO_SUCH_RESPONSE, repr(opened.error)
-            )
+        if opened.is_error() and isinstance(opened.error, engine.Refused):
+            return _refuse_read(current, opened.error)
         return await relay.answer_stream(
             upstreams, current, stream, streamed=streamed
         )
@@ -93,6 +93,20 @@
     )
 
 
+def _refuse_read(
+    current: exchange.Exchange, refused: engine.Refused
+) -> exchange.Outcome:
+    if refused.status == _NOT_FOUND:
+        return current.refuse(
+            outcomes.Reason.NO_SUCH_RESPONSE, 'the engine has no such response'
+        )
+    return current.refuse(
+        outcomes.Reason.UPSTREAM_REFUSED,
+        f'the engine answered with status {refused.status}',
+        retry_after_s=refused.retry_after_s,
+    )
+
+
 def _find_target(
     current: exchange.Exchange, find_address: FindAddress
 ) -> 'expression.Result[_Target, outcomes.Refusal]':
--- a/lavenderledge/filters/relay.py
+++ b/lavenderledge/filters/relay.py
@@ -1,12 +1,11 @@
 """Relay of an engine's response to its caller, whole or not at all."""
 
-import asyncio
 import typing
 
 import expression
 import msgspec
 
-from lavenderledge import outcomes
+from lavenderledge import outcomes, timing
 from lavenderledge.filters import deadlines, exchange, identifiers, refusals
 from lavenderledge.filters import work as works
 from lavenderledge.upstreams import connection, engine, events
@@ -21,6 +20,10 @@
 JSON_HEADERS = (('content-type', 'application/json'),)
 
 _OK = 200
+_CANCEL_ATTEMPTS = 3
+_CANCEL_PAUSE_S = 0.5
+_UNFINISHED_KINDS = frozenset(('response.failed', 'response.cancelled'))
+
 _Ended: typing.TypeAlias = 'expression.Result[bytes, outcomes.Refusal]'
 
 
@@ -67,6 +70,7 @@
         unique=current.request_id,
     )
     stream = open_stream(upstreams, placement.address, response_id)
+    current.cleanup.callback(_leave, upstreams, current, stream)
     async with deadlines.limit_time(upstreams.clock, current) as limit:
         created = await stream.create(
             works.build_engine_body(current.call.body, response_id),
@@ -117,7 +121,7 @@
         clock=upstreams.clock,
         silence_s=upstreams.silence_s,
         lost_after_s=upstreams.lost_after_s,
-        on_resume=lambda why: upstreams.count_retry(f'resume_{why.reason}'),
+        on_resume=lambda why: upstreams.count_retry(f'resume_{why.value}'),
         last=last,
     )
 
@@ -133,10 +137,6 @@
     try:
         async with deadlines.limit_time(upstreams.clock, current) as limit:
             ended = await stream.pump(take)
-    except asyncio.CancelledError:
-        if not current.is_reader:
-            upstreams.run_detached(_cancel(stream))
-        raise
     finally:
         stream.close()
     if limit.reason is not None:
@@ -173,10 +173,10 @@
     kind: str,
     document: bytes,
 ) -> _Ended:
-    if kind == 'response.failed':
+    if kind in _UNFINISHED_KINDS and not current.is_reader:
         return current.refuse(
             outcomes.Reason.UPSTREAM_FAILED,
-            'the engine ended the response as failed',
+            f'the engine ended the stream with {kind}',
             failed=True,
         )
     try:
@@ -246,5 +246,21 @@
     """Leave out the document, which a streamed caller has had."""
 
 
-async def _cancel(stream: engine.EngineStream) -> None:
-    await stream.cancel()
+def _leave(
+    upstreams: 'dispatch.Upstreams',
+    current: exchange.Exchange,
+    stream: engine.EngineStream,
+) -> None:
+    """Cancel what may still run when its request ends, for any reason."""
+    stream.close()
+    if not stream.ended and current.dispatch.started and not current.background:
+        upstreams.run_detached(_cancel(upstreams, stream))
+
+
+async def _cancel(
+    upstreams: 'dispatch.Upstreams', stream: engine.EngineStream
+) -> None:
+    for _ in range(_CANCEL_ATTEMPTS):
+        if await stream.cancel():
+            return
+        await upstreams.clock.sleep(timing.seconds(_CANCEL_PAUSE_S))
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -1,5 +1,6 @@
 """Responses of a model engine: create, read with resume, cancel."""
 
+import enum
 import typing
 from collections import abc
 
@@ -36,17 +37,22 @@
 OnEvent = abc.Callable[[events.Event], abc.Awaitable[None]]
 
 
-class Resumption(typing.NamedTuple):
-    """Why a stream was taken up again on a fresh connection."""
+@enum.unique
+class Break(enum.StrEnum):
+    """Why reading a stream stopped before its terminal event."""
 
-    reason: str
+    SILENT = 'silent'
+    BROKEN = 'broken'
+    CUT_SHORT = 'cut_short'
+    UNOPENED = 'unopened'
 
 
 class EngineStream:
     """One response's stream, taken up again wherever it breaks off.
 
     ``last`` is the sequence number of the last event handed on; events
-    arrive once each and in order.
+    arrive once each and in order. ``ended`` tells that nothing runs, as far
+    as the engine said or since nothing was sent.
     """
 
     def __init__(
@@ -58,7 +64,7 @@
         clock: clocks.Clock,
         silence_s: float,
         lost_after_s: float,
-        on_resume: abc.Callable[[Resumption], None],
+        on_resume: abc.Callable[[Break], None],
         last: int = -1,
     ) -> None:
         """Prepare to read a response of the engine at the address."""
@@ -70,7 +76,9 @@
         self._lost_after_s = lost_after_s
         self._on_resume = on_resume
         self._response: aiohttp.ClientResponse | None = None
+        self._heard_s = clock.read_monotonic()
         self.last = last
+        self.ended = False
 
     async def create(
         self, body: bytes, *, before_first_byte: connection.BeforeFirstByte
@@ -85,8 +93,11 @@
             silence_s=self._silence_s,
         )
         if sent.is_error():
+            self.ended = not isinstance(sent.error, connection.Lost)
             return expression.Error(sent.error)
-        return await self._accept(sent.ok)
+        accepted = await self._accept(sent.ok)
+        self.ended = accepted.is_error()
+        return accepted
 
     async def open(self) -> 'expression.Result[None, CreateFailure]':
         """Take up a response that was created before."""
@@ -104,23 +115,27 @@
     async def pump(
         self, on_event: OnEvent
     ) -> 'expression.Result[str, Unreachable]':
-        """Hand on every event up to the terminal one; return its kind."""
-        heard_s = self._clock.read_monotonic()
+        """Hand on every event up to the terminal one; return its kind.
+
+        An engine that answers a request to resume is waited for without
+        limit, unless it ends the stream each time without an event.
+        """
+        self._heard_s = self._clock.read_monotonic()
+        stalled = False
         while True:
             before = self.last
-            if self._response is not None:
-                kind = await self._read(on_event)
-                if kind is not None:
-                    return expression.Ok(kind)
+            read = await self._read(on_event)
+            if read.is_ok():
+                self.ended = True
+                return expression.Ok(read.ok)
             if self.last > before:
-                heard_s = self._clock.read_monotonic()
-            reopened = await self._reopen()
-            if reopened.is_ok():
-                heard_s = self._clock.read_monotonic()
-                continue
-            silent_s = self._clock.read_monotonic() - heard_s
-            if silent_s > self._lost_after_s or self._is_forgotten(reopened):
-                return expression.Error(Unreachable(repr(reopened.error)))
+                self._heard_s = self._clock.read_monotonic()
+            elif stalled:
+                await self._clock.sleep(timing.seconds(_RESUME_PAUSE_S))
+            stalled = self.last == before
+            lost = await self._resume(read.error)
+            if lost is not None:
+                return expression.Error(lost)
 
     async def cancel(self) -> bool:
         """Tell the engine to stop; return whether it said that it did."""
@@ -133,7 +148,8 @@
         if sent.is_error():
             return False
         sent.ok.close()
-        return sent.ok.status < _NOT_FOUND
+        self.ended = sent.ok.status < _NOT_FOUND
+        return self.ended
 
     def close(self) -> None:
         """Close the present connection."""
@@ -156,43 +172,44 @@
             Refused(response.status, body, _read_retry_after(response))
         )
 
-    async def _reopen(self) -> 'expression.Result[None, CreateFailure]':
+    async def _resume(self, why: Break) -> Unreachable | None:
+        """Ask for the rest of the stream; tell where it is given up."""
+        if why is not Break.UNOPENED:
+            self._on_resume(why)
         self.close()
         opened = await self.open()
-        if opened.is_error():
-            await self._clock.sleep(timing.seconds(_RESUME_PAUSE_S))
-        return opened
+        now_s = self._clock.read_monotonic()
+        if opened.is_ok() and why is not Break.CUT_SHORT:
+            self._heard_s = now_s
+        late = now_s - self._heard_s > self._lost_after_s
+        if late or self._is_forgotten(opened):
+            return Unreachable(_describe(opened))
+        return None
 
     def _is_forgotten(
-        self, reopened: 'expression.Result[None, CreateFailure]'
+        self, opened: 'expression.Result[None, CreateFailure]'
     ) -> bool:
         """Return whether the engine has lost a response that had begun."""
-        failure = reopened.error
-        return (
-            self.last >= 0
-            and isinstance(failure, Refused)
-            and failure.status == _NOT_FOUND
-        )
+        if opened.is_ok() or self.last < 0:
+            return False
+        failure = opened.error
+        return isinstance(failure, Refused) and failure.status == _NOT_FOUND
 
-    async def _read(self, on_event: OnEvent) -> str | None:
-        """Read until the stream ends or breaks; return a terminal kind."""
+    async def _read(self, on_event: OnEvent) -> 'expression.Result[str, Break]':
+        """Read until the stream ends; return a terminal kind, or a break."""
         response = self._response
-        assert response is not None
+        if response is None:
+            return expression.Error(Break.UNOPENED)
         try:
-            kind = await self._read_events(response, on_event)
+            return await self._read_events(response, on_event)
         except TimeoutError:
-            self._on_resume(Resumption('silent'))
-            return None
+            return expression.Error(Break.SILENT)
         except (aiohttp.ClientError, ValueError, msgspec.MsgspecError):
-            self._on_resume(Resumption('broken'))
-            return None
-        if kind is None:
-            self._on_resume(Resumption('cut_short'))
-        return kind
+            return expression.Error(Break.BROKEN)
 
     async def _read_events(
         self, response: aiohttp.ClientResponse, on_event: OnEvent
-    ) -> str | None:
+    ) -> 'expression.Result[str, Break]':
         """Hand on events in order; stop at a gap in their numbers."""
         parser = events.EventParser()
         async for line in response.content:
@@ -200,12 +217,12 @@
             if event is None or event.sequence <= self.last:
                 continue
             if event.sequence > self.last + 1:
-                return None
+                return expression.Error(Break.CUT_SHORT)
             self.last = event.sequence
             await on_event(event)
             if event.kind in events.TERMINAL_KINDS:
-                return event.kind
-        return None
+                return expression.Ok(event.kind)
+        return expression.Error(Break.CUT_SHORT)
 
 
 def _read_retry_after(response: aiohttp.ClientResponse) -> float | None:
@@ -213,3 +230,9 @@
         return float(response.headers.get('Retry-After', ''))
     except ValueError:
         return None
+
+
+def _describe(opened: 'expression.Result[None, CreateFailure]') -> str:
+    if opened.is_ok():
+        return 'the stream ended without its last event'
+    return repr(opened.error)
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -68,9 +68,11 @@
 
 def check_refused(answer, code, outcome):
     """Check how a request without its whole answer was told so."""
-    error = read_told(answer).error
+    told = read_told(answer)
+    error = told.error
     assert error is not None, answer.body
-    assert (error['code'], error['outcome']) == (code, outcome)
+    assert told.numbers == list(range(len(told.numbers)))
+    assert (error['code'], error['outcome']) == (code, outcome), answer.body
     assert error['request_id'] == answer.request_id
 
 
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,210 @@
+"""Each caller gets the whole answer to its own request, or is told not."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from lavenderledge.policy import table
+from lavenderledge.standins import answers, launcher
+from tests import oracle, processes, relay
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+FLAGS = ('--silence-timeout=0.5', '--lost-timeout=3')
+SPEED = ('--token-gap-s=0.005',)
+ROWS = (
+    *processes.ROWS,
+    table.Row('odd', '*', 'odd', '*', 1, output_tokens=1, repeatable=True),
+    table.Row('solo', '*', 'solo', '*', 1, repeatable=True),
+)
+CREATED = b'data: {"type":"response.created","sequence_number":0}\n\n'
+DELTA = (
+    b'data: {"type":"response.output_text.delta",'
+    b'"sequence_number":%d,"delta":"x"}\n\n'
+)
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def fleet():
+    async with processes.run_fleet(
+        flags=FLAGS, rows=ROWS, instances=3, engine_flags=SPEED
+    ) as running:
+        yield running
+        await oracle.audit(running)
+
+
+class OddEngine:
+    """An engine that gives one answer to creations and knows none later."""
+
+    def __init__(self):
+        self.answer = b''
+        self.creations = 0
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        if head.startswith(b'POST /v1/responses '):
+            self.creations += 1
+            writer.write(self.answer)
+        else:
+            writer.write(b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n')
+        await writer.drain()
+        writer.close()
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def odd(fleet):
+    engine = OddEngine()
+    listening = await asyncio.start_server(engine.serve, '127.0.0.1', 0)
+    host, port = listening.sockets[0].getsockname()
+    await fleet.list_upstream(
+        launcher.Upstream('odd-0', 'odd', 'engine', 'a', f'{host}:{port}')
+    )
+    yield engine
+    listening.close()
+
+
+async def ask_many(fleet, count):
+    """Send requests of many lengths at once; return answers and lengths."""
+    lengths = [5 + 7 * (number % 23) for number in range(count)]
+    told = await asyncio.gather(
+        *(
+            fleet.ask(
+                f'entry-{number % 3}',
+                stream=number % 2 == 0,
+                metadata={'output_tokens': tokens, 'caller': number},
+            )
+            for number, tokens in enumerate(lengths)
+        )
+    )
+    return list(zip(told, lengths, strict=True))
+
+
+async def trouble(fleet):
+    """Cut, silence and slow the engines down, again and again."""
+    while True:
+        for switches in (
+            {'cut': True},
+            {'silent': True},
+            {'slowdown': 4},
+            {'cut_after_events': 9, 'slowdown': 1},
+            {'cut_after_events': 0, 'silent_new': 1},
+        ):
+            for name in ('engine-0', 'engine-1'):
+                await fleet.set_switches(name, **switches)
+            await asyncio.sleep(0.2)
+
+
+async def test_each_caller_gets_its_own_whole_answer(fleet):
+    troubling = asyncio.create_task(trouble(fleet))
+    told = await ask_many(fleet, 60)
+    troubling.cancel()
+    for name in ('engine-0', 'engine-1'):
+        await fleet.set_switches(
+            name, slowdown=1, cut_after_events=0, silent_new=0
+        )
+    for number, (answer, tokens) in enumerate(told):
+        oracle.check_whole(answer, tokens, caller=number)
+
+
+async def test_a_connection_silent_for_good_is_left_for_a_new_one(fleet):
+    engine = await fleet.start_standin(
+        'engine', '--model=solo', '--replica=solo-0', *SPEED, name='engine-solo'
+    )
+    path = relay.Relay(target=engine.address)
+    await fleet.list_upstream(
+        launcher.Upstream('solo-0', 'solo', 'engine', 'a', await path.start())
+    )
+    whole = asyncio.create_task(fleet.ask('entry-1', tokens=200, model='solo'))
+    async with oracle.open_stream(
+        fleet, 'entry-0', tokens=200, model='solo'
+    ) as response:
+        events = await oracle.read_events(response, until=20)
+        path.silence()
+        events += await oracle.read_events(response)
+    told = oracle.Told(events=events)
+    assert told.numbers == list(range(202))
+    assert told.text == answers.render_text(told.response['id'], 200)
+    oracle.check_whole(await whole, 200)
+    await path.close()
+
+
+async def test_any_instance_gives_the_rest_of_a_stream(fleet):
+    victim = await fleet.start_instance('entry-9', *FLAGS)
+    await fleet.wait_until_ready('entry-0', 'entry-1', 'entry-2', 'entry-9')
+    async with oracle.open_stream(fleet, 'entry-9', tokens=300) as response:
+        events = await oracle.read_events(response, until=20)
+        await victim.kill()
+    await fleet.remove_endpoint('entry-9')
+    response_id = events[0]['response']['id']
+    path = f'/v1/responses/{response_id}'
+    rest = await fleet.call(
+        'entry-1', 'GET', f'{path}?stream=true&starting_after=20'
+    )
+    told = oracle.Told(events=events + oracle.read_told(rest).events)
+    assert told.numbers == list(range(302))
+    assert told.text == answers.render_text(response_id, 300)
+    again = oracle.read_told(await fleet.call('entry-2', 'GET', path))
+    assert again.response == told.response
+
+
+@pytest.mark.parametrize(
+    ('stream', 'code', 'outcome'),
+    [
+        (None, 'upstream_refused', 'failed'),
+        (b'data: nonsense\n\n', 'upstream_lost', 'unknown'),
+        (CREATED + DELTA % 1 + DELTA % 3, 'upstream_lost', 'unknown'),
+        (CREATED + DELTA % 1, 'upstream_lost', 'unknown'),
+        (
+            CREATED + b'data: {"type":"response.completed",'
+            b'"sequence_number":1}\n\n',
+            'answer_incomplete',
+            'failed',
+        ),
+        (
+            CREATED + b'data: {"type":"response.cancelled",'
+            b'"sequence_number":1,"response":{"status":"cancelled"}}\n\n',
+            'upstream_failed',
+            'failed',
+        ),
+    ],
+)
+async def test_a_broken_answer_is_no_answer(fleet, odd, stream, code, outcome):
+    before = odd.creations
+    odd.answer = (
+        b'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'
+        if stream is None
+        else b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+        + stream
+    )
+    for streamed in (False, True):
+        answer = await fleet.ask('entry-0', model='odd', stream=streamed)
+        oracle.check_refused(answer, code, outcome)
+        if outcome == 'unknown':
+            assert oracle.read_told(answer).response is None
+    assert odd.creations == before + 2
+
+
+async def test_an_engines_death_is_told(fleet):
+    await fleet.remove_endpoint('solo-0')
+    victim = await fleet.start_engine(
+        'engine-9', 'solo', '--model=solo', *SPEED
+    )
+    whole = asyncio.create_task(fleet.ask('entry-1', tokens=5000, model='solo'))
+    async with oracle.open_stream(
+        fleet, 'entry-0', tokens=5000, model='solo'
+    ) as response:
+        events = await oracle.read_events(response, until=20)
+
+        async def are_running():
+            return await oracle.count_calls(fleet, 'create', 'engine-9') == 2
+
+        await processes.wait_for(are_running)
+        await victim.kill()
+        events += await oracle.read_events(response)
+    told = oracle.Told(events=events)
+    assert told.response is None
+    assert told.error['code'] == 'upstream_lost'
+    assert told.error['outcome'] == 'unknown'
+    assert told.numbers == list(range(len(told.numbers)))
+    oracle.check_refused(await whole, 'upstream_lost', 'unknown')
