--- a/lavenderledge/load/definition.py
+++ b/lavenderledge/load/definition.py
@@ -120,6 +120,13 @@
         '--json', 'FILE', parse_path, '', 'where to write the measures as JSON'
     ),
     Option('--plot', 'FILE', parse_path, '', 'where to write a plot as SVG'),
+    Option(
+        '--requests',
+        'FILE',
+        parse_path,
+        '',
+        'where to append a line of JSON for each request of each run',
+    ),
     Option(
         '--log', 'FILE', parse_path, '', "where to append all programs' logs"
     ),
--- /dev/null
+++ b/lavenderledge/load/requestlines.py
@@ -0,0 +1,85 @@
+"""One line of JSON for each request of a run, to look for causes in."""
+
+import typing
+
+import msgspec
+
+from lavenderledge.load import client, replay, truth, workloads
+from lavenderledge.load import fleet as fleets
+
+
+class RequestLine(typing.NamedTuple):
+    """One request; times in seconds from the trace's start.
+
+    ``replica`` is empty for one that no engine got; ``avoidable_tokens``
+    were prefilled although another replica had them cached.
+    """
+
+    run: str
+    number: int
+    kind: str
+    tier: int
+    at_s: float
+    first_s: float | None
+    ended_s: float
+    timeout_s: float
+    whole: bool
+    reason: str
+    output_tokens: int
+    replica: str = ''
+    started_s: float | None = None
+    finished_s: float | None = None
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    avoidable_tokens: int = 0
+
+
+def render_lines(user: workloads.User, run: replay.Run) -> bytes:
+    """Return the lines of a run, in the order of arrival."""
+    avoidable = truth.find_avoidable(user, run.trace, run.records)
+    found = {
+        record.number: (record, tokens)
+        for record, tokens in zip(run.records, avoidable, strict=True)
+    }
+    lines = []
+    for answer in run.answers:
+        line = _build_line(run.label, answer)
+        ran = found.get(line.number)
+        if ran is not None:
+            line = _add_record(line, *ran, run.started_wall_s)
+        lines.append(msgspec.json.encode(line._asdict()))
+    return b'\n'.join((*lines, b''))
+
+
+def _build_line(run: str, answer: client.Answer) -> RequestLine:
+    arrival = answer.arrival
+    return RequestLine(
+        run=run,
+        number=arrival.number,
+        kind=arrival.kind,
+        tier=arrival.tier,
+        at_s=arrival.at_s,
+        first_s=answer.first_s,
+        ended_s=answer.ended_s,
+        timeout_s=arrival.timeout_s,
+        whole=answer.whole,
+        reason=answer.reason,
+        output_tokens=arrival.output_tokens,
+    )
+
+
+def _add_record(
+    line: RequestLine, record: fleets.Record, avoidable: int, from_s: float
+) -> RequestLine:
+    return line._replace(
+        replica=record.replica,
+        started_s=_subtract(record.started_s, from_s),
+        finished_s=_subtract(record.finished_s, from_s),
+        prompt_tokens=record.prompt_tokens,
+        cached_tokens=record.cached_tokens,
+        avoidable_tokens=avoidable,
+    )
+
+
+def _subtract(at_s: float | None, from_s: float) -> float | None:
+    return None if at_s is None else at_s - from_s
--- a/lavenderledge/load/scenarios.py
+++ b/lavenderledge/load/scenarios.py
@@ -1,5 +1,6 @@
 """What is replayed, in which order, for each scenario."""
 
+import pathlib
 import typing
 from collections import abc
 
@@ -9,6 +10,7 @@
     fleet as fleets,
     replay,
     report,
+    requestlines,
     settings as configuration,
     summary,
     targets,
@@ -73,9 +75,17 @@
             label=turn.label,
             clock=bench.clock,
         )
+    _keep_lines(bench.settings, run)
     return summary.measure_run(user, run)
 
 
+def _keep_lines(settings: configuration.Settings, run: replay.Run) -> None:
+    if settings.requests is None:
+        return
+    with pathlib.Path(settings.requests).open('ab') as kept:
+        kept.write(requestlines.render_lines(settings.user, run))
+
+
 def _list_turns(
     settings: configuration.Settings, trace: traces.Trace
 ) -> abc.Iterator[Turn]:
--- a/lavenderledge/load/settings.py
+++ b/lavenderledge/load/settings.py
@@ -22,6 +22,7 @@
     crest: float
     json: str | None
     plot: str | None
+    requests: str | None
     log: str | None
 
 
--- a/lavenderledge/load/truth.py
+++ b/lavenderledge/load/truth.py
@@ -94,7 +94,7 @@
     recomputed = sum(
         avoidable
         for record, avoidable in zip(
-            records, _find_avoidable(user, trace, records), strict=True
+            records, find_avoidable(user, trace, records), strict=True
         )
         if record.number in whole
     )
@@ -189,7 +189,7 @@
     return grouped
 
 
-def _find_avoidable(
+def find_avoidable(
     user: workloads.User,
     trace: traces.Trace,
     records: abc.Sequence[fleets.Record],
