--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -1,5 +1,6 @@
 """Who gets which replica now: the decisions of one pool's allocator."""
 
+import itertools
 import typing
 from collections import abc
 
@@ -40,6 +41,8 @@
     """Grant what can be granted; name whom to cancel for the rest."""
     pool.update_blocked()
     current = _Round(pool=pool, now_s=now_s)
+    if pool.limited:
+        current.refuse_hopeless()
     granted = current.grant()
     preempted: list[requests.Request] = []
     if pool.limited:
@@ -66,6 +69,17 @@
         }
         self._reserved: dict[str, int] = {}
 
+    def refuse_hopeless(self) -> None:
+        """Refuse the oldest of each tier that no replica could finish."""
+        for tier in self._book.queue.list_tiers():
+            oldest = itertools.islice(
+                self._book.queue.walk_arrivals(tier), _LOOK_AHEAD
+            )
+            for request in tuple(oldest):
+                if not self._is_hopeless(request):
+                    break
+                self._refuse(request, outcomes.Reason.DEADLINE_UNREACHABLE)
+
     def grant(self) -> list[Granted]:
         """Grant in strict order of tiers, fairly inside each."""
         for tier in self._book.queue.list_tiers():
@@ -144,6 +158,10 @@
                 self._reserve(choice.replica)
         return False
 
+    def _is_hopeless(self, request: requests.Request) -> bool:
+        wanted = pools.measure(request, self._now_s)
+        return placement.is_unreachable(wanted, self._fit_options(request))
+
     def _place(self, request: requests.Request, name: str) -> None:
         replica = self._book.replicas[name]
         assert replica.info is not None
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -14,7 +14,7 @@
 _MUST_FIT: typing.Final = 0.8
 # A request with less than this times its estimate left is late: it may fail,
 # as an answer may be longer than its row's usual one.
-_SAFE_FIT: typing.Final = 1.5
+_SAFE_FIT: typing.Final = 1.3
 
 
 class Wanted(typing.NamedTuple):
@@ -93,6 +93,14 @@
     )
 
 
+def is_unreachable(wanted: Wanted, options: abc.Sequence[Option]) -> bool:
+    """Return whether no replica could finish in time, if granted now."""
+    least_s = min(
+        (estimate_least_s(wanted, option) for option in options), default=0
+    )
+    return least_s * _MUST_FIT > wanted.remaining_s
+
+
 def choose_by_finish(wanted: Wanted, options: abc.Sequence[Option]) -> Choice:
     """Place where the answer is expected first, and in time.
 
@@ -103,18 +111,19 @@
     """
     if not options:
         return _WAIT
-    least_s = min(estimate_least_s(wanted, option) for option in options)
-    if least_s * _MUST_FIT > wanted.remaining_s:
+    if is_unreachable(wanted, options):
         return Choice(Verdict.UNREACHABLE)
     timely = [
-        (estimate_finish_s(wanted, option), option.replica)
+        (_weigh(wanted, option), option)
         for option in options
         if option.slots > 0
         and estimate_least_s(wanted, option) * _MUST_FIT < wanted.remaining_s
     ]
     if not timely:
         return _WAIT
-    finish_s, replica = min(timely)
+    _, best = min(timely)
+    replica = best.replica
+    finish_s = estimate_finish_s(wanted, best)
     if not wanted.late and _SAFE_FIT * finish_s > wanted.remaining_s:
         return Choice(Verdict.LATE)
     if wanted.waited_s < MOST_HOLD_S and _find_faster(
@@ -180,6 +189,13 @@
     return makers[name]()
 
 
+def _weigh(wanted: Wanted, option: Option) -> float:
+    """Return the time to finish, with the delay of others by the prefill."""
+    uncached = max(wanted.prompt_tokens - option.cached_tokens, 1)
+    delay_s = uncached / option.prefill_rate * option.outstanding
+    return estimate_finish_s(wanted, option) + delay_s
+
+
 def _read_reported(option: Option) -> int:
     return option.reported
 
--- a/lavenderledge/policy/preemption.py
+++ b/lavenderledge/policy/preemption.py
@@ -7,7 +7,7 @@
 FIRST_TOKEN_TARGET_S: typing.Final = 0.76
 
 # The part of the time to the first-token target that may be waited away.
-_TARGET_PART: typing.Final = 0.5
+_TARGET_PART: typing.Final = 0.8
 # The part of the slack before the deadline that may be waited away.
 _SLACK_PART: typing.Final = 0.25
 
