--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -456,3 +456,57 @@
         clock.now_s = now_s
         instance.note_peer_revision('entry-1', 3)
     assert sent == [messages.TableRequest('entry-0', 0)] * 2
+
+
+class Races:
+    """Two operators at one table, moved call by call."""
+
+    def __init__(self):
+        self.clock = operators.SteppedClock()
+        self.service = operators.SteppedKeyValue(self.clock)
+
+    def start(self, edit_id, cells, *, repeated=False):
+        def plan(rows):
+            planned = tableplan.plan_set(rows, 'plans', cells)
+            return planned.map_error(editing.Refused)
+
+        editor = editing.Editor(
+            edit=editing.Edit(edit_id, 'a', 's', 'r', plan, repeated=repeated),
+            keyvalue=self.service,
+            clock=self.clock,
+            rng=random.Random(0),
+        )
+        return operators.Stepped(editor.run(datetime.timedelta(seconds=1)))
+
+    def finish(self, stepped, fate='ok'):
+        while stepped.waits:
+            stepped.move(fate)
+        return stepped.result
+
+
+def test_a_cell_that_is_asked_for_conflicts_also_where_it_was_so_already():
+    races = Races()
+    races.finish(races.start('new', {'pool': 'p', 'tier': '1'}))
+    first = races.start('first', {'tier': '1', 'queue': '7'})
+    first.move('ok')
+    races.finish(races.start('other', {'tier': '2'}))
+    told = races.finish(first)
+    assert told.error == editing.Conflicted(
+        (tablemerge.Conflict('plans', 'tier', 1, 2),)
+    )
+
+
+@pytest.mark.parametrize('reads', [0, 1])
+def test_a_repeated_edit_is_not_told_as_refused_while_it_can_land(reads):
+    races = Races()
+    first = races.start('e', {'pool': 'p', 'tier': '1'})
+    first.move('ok')
+    first.move('late')
+    again = races.start('e', {'pool': 'p', 'tier': '1'}, repeated=True)
+    for _ in range(reads):
+        again.move('ok')
+    told = races.finish(again, 'refused')
+    races.service.run(races.service.late.pop())
+    settled = races.start('e', {'pool': 'p', 'tier': '1'}, repeated=True)
+    assert isinstance(told.error, editing.EditUnknown)
+    assert races.finish(settled).ok.changes
