Decide only on what changed: cached options, checks at intervals

Cause: profiling showed options rebuilt for every replica at every message, and every tier's oldest waiter estimated each time. Options are rebuilt when their replica changed, nothing is done without waiting requests, and a request held back reserves one slot a round, not one for each grant after it.

--- a/lavenderledge/controllers/allocator.py
+++ b/lavenderledge/controllers/allocator.py
@@ -110,7 +110,7 @@
         """Take a replica's own, lagging report of its load."""
         held = self._pools.get(pool)
         if held is not None and replica in held.book.replicas:
-            held.book.replicas[replica].reported = running + waiting
+            held.book.replicas[replica].note_load(running + waiting)
 
     def note_cache_events(
         self,
--- a/lavenderledge/policy/book.py
+++ b/lavenderledge/policy/book.py
@@ -23,6 +23,7 @@
         self.pressed: requests.Requests = {}
         self.freeing: requests.Requests = {}
         self._row_held: dict[str, int] = {}
+        self._cancellable: dict[int, int] = {}
 
     def add(self, request: requests.Request) -> None:
         """Add a request that waits."""
@@ -64,6 +65,7 @@
         request.output_left = request.ask.output_tokens
         self._charge(request)
         self._hold(request, now_s)
+        self.find_replica(replica).note_granted(now_s=now_s)
 
     def adopt(
         self,
@@ -136,7 +138,8 @@
     def has_lower_held(self, tier: int) -> bool:
         """Return whether lower-tier work holds grants and may be cancelled."""
         return any(
-            replica.load.count_lower(tier) for replica in self.replicas.values()
+            count and number > tier
+            for number, count in self._cancellable.items()
         )
 
     def _wait(self, request: requests.Request) -> None:
@@ -157,6 +160,8 @@
         ask = request.ask
         self.held.setdefault(ask.tier, {})[ask.request_id] = request
         self._row_held[ask.row] = self._row_held.get(ask.row, 0) + 1
+        tier = request.cancel_tier
+        self._cancellable[tier] = self._cancellable.get(tier, 0) + 1
         self._load(request, now_s)
 
     def _unhold(self, request: requests.Request, now_s: float) -> None:
@@ -166,6 +171,7 @@
         self._row_held[ask.row] -= 1
         if not self._row_held[ask.row]:
             self._row_held.pop(ask.row)
+        self._cancellable[request.cancel_tier] -= 1
         self._unload(request, now_s)
 
     def _load(self, request: requests.Request, now_s: float) -> None:
@@ -197,8 +203,10 @@
             held.output_tokens - held.output_done,
             int(held.output_tokens * _LEAST_LEFT),
         )
-        load.prefill_left += prefill - request.prefill_left
-        load.output_left += output - request.output_left
+        load.change(
+            prefill=prefill - request.prefill_left,
+            output=output - request.output_left,
+        )
         request.prefill_left = prefill
         request.output_left = output
         request.output_done = held.output_done
--- /dev/null
+++ b/lavenderledge/policy/cancellation.py
@@ -0,0 +1,136 @@
+"""Whose work is cancelled now for requests that can't wait longer."""
+
+import typing
+from collections import abc
+
+from lavenderledge.policy import (
+    options as rounds,
+    placement,
+    pool as pools,
+    preemption,
+    requests,
+)
+
+# The most requests that are told to end for one tier in one round.
+_MOST_VICTIMS: typing.Final = 16
+_TELL_AGAIN_S: typing.Final = 0.5
+
+
+def cancel_lower(
+    pool: pools.Pool, options: rounds.Options, now_s: float
+) -> list[requests.Request]:
+    """Choose and record lower-tier work to cancel, the fewest needed.
+
+    Cancels under way count as slots that will be free.
+    """
+    chosen: list[requests.Request] = []
+    if not options:
+        return chosen
+    freeing = len(pool.book.freeing)
+    for tier in pool.book.queue.list_tiers():
+        if not pool.book.has_lower_held(tier):
+            break
+        waiting = _count_impatient(
+            pool, options, tier, freeing + _MOST_VICTIMS, now_s
+        )
+        need = max(0, waiting - freeing)
+        freeing = max(0, freeing - waiting)
+        if need:
+            chosen.extend(_cancel_for(pool, tier, need, now_s))
+    return chosen
+
+
+def list_overdue(pool: pools.Pool, now_s: float) -> list[requests.Request]:
+    """Return those told to end long ago, to be told again."""
+    overdue = []
+    for request in pool.book.freeing.values():
+        told_s = request.preempted_s
+        if told_s is not None and now_s - told_s > _TELL_AGAIN_S:
+            request.preempted_s = now_s
+            overdue.append(request)
+    return overdue
+
+
+def _count_impatient(
+    pool: pools.Pool,
+    options: rounds.Options,
+    tier: int,
+    most: int,
+    now_s: float,
+) -> int:
+    """Return how many of a tier wait too long; pressed ones all do."""
+    pressed = pool.book.pressed
+    blocked = pool.book.queue.is_blocked
+    count = sum(
+        1
+        for request in pressed.values()
+        if request.ask.tier == tier and not blocked(request.ask.row)
+    )
+    for request in pool.book.queue.walk_arrivals(tier):
+        if request.request_id in pressed or blocked(request.ask.row):
+            continue
+        if count >= most or not _is_impatient(request, options, now_s):
+            break
+        count += 1
+    return count
+
+
+def _is_impatient(
+    request: requests.Request, options: rounds.Options, now_s: float
+) -> bool:
+    wanted = pools.measure(request, now_s)
+    listed = options.list_all()
+    first_s = min(
+        placement.estimate_first_s(wanted, option) for option in listed
+    )
+    finish_s = min(
+        placement.estimate_finish_s(wanted, option) for option in listed
+    )
+    patience_s = preemption.find_patience_s(
+        remaining_s=wanted.remaining_s + wanted.waited_s,
+        first_token_s=first_s,
+        finish_s=finish_s,
+    )
+    return wanted.waited_s >= patience_s
+
+
+def _cancel_for(
+    pool: pools.Pool, tier: int, need: int, now_s: float
+) -> list[requests.Request]:
+    useful = (
+        victim
+        for victim in _list_victims(pool, tier)
+        if _gives_slot(pool, victim, now_s)
+    )
+    victims = preemption.select_victims(useful, tier=tier, need=need)
+    chosen = [pool.book.requests[victim.request_id] for victim in victims]
+    for request in chosen:
+        pool.book.preempt(request, now_s=now_s)
+    return chosen
+
+
+def _list_victims(
+    pool: pools.Pool, tier: int
+) -> abc.Iterator[preemption.Victim]:
+    for number, held in pool.book.held.items():
+        if number <= tier:
+            continue
+        for request in held.values():
+            if request.ask.preemptible and request.preempted_s is None:
+                yield preemption.Victim(
+                    number,
+                    request.work_done,
+                    request.request_id,
+                    request.replica,
+                )
+
+
+def _gives_slot(
+    pool: pools.Pool, victim: preemption.Victim, now_s: float
+) -> bool:
+    """Return whether cancelling would free a slot that can be used."""
+    replica = pool.book.replicas[victim.replica]
+    if not replica.is_open(now_s):
+        return False
+    most = replica.count_most(share=pool.fleet.share, now_s=now_s)
+    return most >= replica.load.held
--- /dev/null
+++ b/lavenderledge/policy/options.py
@@ -0,0 +1,109 @@
+"""The replicas as options for requests, in one round of decisions."""
+
+import typing
+
+from lavenderledge.policy import (
+    digests,
+    placement,
+    pool as pools,
+    replicas,
+    requests,
+)
+
+_TOKENS_PER_BLOCK: typing.Final = digests.BLOCK_CHARS // 4
+
+
+class Options:
+    """Every listed replica's option; only those that changed are rebuilt."""
+
+    def __init__(self, *, pool: pools.Pool, now_s: float) -> None:
+        """Look at the pool's replicas once."""
+        self._pool = pool
+        self._now_s = now_s
+        self._share = pool.fleet.share
+        if self._share != pool.options_share:
+            pool.options.clear()
+            pool.options_share = self._share
+        self._options = {
+            name: self._find(name, replica)
+            for name, replica in pool.book.replicas.items()
+            if replica.info is not None
+        }
+
+    def __len__(self) -> int:
+        """Return how many replicas are listed."""
+        return len(self._options)
+
+    def list_all(self) -> list[placement.Option]:
+        """Return the options without regard to any one request."""
+        return list(self._options.values())
+
+    def has_slots(self) -> bool:
+        """Return whether any replica may be granted."""
+        return any(option.slots > 0 for option in self._options.values())
+
+    def refresh(self, name: str) -> None:
+        """Rebuild the option of a replica that was granted."""
+        self._options[name] = self._find(name, self._pool.book.replicas[name])
+
+    def reserve(self, name: str) -> None:
+        """Keep one slot of a replica free for the rest of the round."""
+        option = self._options[name]
+        self._options[name] = option._replace(slots=option.slots - 1)
+
+    def count_cached(self, request: requests.Request, name: str) -> float:
+        """Return how many prompt tokens a replica should have cached."""
+        blocks = self._pool.prefixes.match(name, request.ask.prefix)
+        return min(blocks * _TOKENS_PER_BLOCK, request.ask.prompt_tokens)
+
+    def fit(self, request: requests.Request) -> list[placement.Option]:
+        """Return the options with what each has cached of the prompt."""
+        if not request.ask.prefix or not self._pool.limited:
+            return self.list_all()
+        fitted = []
+        for name, option in self._options.items():
+            cached = self.count_cached(request, name)
+            if cached:
+                fitted.append(option._replace(cached_tokens=cached))
+            else:
+                fitted.append(option)
+        return fitted
+
+    def discount_lower(
+        self, tier: int, options: list[placement.Option]
+    ) -> list[placement.Option]:
+        """Return options with their gaps were lower tiers cancelled."""
+        discounted = []
+        for option in options:
+            replica = self._pool.book.replicas[option.replica]
+            lower = replica.load.count_lower(tier)
+            gap_s = replica.speed.gap_s(replica.load.held + 1 - lower)
+            least_gap_s = gap_s * replica.slow_factor()
+            discounted.append(option._replace(least_gap_s=least_gap_s))
+        return discounted
+
+    def _find(self, name: str, replica: replicas.Replica) -> placement.Option:
+        option = self._pool.options.get(name)
+        if option is None or replica.load.changed or not replica.steady:
+            option = self._build(name, replica)
+            self._pool.options[name] = option
+            replica.load.changed = False
+        return option
+
+    def _build(self, name: str, replica: replicas.Replica) -> placement.Option:
+        load = replica.load
+        factor = replica.slow_factor()
+        gap_s = replica.speed.gap_s(load.held + 1) * factor
+        held = max(load.held, 1)
+        return placement.Option(
+            replica=name,
+            slots=replica.count_slots(share=self._share, now_s=self._now_s),
+            gap_s=gap_s,
+            least_gap_s=gap_s,
+            prefill_rate=replica.speed.prefill_rate / factor,
+            queued_tokens=load.prefill_left,
+            cached_tokens=0,
+            free_in_s=load.output_left / held * gap_s / held,
+            outstanding=load.held,
+            reported=replica.reported,
+        )
--- a/lavenderledge/policy/pool.py
+++ b/lavenderledge/policy/pool.py
@@ -45,12 +45,19 @@
             book=self.book, find_row=find_row, now_s=now_s
         )
         self.fleet = Fleet(0, 1)
+        self.checked_s = float('-inf')
+        self.options: dict[str, placement.Option] = {}
+        self.options_share = float(0)
         self.sequence = 0
         self._policy = policy
         self._find_row = find_row
+        self._infos: abc.Sequence[replicas.ReplicaInfo] = ()
 
     def list_replicas(self, infos: abc.Sequence[replicas.ReplicaInfo]) -> None:
         """Take the replicas that may be granted now."""
+        if infos is self._infos:
+            return
+        self._infos = infos
         listed = {info.name: info for info in infos}
         for name, replica in tuple(self.book.replicas.items()):
             replica.list_as(listed.get(name))
--- a/lavenderledge/policy/queueing.py
+++ b/lavenderledge/policy/queueing.py
@@ -40,7 +40,7 @@
 
     def __len__(self) -> int:
         """Return how many requests wait."""
-        return sum(len(tier.arrivals) for tier in self._tiers.values())
+        return sum(map(_count_arrivals, self._tiers.values()))
 
     def add(self, request: requests.Request) -> None:
         """Add a request behind its customer's others."""
@@ -168,3 +168,7 @@
             if request.ask.row not in self._blocked
         )
         return list(itertools.islice(late, most))
+
+
+def _count_arrivals(tier: _Tier) -> int:
+    return len(tier.arrivals)
--- a/lavenderledge/policy/replicas.py
+++ b/lavenderledge/policy/replicas.py
@@ -42,11 +42,13 @@
         self.reported = 0
         self.failures = 0
         self.closed_until_s = float('-inf')
+        self._tried = False
         self.list_as(info)
 
     def list_as(self, info: ReplicaInfo | None) -> None:
         """Take the replica's entry in the list, None where it is gone."""
         self.info = info
+        self.load.changed = True
         if info is not None and info.kind == 'plain' and not self.plain:
             self.plain = True
             self.limit = knees.Limit(start=PLAIN_LIMIT)
@@ -67,25 +69,43 @@
         most = math.ceil(self.limit.most * share)
         return stragglers.scale_limit(self.standing, most, now_s=now_s)
 
+    @property
+    def steady(self) -> bool:
+        """Return whether its slots depend on the load alone."""
+        normal = self.standing.state is stragglers.State.NORMAL
+        return normal and not self.failures
+
+    def note_load(self, reported: int) -> None:
+        """Take the replica's own, lagging report of its load."""
+        self.reported = reported
+        self.load.changed = True
+
     def slow_factor(self) -> float:
         """Return by how much the replica is slower than usual now."""
         if self.standing.state is stragglers.State.NORMAL:
             return 1
         return max(1, self.pace.ratio() or 1)
 
+    def note_granted(self, *, now_s: float) -> None:
+        """Let one request try a replica that failed, and no more for now."""
+        if self.failures:
+            self._tried = True
+            self._close(now_s)
+
     def note_reading(self, reading: messages.Reading, *, now_s: float) -> None:
         """Learn from what an instance measured."""
+        self.load.changed = True
         if reading.failures:
-            self._note_failures(reading.failures, now_s)
+            self._note_failure(now_s)
         if reading.first_tokens:
-            self.failures = 0
+            self._note_accepted()
             self._note_first_tokens(reading, now_s)
         if reading.token_gaps:
-            self.failures = 0
             self._note_gaps(reading, now_s)
 
     def judge(self, *, common: float, now_s: float) -> None:
         """Update the standing, given by how much all replicas are slow."""
+        self.load.changed = True
         self.standing = stragglers.judge(
             self.standing,
             ratio=self.pace.ratio(),
@@ -144,8 +164,22 @@
             first_token_s=reading.first_token_s,
         )
 
-    def _note_failures(self, count: int, now_s: float) -> None:
-        self.failures = min(self.failures + count, _MOST_DOUBLINGS)
+    def _note_failure(self, now_s: float) -> None:
+        """Close for longer; what was sent before the closing adds nothing."""
+        if now_s < self.closed_until_s and not self._tried:
+            return
+        self._tried = False
+        self.failures = min(self.failures + 1, _MOST_DOUBLINGS)
+        self._close(now_s)
+
+    def _note_accepted(self) -> None:
+        """Open; answers from before the closing are no sign."""
+        if self._tried:
+            self._tried = False
+            self.failures = 0
+            self.closed_until_s = float('-inf')
+
+    def _close(self, now_s: float) -> None:
         backoff_s = _FIRST_BACKOFF_S * 2 ** (self.failures - 1)
         self.closed_until_s = now_s + min(backoff_s, _MOST_BACKOFF_S)
 
@@ -155,6 +189,7 @@
 
     def __init__(self) -> None:
         """Start without any."""
+        self.changed = True
         self.held = 0
         self.cancellable: dict[int, int] = {}
         self.prefill_left = 0
@@ -170,6 +205,7 @@
         ``tier`` is that of a request that may be cancelled, else 0.
         """
         self.mean_batch(now_s)
+        self.changed = True
         self.held += 1
         self.cancellable[tier] = self.cancellable.get(tier, 0) + 1
         self.prefill_left += prefill
@@ -180,11 +216,18 @@
     ) -> None:
         """Count one request less that had so much left to do."""
         self.mean_batch(now_s)
+        self.changed = True
         self.held -= 1
         self.cancellable[tier] -= 1
         self.prefill_left -= prefill
         self.output_left -= output
 
+    def change(self, *, prefill: int, output: int) -> None:
+        """Add to what is left to do by the requests that are here."""
+        self.changed = True
+        self.prefill_left += prefill
+        self.output_left += output
+
     def count_lower(self, tier: int) -> int:
         """Return how many requests of lower tiers may be cancelled."""
         return sum(
