Test that the table is followed through an outage and a silent watch

Cause: the loops that poll and watch had no test of their own. Both end a lost watch by a new one, or by a poll, against the stand-in; an instance that is no watcher opens no watch.

--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -1,3 +1,6 @@
+import asyncio
+import collections
+import contextlib
 import datetime
 import random
 
@@ -7,9 +10,10 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from lavenderledge import clock as clocks
 from lavenderledge.controllers import edit as editing
 from lavenderledge.controllers import table as controller
-from lavenderledge.controllers import tablecopy
+from lavenderledge.controllers import tablecopy, tablefeed
 from lavenderledge.peers import messages
 from lavenderledge.platform import gateway, operations
 from lavenderledge.policy import (
@@ -21,7 +25,7 @@
     tablemerge,
     tableplan,
 )
-from tests import operators
+from tests import operators, test_keyvalue
 
 PLANS = table.Row('plans', '*', 'calculator', '*', 1)
 NAMES = st.text(
@@ -510,3 +514,69 @@
     settled = races.start('e', {'pool': 'p', 'tier': '1'}, repeated=True)
     assert isinstance(told.error, editing.EditUnknown)
     assert races.finish(settled).ok.changes
+
+
+@contextlib.asynccontextmanager
+async def follow(client, *, watches):
+    """Run a feed whose polls are ten seconds apart or more."""
+    seen = asyncio.Queue()
+    counted = collections.Counter()
+    instance = controller.TableController(
+        instance='entry-0',
+        clock=clocks.SystemClock(),
+        on_change=seen.put_nowait,
+        send_to=lambda name, message: None,
+        count=lambda event: counted.update([event]),
+    )
+    feed = tablefeed.TableFeed(
+        controller=instance,
+        keyvalue=client,
+        clock=clocks.SystemClock(),
+        rng=random.Random(0),
+        is_watcher=lambda: watches,
+        read_fleet_size=lambda: 2,
+        count=lambda event: counted.update([event]),
+    )
+    running = asyncio.create_task(feed.run())
+    try:
+        yield seen, counted
+    finally:
+        running.cancel()
+        await asyncio.wait([running])
+
+
+async def write_table(client, tier):
+    rows = (PLANS._replace(tier=tier),)
+    body = tablecheck.encode_checked(table.Table(rows, f'e{tier}')).ok
+    put = operations.Put(controller.TABLE_KEY, body)
+    return (await client.transact((), [put])).ok.revision
+
+
+async def test_a_watcher_follows_edits_through_outages(monkeypatch):
+    monkeypatch.setattr(
+        tablefeed, 'WATCH_IDLE_TIMEOUT', datetime.timedelta(seconds=1)
+    )
+    service = test_keyvalue.make_service()
+    async with test_keyvalue.connect(service) as client:
+        await write_table(client, 1)
+        async with follow(client, watches=True) as (seen, counted):
+            first = await seen.get()
+            service.panel.change({'outage': True})
+            while not counted[controller.Event.WATCH_FAILED]:
+                await asyncio.sleep(0.01)
+            service.panel.change({'outage': False})
+            second = await write_table(client, 2)
+            assert (await seen.get()).revision == second
+            service.panel.change({'silent_watches': True})
+            third = await write_table(client, 3)
+            assert (await seen.get()).revision == third
+    assert first.rows.find_row('plans').tier == 1
+
+
+async def test_an_instance_that_does_not_watch_polls_and_opens_no_watch():
+    service = test_keyvalue.make_service()
+    async with test_keyvalue.connect(service) as client:
+        revision = await write_table(client, 1)
+        async with follow(client, watches=False) as (seen, _):
+            assert (await seen.get()).revision == revision
+    assert not service.panel.counts['watch']
