Believe the instance list over the last words of silent instances

An instance that slept while the others were replaced kept their old addresses, for a minute as heard and two hours as lost, over the newer ones in the platform's list: sleepers and newcomers formed two fleets.

Ruled out as a fault: a third failure came from the test's own incarnations, which were consecutive numbers; a process that raises its incarnation by one met the next one's. They are start times in milliseconds in the daemon; the test now spaces them.

--- a/lavenderledge/controllers/membership.py
+++ b/lavenderledge/controllers/membership.py
@@ -301,7 +301,7 @@
             alive.append(self._own.instance)
         others = {each.instance for each in members}
         self._gossiper.update(self._own, others, self._plan)
-        self._announce(tuple(sorted(alive)), self._plan_links(now_s, heard))
+        self._announce(tuple(sorted(alive)), self._plan_links(now_s, members))
 
     def _announce(self, alive: tuple[str, ...], links: dict[str, str]) -> None:
         if alive == self._alive and links == self._links:
@@ -319,16 +319,22 @@
         self._on_change(links)
 
     def _plan_links(
-        self, now_s: float, heard: list[messages.Member]
+        self, now_s: float, alive: list[messages.Member]
     ) -> dict[str, str]:
-        """Return the addresses by name; what was heard counts most.
+        """Return the addresses by name.
 
-        An outdated process is linked under its address, which no instance
-        has for a name.
+        Those alive are where they said; the platform's list knows better
+        than the last words of the others. An outdated process is linked
+        under its address, which no instance has for a name.
         """
-        links = {entry.instance: entry.address for entry in self._list_listed()}
-        lost = self._sightings.list_lost(now_s, self._plan.forget_after)
-        for member in (*lost, *heard):
+        silent = (
+            *self._sightings.list_lost(now_s, self._plan.forget_after),
+            *self._list_heard(now_s),
+        )
+        links = {member.instance: member.address for member in silent}
+        for entry in self._list_listed():
+            links[entry.instance] = entry.address
+        for member in alive:
             links[member.instance] = member.address
         for outdated in self._sightings.list_outdated():
             links[outdated.address] = outdated.address
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,7 +60,7 @@
         self.incarnation = 0
 
     def start(self, name, *, listed=NAMES):
-        self.incarnation += 1
+        self.incarnation += 10
         node = Node(self, name, self.incarnation)
         self.nodes[node.address] = node
         node.membership.note_listed(
@@ -196,6 +196,23 @@
     assert set(network.list_views()) == {(*NAMES[:4], NAMES[5])}
 
 
+def test_a_sleeper_finds_a_fleet_that_was_replaced_meanwhile():
+    network = start_fleet(3)
+    sleeper = network.list_nodes(NAMES[0])[0]
+    sleeper.frozen = True
+    for name in NAMES[1:3]:
+        network.stop(name)
+        network.start(name, listed=NAMES[1:3])
+    sleeper.frozen = False
+    network.step()
+    sleeper.membership.note_listed(
+        membership.Listed(name, address, terminating=False)
+        for name, address in network.list_addresses().items()
+    )
+    network.step(JOIN_BEATS + TIMEOUT_BEATS)
+    assert set(network.list_views()) == {NAMES[:3]}
+
+
 def test_a_slow_loop_does_not_blame_its_peers():
     network = start_fleet()
     network.clock.now_s += 3.4
