Report early when a replica has just become much slower

Cause: with a report a second from each instance, a straggler's first second was mixed with good readings. Instances now compare each quarter second's gaps with the replica's usual ones and report early, at most three times in a row.

--- a/lavenderledge/controllers/admission.py
+++ b/lavenderledge/controllers/admission.py
@@ -326,6 +326,8 @@
         allocator = self._find_allocator(pool)
         if allocator != side.allocator:
             side.turn_to(allocator)
+        if side.progress.is_alarming(now_s):
+            side.early = True
         wait_s = _EARLY_REPORT_S if side.early else _REPORT_INTERVAL_S
         if allocator is None or now_s - side.reported_s < wait_s:
             return
--- a/lavenderledge/policy/progress.py
+++ b/lavenderledge/policy/progress.py
@@ -6,6 +6,13 @@
 
 # An unfinished gap this long is counted before its token arrives.
 _OPEN_GAP_S: typing.Final = 0.25
+# How often a replica's pace is compared with its usual one.
+_SLICE_S: typing.Final = 0.25
+_LEAST_GAPS: typing.Final = 3
+_SLOW_RATIO: typing.Final = 2.0
+_LEARN: typing.Final = 0.1
+# The most slices in a row that call for an early report.
+_MOST_ALARMS: typing.Final = 3
 
 
 class Mark:
@@ -45,12 +52,43 @@
         self.failures = 0
 
 
+class _Slice:
+    """One replica's gaps in the present slice, and its usual gap."""
+
+    __slots__ = ('alarms', 'gap_s', 'gaps', 'usual_s')
+
+    def __init__(self) -> None:
+        """Start from nothing."""
+        self.gaps = 0
+        self.gap_s = float(0)
+        self.usual_s: float | None = None
+        self.alarms = 0
+
+    def close(self) -> bool:
+        """Return whether the slice is alarmingly slow, and begin another."""
+        if self.gaps < _LEAST_GAPS:
+            return False
+        mean_s = self.gap_s / self.gaps
+        self.gaps = 0
+        self.gap_s = 0
+        if self.usual_s is None:
+            self.usual_s = mean_s
+        if mean_s > self.usual_s * _SLOW_RATIO:
+            self.alarms += 1
+        else:
+            self.alarms = 0
+        self.usual_s += _LEARN * (mean_s - self.usual_s)
+        return 0 < self.alarms <= _MOST_ALARMS
+
+
 class Progress:
     """Sums readings until the next report takes them."""
 
     def __init__(self) -> None:
         """Start with no readings."""
         self._sums: dict[str, _Sums] = {}
+        self._slices: dict[str, _Slice] = {}
+        self._closed_s = float('-inf')
 
     def note_tokens(
         self, mark: Mark, *, done: int, prompt_tokens: int, now_s: float
@@ -65,19 +103,24 @@
             sums.first_token_s += now_s - mark.started_s
             sums.prefill_tokens += prompt_tokens
         else:
-            sums.token_gaps += gained
-            sums.token_gap_s += now_s - mark.seen_s
+            self._add_gaps(mark, gained, now_s)
         mark.done = done
         mark.seen_s = now_s
 
     def note_open_gap(self, mark: Mark, *, now_s: float) -> None:
         """Count the long gap in which a request stands, if it does."""
         if mark.done and now_s - mark.seen_s > _OPEN_GAP_S:
-            sums = self._find(mark.replica)
-            sums.token_gaps += 1
-            sums.token_gap_s += now_s - mark.seen_s
+            self._add_gaps(mark, 1, now_s)
             mark.seen_s = now_s
 
+    def is_alarming(self, now_s: float) -> bool:
+        """Return whether a replica has just become much slower."""
+        if now_s - self._closed_s < _SLICE_S:
+            return False
+        self._closed_s = now_s
+        alarms = [each.close() for each in self._slices.values()]
+        return any(alarms)
+
     def note_cached(self, replica: str, cached_tokens: int) -> None:
         """Count prompt tokens that a replica said it had cached."""
         self._find(replica).cached_tokens += cached_tokens
@@ -95,6 +138,18 @@
         self._sums.clear()
         return readings
 
+    def _add_gaps(self, mark: Mark, gaps: int, now_s: float) -> None:
+        gap_s = now_s - mark.seen_s
+        sums = self._find(mark.replica)
+        sums.token_gaps += gaps
+        sums.token_gap_s += gap_s
+        present = self._slices.get(mark.replica)
+        if present is None:
+            present = _Slice()
+            self._slices[mark.replica] = present
+        present.gaps += gaps
+        present.gap_s += gap_s
+
     def _find(self, replica: str) -> _Sums:
         sums = self._sums.get(replica)
         if sums is None:
