--- a/lavenderledge/filters/dispatch.py
+++ b/lavenderledge/filters/dispatch.py
@@ -120,6 +120,7 @@
         return current.refuse(limit.reason, 'the call was ended')
     if called.is_ok():
         whole = called.ok
+        _note_answer(upstreams, placement, whole)
         return expression.Ok(
             exchange.Answer(whole.status, whole.headers, whole.body)
         )
@@ -134,3 +135,15 @@
             pool=placement.pool, replica=placement.replica
         )
     return refusals.refuse_connection(current, called.error)
+
+
+def _note_answer(
+    upstreams: Upstreams, placement: admission.Placement, whole: plain.Whole
+) -> None:
+    """Count an answer as a token, or as a refusal where it says so."""
+    if plain.is_refusal(whole):
+        upstreams.requests.note_failure(
+            pool=placement.pool, replica=placement.replica
+        )
+    else:
+        upstreams.requests.note_tokens(placement.request_id, 1)
--- a/lavenderledge/upstreams/plain.py
+++ b/lavenderledge/upstreams/plain.py
@@ -1,6 +1,7 @@
 """Calls to plain services: one request, one whole answer."""
 
 import asyncio
+import http
 import typing
 from collections import abc
 
@@ -51,6 +52,13 @@
     }
 
 
+def is_refusal(whole: Whole) -> bool:
+    """Return whether an answer says that the service takes no work now."""
+    if whole.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return any(name == 'retry-after' for name, _ in whole.headers)
+
+
 async def call_service(
     *,
     client: connection.UpstreamClient,
