--- a/lavenderledge/controllers/directory.py
+++ b/lavenderledge/controllers/directory.py
@@ -43,6 +43,7 @@
         self._pools: dict[str, Pool] = {}
         self._addresses: dict[tuple[str, str], str] = {}
         self._available: dict[str, tuple[replicas.ReplicaInfo, ...]] = {}
+        self._unready: set[tuple[str, str]] = set()
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -74,9 +75,37 @@
         return None if found is None else found.kind
 
     def list_replicas(self, pool: str) -> tuple[replicas.ReplicaInfo, ...]:
-        """Return the replicas that may get new work."""
+        """Return the replicas that may get new work.
+
+        They are listed as ready, and have not said themselves that they are
+        not.
+        """
+        listed = self.list_listed(pool)
+        if not self._unready:
+            return listed
+        return tuple(
+            replica
+            for replica in listed
+            if (pool, replica.name) not in self._unready
+        )
+
+    def list_listed(self, pool: str) -> tuple[replicas.ReplicaInfo, ...]:
+        """Return the replicas that the instance list gives as ready."""
         return self._available.get(pool, ())
 
+    def note_readiness(self, pool: str, replica: str, ready: bool) -> None:
+        """Take a replica's own word on whether it takes new work."""
+        key = (pool, replica)
+        if ready == (key not in self._unready):
+            return
+        if ready:
+            self._unready.discard(key)
+        else:
+            self._unready.add(key)
+        logs.write_event(
+            _LOGGER, 'replica_ready', pool=pool, replica=replica, ready=ready
+        )
+
     def find_address(self, pool: str, replica: str) -> str | None:
         """Return ``host:port`` of a replica, also while it is leaving."""
         return self._addresses.get((pool, replica))
@@ -110,6 +139,7 @@
                 if endpoint.ready and not endpoint.terminating:
                     available.append(_describe_replica(endpoint, address))
             self._available[name] = tuple(available)
+        self._unready.intersection_update(self._addresses)
 
 
 def _find_address(endpoint: instancelist.Endpoint) -> str | None:
--- a/lavenderledge/controllers/load.py
+++ b/lavenderledge/controllers/load.py
@@ -1,4 +1,4 @@
-"""Lagging reports of engines: load, readiness and cache events."""
+"""Reports of upstreams: readiness, and engines' load and cache events."""
 
 import asyncio
 import typing
@@ -34,7 +34,7 @@
 
 
 class LoadPoller:
-    """Polls the engines of the pools that this instance allocates."""
+    """Polls the replicas of the pools that this instance allocates."""
 
     def __init__(
         self,
@@ -44,14 +44,20 @@
         loads: Loads,
         list_pools: abc.Callable[[], abc.Iterable[str]],
         list_replicas: abc.Callable[[str], abc.Iterable[replicas.ReplicaInfo]],
+        note_readiness: abc.Callable[[str, str, bool], None],
         count_failure: abc.Callable[[str], None],
     ) -> None:
-        """Start with nothing polled."""
+        """Start with nothing polled.
+
+        ``list_replicas`` gives those that are not ready as well, and
+        ``note_readiness`` takes pool, replica and whether it is ready.
+        """
         self._observer = observer
         self._clock = clock
         self._loads = loads
         self._list_pools = list_pools
         self._list_replicas = list_replicas
+        self._note_readiness = note_readiness
         self._count_failure = count_failure
         self._positions: dict[tuple[str, str], int] = {}
         self._slots = asyncio.Semaphore(_POLLS_AT_ONCE)
@@ -63,12 +69,11 @@
             await self._clock.sleep(timing.seconds(_POLL_INTERVAL_S))
 
     async def poll(self) -> None:
-        """Poll each engine once."""
+        """Poll each replica once."""
         targets = [
             (pool, replica)
             for pool in self._list_pools()
             for replica in self._list_replicas(pool)
-            if replica.kind == _ENGINE_KIND
         ]
         kept = {(pool, replica.name) for pool, replica in targets}
         for key in self._positions.keys() - kept:
@@ -81,14 +86,25 @@
         self, pool: str, replica: replicas.ReplicaInfo
     ) -> None:
         async with self._slots:
-            load = await self._observer.read_load(replica.address)
-            if load.is_error():
-                self._count_failure('load')
+            ready = await self._observer.read_readiness(replica.address)
+            if ready.is_error():
+                self._count_failure('readiness')
                 return
-            self._loads.note_load(
-                pool, replica.name, load.ok.running, load.ok.waiting
-            )
-            await self._poll_cache(pool, replica)
+            self._note_readiness(pool, replica.name, ready.ok)
+            if replica.kind == _ENGINE_KIND:
+                await self._poll_engine(pool, replica)
+
+    async def _poll_engine(
+        self, pool: str, replica: replicas.ReplicaInfo
+    ) -> None:
+        load = await self._observer.read_load(replica.address)
+        if load.is_error():
+            self._count_failure('load')
+            return
+        self._loads.note_load(
+            pool, replica.name, load.ok.running, load.ok.waiting
+        )
+        await self._poll_cache(pool, replica)
 
     async def _poll_cache(
         self, pool: str, replica: replicas.ReplicaInfo
--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -79,7 +79,8 @@
             clock=clock,
             loads=self.allocator,
             list_pools=self.list_allocated,
-            list_replicas=self.directory.list_replicas,
+            list_replicas=self.directory.list_listed,
+            note_readiness=self.directory.note_readiness,
             count_failure=lambda what: metrics.count(
                 'upstream_report_failures', what=what
             ),
--- a/lavenderledge/upstreams/observation.py
+++ b/lavenderledge/upstreams/observation.py
@@ -1,4 +1,4 @@
-"""What engines publish about themselves: load and cache events."""
+"""What upstreams publish: readiness, and engines' load and cache events."""
 
 import typing
 
@@ -10,6 +10,8 @@
 from lavenderledge.policy import prefix
 
 _TIMEOUT_S = 2.0
+_OK = 200
+_UNAVAILABLE = 503
 _RUNNING = 'vllm:num_requests_running'
 _WAITING = 'vllm:num_requests_waiting'
 
@@ -38,6 +40,11 @@
     detail: str
 
 
+class _Fetched(typing.NamedTuple):
+    status: int
+    body: bytes
+
+
 class _EventDocument(msgspec.Struct):
     seq: int
     type: typing.Literal['stored', 'removed']
@@ -50,12 +57,23 @@
 
 
 class Observer:
-    """Reads what engines publish."""
+    """Reads what upstreams publish."""
 
     def __init__(self, *, session: aiohttp.ClientSession) -> None:
         """Take an open session, which its owner closes."""
         self._session = session
 
+    async def read_readiness(
+        self, address: str
+    ) -> 'expression.Result[bool, ReportFailure]':
+        """Return whether the upstream at ``host:port`` takes new work.
+
+        Only status 503 says that it does not; not every upstream has the
+        page.
+        """
+        answer = await self._fetch(f'http://{address}/health')
+        return answer.map(lambda fetched: fetched.status != _UNAVAILABLE)
+
     async def read_load(
         self, address: str
     ) -> 'expression.Result[Load, ReportFailure]':
@@ -73,15 +91,26 @@
     async def _read(
         self, url: str
     ) -> 'expression.Result[bytes, ReportFailure]':
+        return (await self._fetch(url)).bind(_take_body)
+
+    async def _fetch(
+        self, url: str
+    ) -> 'expression.Result[_Fetched, ReportFailure]':
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return expression.Error(ReportFailure(repr(error)))
-        if response.status == 200:
-            return expression.Ok(body)
-        return expression.Error(ReportFailure(f'status {response.status}'))
+        return expression.Ok(_Fetched(response.status, body))
+
+
+def _take_body(
+    fetched: _Fetched,
+) -> 'expression.Result[bytes, ReportFailure]':
+    if fetched.status == _OK:
+        return expression.Ok(fetched.body)
+    return expression.Error(ReportFailure(f'status {fetched.status}'))
 
 
 def _parse_load(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -23,7 +23,7 @@
 ROWS = (
     *processes.ROWS,
     table.Row('jobs', '*', 'jobs', '*', 1, timeout_s=5, repeatable=True),
-    table.Row('gone', '*', 'gone', '*', 1, timeout_s=5, repeatable=True),
+    table.Row('gone', '*', 'gone', '*', 1, timeout_s=2, repeatable=True),
     table.Row('odd', '*', 'odd', '*', 1, timeout_s=5, repeatable=True),
 )
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,7 +11,7 @@
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
-FLAGS = ('--silence-timeout=0.5', '--lost-timeout=3')
+FLAGS = ('--silence-timeout=0.5', '--lost-timeout=2')
 SPEED = ('--token-gap-s=0.005',)
 ROWS = (
     *processes.ROWS,
