Group commits: no key twice in a call, and nobody pays for another's fault

Two requests with one key at one instance are enough. Ruled out: one call for each transaction (the service's rate). Also: the table is asked for from the instance that has it, not from whoever told of it; the key-value stand-in sorts ranges as etcd does; a base URL with a bad port or a path is refused at the start. Conclusion: mended.

--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -271,11 +271,18 @@
 
     def _receive_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         self.membership.receive(heartbeat)
-        for member in heartbeat.members:
-            if member.table_revision > self.table.revision:
-                self.table.note_peer_revision(
-                    heartbeat.sender, member.table_revision
-                )
+        newest = max(
+            heartbeat.members,
+            key=lambda member: (
+                member.table_revision,
+                member.instance == heartbeat.sender,
+            ),
+            default=None,
+        )
+        if newest is not None:
+            self.table.note_peer_revision(
+                newest.instance, newest.table_revision
+            )
 
 
 def _ignore_table(in_force: typing.Any) -> None:
--- a/lavenderledge/daemon/formats.py
+++ b/lavenderledge/daemon/formats.py
@@ -46,12 +46,21 @@
 
 def parse_url(text: str) -> str:
     """Parse an ``http`` or ``https`` address without a path."""
-    url = parse.urlsplit(text)
-    if url.scheme in {'http', 'https'} and url.hostname:
+    if _is_base_url(parse.urlsplit(text)):
         return text.rstrip('/')
     raise ValueError('expected http://HOST:PORT')
 
 
+def _is_base_url(url: parse.SplitResult) -> bool:
+    try:
+        has_port = url.port is None or url.port > 0
+    except ValueError:
+        return False
+    is_bare = url.path in {'', '/'} and not url.query and not url.fragment
+    known = url.scheme in {'http', 'https'} and bool(url.hostname)
+    return has_port and is_bare and known
+
+
 def parse_urls(text: str) -> tuple[str, ...]:
     """Parse one or more addresses with commas between them."""
     return tuple(parse_url(part.strip()) for part in text.split(','))
--- a/lavenderledge/platform/groupcommit.py
+++ b/lavenderledge/platform/groupcommit.py
@@ -19,6 +19,7 @@
 
 class _Item(typing.NamedTuple):
     transaction: operations.Nested
+    keys: frozenset[str]
     size: int
     committed: 'asyncio.Future[Committed]'
 
@@ -40,7 +41,14 @@
         """Do one transaction; its size in bytes counts keys and values."""
         future: asyncio.Future[Committed]
         future = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Item(transaction, _measure(transaction), future))
+        self._waiting.append(
+            _Item(
+                transaction,
+                _list_keys(transaction),
+                _measure(transaction),
+                future,
+            )
+        )
         self._start_call()
         return await future
 
@@ -56,22 +64,52 @@
         self._start_call()
 
     def _take_batch(self) -> list[_Item]:
+        """Take what fits one call; the service takes each key only once."""
         batch: list[_Item] = []
+        keys: set[str] = set()
         size = 0
         while self._waiting and len(batch) < BATCH_ITEMS:
-            size += self._waiting[0].size
-            if batch and size > BATCH_BYTES:
+            item = self._waiting[0]
+            size += item.size
+            if batch and (size > BATCH_BYTES or keys & item.keys):
                 break
+            keys |= item.keys
             batch.append(self._waiting.popleft())
         return batch
 
     async def _call(self, batch: list[_Item]) -> None:
-        told = await self._store.transact(
+        told = await self._transact(batch)
+        if _is_rejected(told) and len(batch) > 1:
+            # The service does not say which one it objects to.
+            for item in batch:
+                _settle(item, await self._transact([item]), 0)
+            return
+        for number, item in enumerate(batch):
+            _settle(item, told, number)
+
+    async def _transact(self, batch: list[_Item]) -> Committed:
+        return await self._store.transact(
             (), [item.transaction for item in batch]
         )
-        for number, item in enumerate(batch):
-            if not item.committed.done():
-                item.committed.set_result(_pick_answer(told, number))
+
+
+def _is_rejected(told: Committed) -> bool:
+    return told.is_error() and isinstance(told.error, operations.Rejected)
+
+
+def _settle(item: _Item, told: Committed, number: int) -> None:
+    if not item.committed.done():
+        item.committed.set_result(_pick_answer(told, number))
+
+
+def _list_keys(transaction: operations.Nested) -> frozenset[str]:
+    """Return the keys that a transaction may write."""
+    changes = (*transaction.then, *transaction.otherwise)
+    return frozenset(
+        change.key
+        for change in changes
+        if isinstance(change, operations.Put | operations.Delete)
+    )
 
 
 def _measure(transaction: operations.Nested) -> int:
@@ -88,7 +126,7 @@
 def _pick_answer(told: Committed, number: int) -> Committed:
     if told.is_error():
         return expression.Error(told.error)
-    answer = told.ok.answers[number]
-    if isinstance(answer, operations.TransactAnswer):
-        return expression.Ok(answer)
+    for answer in told.ok.answers[number : number + 1]:
+        if isinstance(answer, operations.TransactAnswer):
+            return expression.Ok(answer)
     return expression.Error(operations.Malformed('a nested answer is missing'))
--- a/lavenderledge/standins/protocol.py
+++ b/lavenderledge/standins/protocol.py
@@ -31,13 +31,18 @@
 
 
 class RangeRequest(typing.TypedDict, total=False):
-    """A read of one key, or of keys up to and without ``range_end``."""
+    """A read of one key, or of keys up to and without ``range_end``.
+
+    Sorted by ``KEY`` or ``MOD``, ``DESCEND`` or else ascending.
+    """
 
     key: bytes
     range_end: bytes
     limit: int
     keys_only: bool
     count_only: bool
+    sort_order: str
+    sort_target: str
 
 
 class RangeResponse(typing.TypedDict):
--- a/lavenderledge/standins/store.py
+++ b/lavenderledge/standins/store.py
@@ -221,7 +221,10 @@
         return {'revision': self.revision + bool(self._pending)}
 
     def _read(self, request: protocol.RangeRequest) -> protocol.RangeResponse:
-        keys = self._select(request['key'], request.get('range_end', b''))
+        keys = self._sort(
+            self._select(request['key'], request.get('range_end', b'')),
+            request,
+        )
         limit = request.get('limit', 0) or len(keys)
         pairs = [] if request.get('count_only') else keys[:limit]
         kvs = [self._pairs[key].copy() for key in pairs]
@@ -235,6 +238,16 @@
             'count': len(keys),
         }
 
+    def _sort(
+        self, keys: list[bytes], request: protocol.RangeRequest
+    ) -> list[bytes]:
+        ordered = list(keys)
+        if request.get('sort_target') == 'MOD':
+            ordered.sort(key=lambda key: self._pairs[key]['mod_revision'])
+        if request.get('sort_order') == 'DESCEND':
+            ordered.reverse()
+        return ordered
+
     def _write(self, request: protocol.PutRequest) -> protocol.PutResponse:
         key = request['key']
         revision = self.revision + 1
