--- /dev/null
+++ b/lavenderledge/capacity/allocating.py
@@ -0,0 +1,253 @@
+"""What an allocator costs: processor time by message, and memory."""
+
+import functools
+import itertools
+import typing
+
+from lavenderledge.capacity import figures, manual, samples
+from lavenderledge.controllers import allocator
+from lavenderledge.peers import messages
+
+_DEPTHS: typing.Final = (0, 100, 1000)
+_RUNNING: typing.Final = (0, 5, 20, 100)
+_SIZES: typing.Final = (3, 9, 28, 100, 400)
+_USUAL_SIZE: typing.Final = 28
+_STEP_S: typing.Final = 0.001
+_SENDER: typing.Final = 'entry-1'
+
+
+class World:
+    """An allocator and the messages of one asking instance."""
+
+    def __init__(self, *, replicas: int) -> None:
+        """Start with nothing waiting and every report heard."""
+        listed = samples.make_replicas(replicas)
+        row = samples.make_row()
+        self.clock = manual.ManualClock()
+        self.waiting: dict[str, messages.Ask] = {}
+        self.granted: list[str] = []
+        self.names = [info.name for info in listed]
+        self.allocator = allocator.Allocator(
+            instance='entry-0',
+            clock=self.clock,
+            send=self._take,
+            list_replicas=lambda pool: listed,
+            find_row=lambda name: row,
+            is_allocator=lambda pool: True,
+            count_alive=lambda: 1,
+        )
+        self._numbers = itertools.count()
+        self._sequences = itertools.count()
+        self._running: list[messages.Running] = []
+        self.report()
+        self.allocator.tick()
+
+    def report(self) -> None:
+        """Report all that this instance holds, without readings."""
+        self.allocator.receive(self.make_report())
+
+    def make_report(self, readings: int = 0) -> messages.Report:
+        """Return the next report."""
+        running = [
+            samples.make_running(int(each[-12:], 16), self.names[0])
+            for each in self.granted
+        ]
+        self.clock.now_s += _STEP_S
+        return messages.Report(
+            sender=_SENDER,
+            incarnation=1,
+            pool=samples.POOL,
+            sequence=next(self._sequences),
+            stamp_s=self.clock.now_s,
+            grant_seen=2**62,
+            waiting=tuple(self.waiting.values()),
+            running=(*running, *self._running),
+            readings=tuple(map(samples.make_reading, self.names[:readings])),
+        )
+
+    def run_fixed(self, count: int) -> None:
+        """Have so many requests running, spread over the replicas."""
+        self._running = [
+            samples.make_running(
+                next(self._numbers), self.names[number % len(self.names)]
+            )
+            for number in range(count)
+        ]
+        self.report()
+
+    def ask(self) -> None:
+        """Ask for one more request; a decision follows."""
+        ask = samples.make_ask(next(self._numbers))
+        self.waiting[ask.request_id] = ask
+        self.allocator.receive(
+            messages.NewAsk(_SENDER, 1, samples.POOL, self.clock.now_s, ask)
+        )
+        self.clock.now_s += _STEP_S
+        self.allocator.tick()
+
+    def release(self) -> None:
+        """Give the oldest grant back; a decision follows."""
+        if self.granted:
+            oldest = self.granted.pop(0)
+            self.allocator.receive(
+                messages.Release(_SENDER, 1, samples.POOL, oldest, 235)
+            )
+            self.allocator.tick()
+
+    def ask_until(self, depth: int) -> None:
+        """Ask until so many wait; none leaves a pool that is not full."""
+        while len(self.waiting) < depth:
+            self.ask()
+
+    def cycle(self, count: int) -> None:
+        """Ask for and release so many requests."""
+        for _ in range(count):
+            self.ask()
+            self.release()
+
+    def cycle_reported(self, count: int) -> None:
+        """Like ``cycle``, each with a report before it."""
+        for _ in range(count):
+            self.report_empty()
+            self.ask()
+            self.release()
+
+    def report_empty(self) -> None:
+        """Report for another instance, which holds nothing."""
+        report = messages.Report(
+            'entry-2',
+            1,
+            samples.POOL,
+            next(self._sequences),
+            self.clock.now_s,
+            0,
+            (),
+            (),
+            (),
+        )
+        self.allocator.receive(report)
+
+    def _take(self, instance: str, message: messages.Message) -> None:
+        if isinstance(message, messages.Grant):
+            self.waiting.pop(message.request_id, None)
+            self.granted.append(message.request_id)
+
+
+def measure() -> list[figures.Figure]:
+    """Return the figures of the allocator."""
+    found = []
+    found.extend(_measure_depths())
+    found.extend(_measure_reports())
+    found.extend(_measure_sizes())
+    found.extend(_measure_memory())
+    return found
+
+
+def _measure_depths() -> list[figures.Figure]:
+    points = {}
+    for depth in _DEPTHS:
+        world = World(replicas=_USUAL_SIZE)
+        world.ask_until(depth)
+        points[depth] = figures.measure_time(
+            f'ask, grant, release: {depth} waiting',
+            world.cycle,
+            count=200,
+            prepare=world.report,
+        )
+    return figures.add_slope('ask, grant, release by waiting', 'us', points)
+
+
+def _measure_reports() -> list[figures.Figure]:
+    points = {}
+    for running in _RUNNING:
+        points[running] = _measure_report(
+            f'report: {running} running', _USUAL_SIZE, running
+        )
+    return figures.add_slope('report by running', 'us', points)
+
+
+def _measure_report(name: str, size: int, running: int) -> figures.Figure:
+    world = World(replicas=size)
+    world.run_fixed(running)
+    waiting: list[messages.Report] = []
+    readings = min(running, size)
+
+    def prepare() -> None:
+        waiting.extend(world.make_report(readings) for _ in range(100))
+
+    def receive(count: int) -> None:
+        for report in waiting:
+            world.allocator.receive(report)
+        waiting.clear()
+
+    return figures.measure_time(name, receive, count=100, prepare=prepare)
+
+
+def _measure_sizes() -> list[figures.Figure]:
+    ticks, cycles, mixed, reports = {}, {}, {}, {}
+    for size in _SIZES:
+        world = World(replicas=size)
+        ticks[size] = figures.measure_time(
+            f'idle tick: {size} replicas',
+            functools.partial(_tick, world),
+            count=200,
+            prepare=world.report,
+        )
+        world.ask_until(1)
+        cycles[size] = figures.measure_time(
+            f'ask, grant, release at a full pool: {size} replicas',
+            world.cycle,
+            count=100,
+            prepare=world.report,
+        )
+        mixed[size] = figures.measure_time(
+            f'the same after an empty report: {size} replicas',
+            world.cycle_reported,
+            count=100,
+            prepare=world.report,
+        )
+        reports[size] = _measure_report(
+            f'report of 5 running: {size} replicas', size, 5
+        )
+    return [
+        *figures.add_slope('idle tick by replicas', 'us', ticks),
+        *figures.add_slope('ask, grant, release by replicas', 'us', cycles),
+        *figures.add_slope('report, ask, grant, release', 'us', mixed),
+        *figures.add_slope('report by replicas', 'us', reports),
+    ]
+
+
+def _tick(world: World, count: int) -> None:
+    for _ in range(count):
+        world.clock.now_s += _STEP_S
+        world.allocator.tick()
+
+
+def _measure_memory() -> list[figures.Figure]:
+    full = World(replicas=_USUAL_SIZE)
+    full.ask_until(1)
+    busy = World(replicas=_USUAL_SIZE)
+    return [
+        figures.measure_memory(
+            'memory of a waiting request', full.ask_until, count=2000
+        ),
+        figures.measure_memory(
+            'memory of a running request', busy.run_fixed, count=2000
+        ),
+        figures.measure_memory(
+            'memory of a replica',
+            lambda count: World(replicas=count),
+            count=400,
+        ),
+        figures.measure_memory(
+            'memory of a pool without replicas', _make_pools, count=100
+        ),
+    ]
+
+
+def _make_pools(count: int) -> World:
+    world = World(replicas=0)
+    for number in range(count):
+        report = world.make_report()._replace(pool=f'pool-{number}')
+        world.allocator.receive(report)
+    return world
--- /dev/null
+++ b/lavenderledge/capacity/linking.py
@@ -0,0 +1,68 @@
+"""What a message between instances costs, by kind and size."""
+
+import asyncio
+import typing
+
+from lavenderledge.capacity import figures
+from lavenderledge.peers import benchmark, codec, messages
+
+_BURSTS: typing.Final = (1, 10)
+_MESSAGES: typing.Final = 400
+_REPEATS: typing.Final = 5
+_CODED: typing.Final = 500
+_SIZES: typing.Final = (5, 20, 100)
+
+
+def measure() -> list[figures.Figure]:
+    """Return the figures of codec and link."""
+    kinds: dict[str, messages.Message] = {}
+    for size in _SIZES:
+        kinds.update(benchmark.list_samples(size))
+    found = []
+    for name, message in kinds.items():
+        found.extend(_measure_codec(name, message))
+    found.extend(asyncio.run(_measure_links(kinds)))
+    return found
+
+
+def _measure_codec(
+    name: str, message: messages.Message
+) -> list[figures.Figure]:
+    encoded = codec.encode(message).default_value(b'')
+
+    def encode(count: int) -> None:
+        for _ in range(count):
+            codec.encode(message)
+
+    def decode(count: int) -> None:
+        for _ in range(count):
+            codec.decode(encoded)
+
+    return [
+        figures.build_figure(f'{name}: size', 'B', [len(encoded)]),
+        figures.measure_time(f'{name}: encode', encode, count=_CODED),
+        figures.measure_time(f'{name}: decode', decode, count=_CODED),
+    ]
+
+
+async def _measure_links(
+    kinds: dict[str, messages.Message],
+) -> list[figures.Figure]:
+    pair = benchmark.Pair()
+    await pair.open()
+    found = []
+    for name, message in kinds.items():
+        for burst in _BURSTS:
+            costs = [
+                await pair.measure(message, count=_MESSAGES, burst=burst)
+                for _ in range(_REPEATS + 1)
+            ]
+            found.append(
+                figures.build_figure(
+                    f'{name}: both ends, {burst} a wake-up',
+                    'us',
+                    [cost.loop + cost.io for cost in costs[1:]],
+                )
+            )
+    await pair.close()
+    return found
--- /dev/null
+++ b/lavenderledge/capacity/samples.py
@@ -0,0 +1,75 @@
+"""Messages of the sizes that the design expects."""
+
+import typing
+
+from lavenderledge.peers import messages
+from lavenderledge.policy import replicas, table
+
+POOL: typing.Final = 'calculator'
+FOREVER_S: typing.Final = 1e6
+
+_BLOCKS: typing.Final = 8
+_PREFIXES: typing.Final = 12
+_HASH: typing.Final = 0x9E3779B97F4A7C15
+_HASH_RANGE: typing.Final = 2**64
+
+
+def make_ask(number: int) -> messages.Ask:
+    """Return a request whose prompt has one of twelve prefixes."""
+    first = number % _PREFIXES * _BLOCKS
+    return messages.Ask(
+        request_id=f'resp_0123456789abcdef0123{number:012x}',
+        row='lacing-plans',
+        customer='wheelbuilder-guild',
+        tier=1,
+        weight=1.5,
+        prompt_tokens=1200,
+        output_tokens=235,
+        prefix=tuple(
+            (first + block + 1) * _HASH % _HASH_RANGE
+            for block in range(_BLOCKS)
+        ),
+        remaining_s=FOREVER_S,
+        waited_s=0,
+        preemptible=False,
+        pressed=False,
+    )
+
+
+def make_running(number: int, replica: str) -> messages.Running:
+    """Return a request that is halfway through its answer."""
+    ask = make_ask(number)
+    return messages.Running(
+        request_id=ask.request_id,
+        row=ask.row,
+        customer=ask.customer,
+        tier=ask.tier,
+        replica=replica,
+        prompt_tokens=ask.prompt_tokens,
+        output_tokens=ask.output_tokens,
+        output_done=ask.output_tokens // 2,
+        preemptible=False,
+        started=True,
+    )
+
+
+def make_reading(replica: str) -> messages.Reading:
+    """Return what a second of one stream shows of a replica."""
+    return messages.Reading(replica, 16, 0.98, 1, 0.3, 1200, 400, 0)
+
+
+def make_replicas(count: int) -> tuple[replicas.ReplicaInfo, ...]:
+    """Return so many engines."""
+    return tuple(
+        replicas.ReplicaInfo(
+            f'calculator-{number}', '10.1.2.3:8000', 'addis-a', 'engine'
+        )
+        for number in range(count)
+    )
+
+
+def make_row() -> table.Row:
+    """Return the row of the sample requests, without limits."""
+    return table.Row(
+        'lacing-plans', '*', POOL, '*', 1, queue=1_000_000, repeatable=True
+    )
--- a/lavenderledge/peers/benchmark.py
+++ b/lavenderledge/peers/benchmark.py
@@ -37,7 +37,7 @@
     io: float
 
 
-class _Pair:
+class Pair:
     """Two connected links; the second one signals what it received."""
 
     def __init__(self) -> None:
@@ -108,10 +108,10 @@
 async def _measure_all(
     options: argparse.Namespace, stream: typing.TextIO
 ) -> None:
-    pair = _Pair()
+    pair = Pair()
     await pair.open()
     stream.write(_HEADER)
-    for name, message in _list_samples(options.size).items():
+    for name, message in list_samples(options.size).items():
         await pair.measure(message, count=_WARM_UP_MESSAGES, burst=1)
         cost = await pair.measure(
             message, count=options.messages, burst=options.burst
@@ -144,7 +144,8 @@
     return parser
 
 
-def _list_samples(size: int) -> dict[str, messages.Message]:
+def list_samples(size: int) -> dict[str, messages.Message]:
+    """Return messages by name; the large report has ``size`` running."""
     ask = _make_ask()
     return {
         'NewAsk': messages.NewAsk('entry-0', 1, 'calculator', 1.5, ask),
