Load tool: lower work started beside a running request is no shed over it

In the trace each was a tier 2 request that had started at once and was cancelled for tier 1 seconds later; notes had been started while it ran, none while it waited and none ran when it was cancelled. The test fails with either half of the rule taken out.

--- a/lavenderledge/load/summary.py
+++ b/lavenderledge/load/summary.py
@@ -168,6 +168,9 @@
     measures['sheds over lower tiers, not run'] = sum(
         1 for shed in over_lower if not shed.ran
     )
+    measures['sheds with lower tiers started since'] = sum(
+        1 for shed in sheds if shed.lower_since
+    )
     for tier in sorted({shed.tier for shed in sheds}):
         chosen = [shed for shed in sheds if shed.tier == tier]
         for reason in sorted({shed.reason for shed in chosen}):
--- a/lavenderledge/load/truth.py
+++ b/lavenderledge/load/truth.py
@@ -49,7 +49,9 @@
     """A request refused for want of capacity; seconds from the start.
 
     ``over_lower`` says that work of a lower tier ran at the refusal, or was
-    started between the request's arrival and its refusal.
+    started while the request waited to be started itself. ``lower_since``
+    counts what was started at any time since the arrival, also while the
+    request ran.
     """
 
     number: int
@@ -58,6 +60,7 @@
     at_s: float
     ran: bool
     over_lower: bool
+    lower_since: bool
 
 
 class Broken(typing.NamedTuple):
@@ -112,9 +115,13 @@
     records = list(records)
     tiers = {answer.arrival.number: answer.arrival.tier for answer in answers}
     lower = _group_by_tier(records, tiers, started_wall_s)
-    started = {record.number for record in records}
+    started = {
+        record.number: record.started_s - started_wall_s
+        for record in records
+        if record.started_s is not None
+    }
     return [
-        _judge_shed(answer, lower, answer.arrival.number in started)
+        _judge_shed(answer, lower, started.get(answer.arrival.number))
         for answer in answers
         if answer.reason in SHED_REASONS
     ]
@@ -141,33 +148,37 @@
 
 
 def _judge_shed(
-    answer: client.Answer, lower: abc.Mapping[int, list[_Lower]], ran: bool
+    answer: client.Answer,
+    lower: abc.Mapping[int, list[_Lower]],
+    started_s: float | None,
 ) -> Shed:
     arrival = answer.arrival
-    below = (held for tier, held in lower.items() if tier > arrival.tier)
+    ended_s = answer.ended_s
+    waited = traces.Window(
+        arrival.at_s, ended_s if started_s is None else started_s
+    )
+    below = [
+        work
+        for tier, held in lower.items()
+        if tier > arrival.tier
+        for work in _list_until(held, ended_s)
+    ]
     return Shed(
         number=arrival.number,
         tier=arrival.tier,
         reason=answer.reason,
-        at_s=answer.ended_s,
-        ran=ran,
+        at_s=ended_s,
+        ran=started_s is not None,
         over_lower=any(
-            _overlaps(held, arrival.at_s, answer.ended_s) for held in below
+            waited.holds(work.started_s) or work.finished_s > ended_s
+            for work in below
         ),
+        lower_since=any(work.started_s >= arrival.at_s for work in below),
     )
 
 
-def _overlaps(held: list[_Lower], from_s: float, until_s: float) -> bool:
-    """Return whether work ran at ``until_s`` or started since ``from_s``."""
-    end = bisect.bisect_right(held, until_s, key=_read_start)
-    return any(
-        work.started_s >= from_s or work.finished_s > until_s
-        for work in held[:end]
-    )
-
-
-def _read_start(work: _Lower) -> float:
-    return work.started_s
+def _list_until(held: list[_Lower], until_s: float) -> list[_Lower]:
+    return held[: bisect.bisect_right(held, _Lower(until_s, float('inf')))]
 
 
 def _group_by_tier(
