Keep an interrupt that comes between two sections of a request

Cause: an order to preempt that came after an engine had answered the creation and before its stream was read was lost, and the allocator gives it only once; the request ran on in the place of one of a higher tier. The exchange's claim, which nothing read, is gone.

--- a/lavenderledge/filters/claim.py
+++ b/lavenderledge/filters/claim.py
@@ -47,7 +47,6 @@
         )
         if created.is_error():
             return _answer_existing(current, created.error)
-        current.claim = created.ok
         outcome = await proceed(current)
         return _conclude(records, current, created.ok, outcome)
 
--- a/lavenderledge/filters/deadlines.py
+++ b/lavenderledge/filters/deadlines.py
@@ -24,17 +24,20 @@
     """End the section at the request's deadline or at an interrupt.
 
     The section then ends without an exception and the limit has the reason.
+    An interrupt between two sections ends the second.
     """
     limit = Limit()
     remaining_s = current.deadline_s - clock.read_monotonic()
     try:
         async with asyncio.timeout(max(remaining_s, 0)) as scope:
             current.interrupt = _make_interrupt(limit, scope)
+            if current.interrupted is not None:
+                current.interrupt(current.interrupted)
             yield limit
     except TimeoutError:
         limit.reason = limit.reason or outcomes.Reason.DEADLINE_EXCEEDED
     finally:
-        current.interrupt = None
+        current.interrupt = current.note_interrupt
 
 
 def _make_interrupt(
--- a/lavenderledge/filters/exchange.py
+++ b/lavenderledge/filters/exchange.py
@@ -7,9 +7,10 @@
 import expression
 
 from lavenderledge import outcomes
-from lavenderledge.controllers import admission, claims
+from lavenderledge.controllers import admission
 from lavenderledge.policy import table
 
+Interrupt: typing.TypeAlias = abc.Callable[[outcomes.Reason], None]
 Sink: typing.TypeAlias = abc.Callable[[bytes], abc.Awaitable[None]]
 Stream: typing.TypeAlias = abc.Callable[
     [Sink], abc.Awaitable['expression.Result[None, outcomes.Refusal]']
@@ -80,19 +81,23 @@
         self.work: Work | None = None
         self.row: table.Row | None = None
         self.deadline_s = call.received_s
-        self.claim: claims.Claim | None = None
         self.placement: admission.Placement | None = None
         self.output_done = 0
         self.background = False
         self.pressed = False
         self.is_reader = False
-        self.interrupt: abc.Callable[[outcomes.Reason], None] | None = None
+        self.interrupt: Interrupt = self.note_interrupt
+        self.interrupted: outcomes.Reason | None = None
 
     @property
     def outlives_caller(self) -> bool:
         """Return whether the work goes on when its caller has gone."""
         return self.background or self.identity.key is not None
 
+    def note_interrupt(self, reason: outcomes.Reason) -> None:
+        """Record an interrupt, for the next section that can be ended."""
+        self.interrupted = reason
+
     def refuse(
         self,
         reason: outcomes.Reason,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,8 +8,9 @@
 import pytest_asyncio
 
 from lavenderledge import clock as clocks
+from lavenderledge import outcomes
 from lavenderledge.controllers import admission
-from lavenderledge.filters import admit, chain, dispatch, exchange
+from lavenderledge.filters import admit, chain, deadlines, dispatch, exchange
 from lavenderledge.peers import messages
 from lavenderledge.policy import table
 from lavenderledge.standins import launcher, plain, server
@@ -210,3 +211,18 @@
     assert retried == ['grant_lapsed']
     assert len(asked) == path.accepted == 2
     assert service.runs == {'late': 1}
+
+
+@pytest.mark.parametrize('early', [True, False])
+async def test_an_interrupt_ends_the_section_that_runs_or_comes_next(early):
+    call = exchange.Call('POST', '/', '', {}, b'', 0)
+    current = exchange.Exchange(request_id='short', call=call)
+    clock = clocks.SystemClock()
+    current.deadline_s = clock.read_monotonic() + processes.PATIENCE_S
+    if early:
+        current.interrupt(outcomes.Reason.PREEMPTED)
+    async with deadlines.limit_time(clock, current) as limit:
+        if not early:
+            current.interrupt(outcomes.Reason.PREEMPTED)
+        await asyncio.get_running_loop().create_future()
+    assert limit.reason is outcomes.Reason.PREEMPTED
