Stop gracefully when a newer process has this instance's name

Cause: the membership tells of a newer incarnation under the same name (a replaced instance that was only cut off); the daemon did not heed it and served on, outside the fleet. A table that comes into force was told of only by the next heartbeat. Ruled out: ending at once (it would cut off callers). Before, as a trial without the watch: the older process runs on (the test times out). After: it ends with 0 and the new one serves (3 stop tests). Conclusion: one process a name; new tables are told at once.

--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -1,7 +1,6 @@
 """The controllers of one instance, wired to each other."""
 
 import random
-import typing
 
 import aiohttp
 
@@ -171,7 +170,7 @@
         return table.TableController(
             instance=self._settings.instance,
             clock=self._clock,
-            on_change=_ignore_table,
+            on_change=self._tell_neighbours,
             send_to=self.link.send,
             count=self._count_table_event,
         )
@@ -225,6 +224,10 @@
             decide=self._settings.policy,
         )
 
+    def _tell_neighbours(self, in_force: table.TableInForce) -> None:
+        if self._membership is not None:
+            self._membership.tell_neighbours()
+
     def _count_table_event(self, event: table.Event) -> None:
         self._metrics.count('table_events', event=event.value)
 
@@ -283,7 +286,3 @@
             self.table.note_peer_revision(
                 newest.instance, newest.table_revision
             )
-
-
-def _ignore_table(in_force: typing.Any) -> None:
-    """Nothing keeps a copy of the table: every reader asks for it."""
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -25,6 +25,7 @@
 
 _DETACHED_TIMEOUT_S = 30.0
 _IDLE_CHECK_S = 0.1
+_SUPERSESSION_CHECK_S = 1.0
 # Beyond the reserve of the limit filter, with room for reads.
 _IN_FLIGHT_FACTOR = 3
 _LOGGER = logging.getLogger(__name__)
@@ -105,6 +106,7 @@
             asyncio.create_task(admin_server.serve([sockets.admin])),
         ]
         self._controllers.start(self._tasks)
+        self._tasks.keep_running('supersession', self._watch_supersession)
         addresses = Addresses(
             servers.read_address(sockets.callers),
             servers.read_address(sockets.admin),
@@ -141,6 +143,14 @@
         await self._wait_unless_forced(self._finish_work())
         entry_server.force_exit = True
 
+    async def _watch_supersession(self) -> None:
+        """Stop gracefully where a newer process has this instance's name."""
+        while not self._controllers.membership.is_superseded():
+            await self._clock.sleep(timing.seconds(_SUPERSESSION_CHECK_S))
+        self._log('instance_superseded_stops')
+        self._stop_requested.set()
+        await self._stop_forced.wait()
+
     async def _finish_work(self) -> None:
         while self._entry.in_flight:
             await self._clock.sleep(timing.seconds(_IDLE_CHECK_S))
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -77,3 +77,15 @@
 
 async def is_leaving(running, instance):
     return (await running.read_json(instance, '/status'))['leaving']
+
+
+async def test_an_instance_stops_when_a_newer_one_has_its_name():
+    async with processes.run_fleet(
+        instances=2, engines=1, flags=FLAGS
+    ) as running:
+        older = running.programs['entry-0']
+        await running.start_instance('entry-0', *FLAGS)
+        assert await older.process.wait() == 0
+        await running.wait_until_ready('entry-0', 'entry-1')
+        answer = await running.ask('entry-0', tokens=5)
+        assert answer.status == 200
