--- a/lavenderledge/capacity/asking.py
+++ b/lavenderledge/capacity/asking.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import itertools
-import time
 import typing
 
 from lavenderledge.capacity import figures, manual, samples
@@ -13,7 +12,6 @@
 _HELD: typing.Final = (0, 5, 20, 100)
 _REQUESTS: typing.Final = 500
 _TOKENS: typing.Final = 10_000
-_MICROSECONDS: typing.Final = 1e6
 _ALLOCATOR: typing.Final = 'entry-0'
 
 
@@ -103,12 +101,11 @@
 
 
 async def _time_requests(asker: Asker) -> float:
-    begin_s = time.process_time()
-    for _ in range(_REQUESTS):
-        request_id = await asker.start()
-        asker.admission.release(request_id, 0)
-    elapsed_s = time.process_time() - begin_s
-    return elapsed_s * _MICROSECONDS / _REQUESTS
+    with figures.Stopwatch() as watch:
+        for _ in range(_REQUESTS):
+            request_id = await asker.start()
+            asker.admission.release(request_id, 0)
+    return watch.elapsed_us / _REQUESTS
 
 
 def _note(asker: Asker, request_id: str, count: int) -> None:
--- a/lavenderledge/capacity/core.py
+++ b/lavenderledge/capacity/core.py
@@ -12,8 +12,11 @@
 from lavenderledge.capacity import (
     allocating,
     asking,
+    committing,
     figures,
+    gossiping,
     linking,
+    tables,
 )
 
 Measure: typing.TypeAlias = abc.Callable[[], list[figures.Figure]]
@@ -22,6 +25,12 @@
     'peers': linking.measure,
     'allocator': allocating.measure,
     'admission': asking.measure,
+    'table': tables.measure_table,
+    'list': tables.measure_list,
+    'claims': committing.measure,
+    'membership': gossiping.measure,
+    'cold-start': gossiping.measure_cold_start,
+    'split': gossiping.measure_split,
 }
 
 
--- a/lavenderledge/capacity/figures.py
+++ b/lavenderledge/capacity/figures.py
@@ -34,6 +34,25 @@
     slope: float
 
 
+class Stopwatch:
+    """Processor time of a block, of all threads of this process."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.elapsed_us = float(0)
+        self._begin_s = float(0)
+
+    def __enter__(self) -> 'Stopwatch':
+        """Begin."""
+        self._begin_s = time.process_time()
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        """End."""
+        elapsed_s = time.process_time() - self._begin_s
+        self.elapsed_us = elapsed_s * _MICROSECONDS
+
+
 def fit_line(points: abc.Mapping[int, float]) -> Line:
     """Return the least-squares line through two or more points by size."""
     sizes, heights = list(points), list(points.values())
@@ -69,10 +88,9 @@
     samples = []
     for _ in range(repeats + 1):
         prepare()
-        begin_s = time.process_time()
-        act(count)
-        elapsed_s = time.process_time() - begin_s
-        samples.append(elapsed_s * _MICROSECONDS / count)
+        with Stopwatch() as watch:
+            act(count)
+        samples.append(watch.elapsed_us / count)
     return build_figure(name, 'us', samples[1:])
 
 
--- /dev/null
+++ b/lavenderledge/capacity/tables.py
@@ -0,0 +1,220 @@
+"""What the table and the instance list cost at the design's sizes."""
+
+import asyncio
+import http
+import typing
+
+import msgspec
+
+from lavenderledge.capacity import figures, manual
+from lavenderledge.controllers import directory, tablecopy
+from lavenderledge.platform import instancelist
+from lavenderledge.policy import table, tablecheck
+
+CUSTOMERS: typing.Final = 500
+KINDS: typing.Final = ('plan', 'check', 'note')
+POOLS: typing.Final = 28
+NODES: typing.Final = 370
+REPLICAS: typing.Final = 790
+
+_MATCHES: typing.Final = 10_000
+_POLLS: typing.Final = 5
+
+
+class _Answer:
+    """One answer of the instance list."""
+
+    def __init__(self, *, body: bytes, etag: str, sent: str | None) -> None:
+        """Answer "not modified" where the tag is the one that was sent."""
+        same = etag == sent
+        self.status = (
+            http.HTTPStatus.NOT_MODIFIED if same else http.HTTPStatus.OK
+        )
+        self.headers = {'ETag': etag}
+        self._body = b'' if same else body
+
+    async def __aenter__(self) -> '_Answer':
+        return self
+
+    async def __aexit__(self, *raised: object) -> None:
+        """Close nothing."""
+
+    async def read(self) -> bytes:
+        """Return the body."""
+        return self._body
+
+
+class _Session:
+    """Answers a poll of the instance list without a network."""
+
+    def __init__(self, *, body: bytes) -> None:
+        """Answer with this list."""
+        self.etag = 0
+        self._body = body
+
+    def get(
+        self, url: str, *, headers: dict[str, str], timeout: object
+    ) -> _Answer:
+        """Return the list, if it is new to the asker."""
+        sent = headers.get('If-None-Match')
+        return _Answer(body=self._body, etag=f'{self.etag}', sent=sent)
+
+
+def make_rows() -> tuple[table.Row, ...]:
+    """Return three rows for each customer."""
+    return tuple(
+        table.Row(
+            row=f'customer-{number:03d}-{kind}',
+            customer=f'customer-{number:03d}',
+            pool=f'model-{number % POOLS:02d}',
+            kind=kind,
+            tier=tier,
+            rate=50.0,
+            burst=100,
+            concurrency=200,
+            timeout_s=60.0,
+            output_tokens=235,
+            repeatable=True,
+        )
+        for number in range(CUSTOMERS)
+        for tier, kind in enumerate(KINDS, start=1)
+    )
+
+
+def measure_table() -> list[figures.Figure]:
+    """Return the table's sizes and processor times."""
+    made = table.Table(make_rows(), 'edit-0123456789abcdef')
+    stored = tablecheck.encode_checked(made).default_value(b'')
+    copied = tablecopy.compress(stored)
+    index = table.RowIndex(rows=made.rows)
+
+    def accept(count: int) -> None:
+        for _ in range(count):
+            body = tablecopy.decompress(copied).default_value(b'')
+            decoded = tablecheck.decode_table(body)
+            table.RowIndex(rows=decoded.ok.rows)
+
+    def match(count: int) -> None:
+        for number in range(count):
+            customer = number % CUSTOMERS
+            index.match_row(
+                customer=f'customer-{customer:03d}',
+                pool=f'model-{customer % POOLS:02d}',
+                kind='note',
+            )
+
+    return [
+        figures.build_figure('table: stored', 'B', [len(stored)]),
+        figures.build_figure('table: compressed', 'B', [len(copied)]),
+        figures.measure_time(
+            'table: compress', _make_compress(stored), count=3
+        ),
+        figures.measure_time('table: decode, check, index', accept, count=3),
+        figures.measure_time('table: match a row', match, count=_MATCHES),
+        figures.measure_memory(
+            'table: memory of a row', _index, count=CUSTOMERS
+        ),
+    ]
+
+
+def measure_list() -> list[figures.Figure]:
+    """Return the instance list's size and processor times."""
+    return asyncio.run(_measure_list())
+
+
+async def _measure_list() -> list[figures.Figure]:
+    body = _make_list()
+    session = _Session(body=body)
+    source = instancelist.InstanceList(
+        session=typing.cast(typing.Any, session), address='http://list'
+    )
+    followed = directory.Directory(
+        source=source,
+        clock=manual.ManualClock(),
+        on_instances=_ignore,
+        count_failure=_ignore,
+    )
+    changed: list[float] = []
+    same: list[float] = []
+    for _ in range(_POLLS):
+        session.etag += 1
+        changed.append(await _time_poll(followed))
+        same.append(await _time_poll(followed))
+    return [
+        figures.build_figure('list: size', 'B', [len(body)]),
+        figures.build_figure('list: a changed poll', 'us', changed),
+        figures.build_figure('list: an unchanged poll', 'us', same),
+    ]
+
+
+async def _time_poll(followed: directory.Directory) -> float:
+    with figures.Stopwatch() as watch:
+        await followed.refresh()
+    return watch.elapsed_us
+
+
+def _make_compress(stored: bytes) -> typing.Callable[[int], None]:
+    def compress(count: int) -> None:
+        for _ in range(count):
+            tablecopy.compress(stored)
+
+    return compress
+
+
+def _index(count: int) -> table.RowIndex:
+    rows = make_rows()[:count]
+    return table.RowIndex(rows=rows)
+
+
+def _make_list() -> bytes:
+    slices = [
+        _make_slice(
+            'lavenderledge', 'instance', number, ('http', 'admin', 'peer')
+        )
+        for number in range(NODES)
+    ]
+    slices.extend(
+        _make_slice(f'model-{number % POOLS:02d}', 'engine', number, ('http',))
+        for number in range(REPLICAS)
+    )
+    return msgspec.json.encode(
+        {
+            'kind': 'EndpointSliceList',
+            'apiVersion': 'discovery.k8s.io/v1',
+            'metadata': {'resourceVersion': '12'},
+            'items': slices,
+        }
+    )
+
+
+def _make_slice(
+    service: str, kind: str, number: int, ports: tuple[str, ...]
+) -> dict[str, object]:
+    name = f'{service}-{number}'
+    conditions = {'ready': True, 'serving': True, 'terminating': False}
+    return {
+        'metadata': {
+            'name': name,
+            'labels': {
+                instancelist.POOL_LABEL: service,
+                instancelist.KIND_LABEL: kind,
+            },
+        },
+        'addressType': 'IPv4',
+        'endpoints': [
+            {
+                'addresses': [f'10.1.{number // 250}.{number % 250}'],
+                'conditions': conditions,
+                'targetRef': {'kind': 'Pod', 'name': name},
+                'zone': 'addis-a',
+            }
+        ],
+        'ports': [
+            {'name': port, 'port': 8000 + place}
+            for place, port in enumerate(ports)
+        ],
+    }
+
+
+def _ignore(told: object) -> None:
+    """Do nothing."""
