First tokens in time: fresh requests first, patience by learned prefill

Cause: in the measured crest on five replicas three of four bad answers of the top tier had been granted 0.58 to 0.74 s after they came, and one waited 0.9 s in its prefill. A request that will miss the first-token target now goes after its customer's others, placement counts a late first token, lower work is cancelled after half of the time to the target again (0.8 was a mistake for this measure), and the prefill rate is what requests really meet. Cancels take the lowest tier that runs first, whatever its replica. Plain answers count as one token: their estimated length was multiplied with their whole latency. The limit no longer grows for want of a reading two bands below: a new test that starts far over the knee stuck at 40 with the knee at 16.

--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -181,7 +181,7 @@
         self._granted.append(Granted(request, replica.info))
 
     def _is_hopeless(self, request: requests.Request) -> bool:
-        wanted = pools.measure(request, self._now_s)
+        wanted = pools.measure(self._pool, request, self._now_s)
         if not placement.is_unreachable(wanted, self.options.list_all()):
             return False
         fitted = self.options.discount_lower(
--- a/lavenderledge/policy/book.py
+++ b/lavenderledge/policy/book.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
+        self.plain = False
         self.requests: requests.Requests = {}
         self.queue = queueing.Queue()
         self.replicas: dict[str, replicas.Replica] = {}
@@ -60,9 +61,10 @@
         request.granted_s = now_s
         request.output_done = 0
         request.prefill_left = max(
-            0, request.ask.prompt_tokens - int(cached_tokens)
+            0,
+            self.count_prompt(request.ask.prompt_tokens) - int(cached_tokens),
         )
-        request.output_left = request.ask.output_tokens
+        request.output_left = self.count_output(request.ask.output_tokens)
         self._charge(request)
         self._hold(request, now_s)
         self.find_replica(replica).note_granted(now_s=now_s)
@@ -81,8 +83,8 @@
             self.requests[request.request_id] = request
             request.granted_s = now_s
             request.replica = held.replica
-            request.prefill_left = held.prompt_tokens
-            request.output_left = held.output_tokens
+            request.prefill_left = self.count_prompt(held.prompt_tokens)
+            request.output_left = self.count_output(held.output_tokens)
             self._charge(request)
             self._hold(request, now_s)
         request.stage = requests.Stage.RUNNING
@@ -142,6 +144,14 @@
             for number, count in self._cancellable.items()
         )
 
+    def count_prompt(self, tokens: int) -> int:
+        """Return a prompt's tokens; plain services have no prefill."""
+        return 0 if self.plain else tokens
+
+    def count_output(self, tokens: int) -> int:
+        """Return an answer's tokens; a plain answer counts as one."""
+        return 1 if self.plain else tokens
+
     def _wait(self, request: requests.Request) -> None:
         request.stage = requests.Stage.WAITING
         request.replica = ''
@@ -199,10 +209,8 @@
         """Update what is left to do by an instance's report."""
         load = self.find_replica(request.replica).load
         prefill = 0 if held.output_done else request.prefill_left
-        output = max(
-            held.output_tokens - held.output_done,
-            int(held.output_tokens * _LEAST_LEFT),
-        )
+        usual = self.count_output(held.output_tokens)
+        output = max(usual - held.output_done, int(usual * _LEAST_LEFT))
         load.change(
             prefill=prefill - request.prefill_left,
             output=output - request.output_left,
--- a/lavenderledge/policy/cancellation.py
+++ b/lavenderledge/policy/cancellation.py
@@ -69,16 +69,19 @@
     for request in pool.book.queue.walk_arrivals(tier):
         if request.request_id in pressed or blocked(request.ask.row):
             continue
-        if count >= most or not _is_impatient(request, options, now_s):
+        if count >= most or not _is_impatient(pool, request, options, now_s):
             break
         count += 1
     return count
 
 
 def _is_impatient(
-    request: requests.Request, options: rounds.Options, now_s: float
+    pool: pools.Pool,
+    request: requests.Request,
+    options: rounds.Options,
+    now_s: float,
 ) -> bool:
-    wanted = pools.measure(request, now_s)
+    wanted = pools.measure(pool, request, now_s)
     listed = options.list_all()
     first_s = min(
         placement.estimate_first_s(wanted, option) for option in listed
@@ -97,32 +100,41 @@
 def _cancel_for(
     pool: pools.Pool, tier: int, need: int, now_s: float
 ) -> list[requests.Request]:
-    useful = (
-        victim
-        for victim in _list_victims(pool, tier)
-        if _gives_slot(pool, victim, now_s)
-    )
-    victims = preemption.select_victims(useful, tier=tier, need=need)
-    chosen = [pool.book.requests[victim.request_id] for victim in victims]
-    for request in chosen:
-        pool.book.preempt(request, now_s=now_s)
-    return chosen
+    """Record whom to cancel; no work before all of lower tiers than it."""
+    for number in sorted(pool.book.held, reverse=True):
+        if number <= tier:
+            return []
+        victims = list(_list_victims(pool, number))
+        useful = [
+            victim for victim in victims if _gives_slot(pool, victim, now_s)
+        ]
+        chosen = preemption.select_victims(
+            useful or victims, tier=tier, need=need
+        )
+        if chosen:
+            return [_cancel(pool, victim, now_s) for victim in chosen]
+    return []
+
+
+def _cancel(
+    pool: pools.Pool, victim: preemption.Victim, now_s: float
+) -> requests.Request:
+    request = pool.book.requests[victim.request_id]
+    pool.book.preempt(request, now_s=now_s)
+    return request
 
 
 def _list_victims(
     pool: pools.Pool, tier: int
 ) -> abc.Iterator[preemption.Victim]:
-    for number, held in pool.book.held.items():
-        if number <= tier:
-            continue
-        for request in held.values():
-            if request.ask.preemptible and request.preempted_s is None:
-                yield preemption.Victim(
-                    number,
-                    request.work_done,
-                    request.request_id,
-                    request.replica,
-                )
+    for request in pool.book.held[tier].values():
+        if request.ask.preemptible and request.preempted_s is None:
+            yield preemption.Victim(
+                tier,
+                request.work_done,
+                request.request_id,
+                request.replica,
+            )
 
 
 def _gives_slot(
--- a/lavenderledge/policy/knees.py
+++ b/lavenderledge/policy/knees.py
@@ -13,7 +13,7 @@
 _LEAST_GAPS: typing.Final = 16
 # Batches within this ratio are taken together.
 _BAND_RATIO: typing.Final = 1.2
-# How many bands lower the throughput is compared with.
+# The least number of bands between two that are compared.
 _BANDS_APART: typing.Final = 2
 _KEEP: typing.Final = 0.7
 _GROW_FAST: typing.Final = 1.25
@@ -114,9 +114,12 @@
             batch = _KEEP * known.batch + (1 - _KEEP) * batch
             rate = _KEEP * known.rate + (1 - _KEEP) * rate
         self._bands[number] = _Band(batch, rate)
-        lower = self._bands.get(number - _BANDS_APART)
-        if lower is None:
+        smaller = [
+            band for band in self._bands if band <= number - _BANDS_APART
+        ]
+        if not smaller:
             return None
+        lower = self._bands[max(smaller)]
         return math.log(rate / lower.rate) / math.log(batch / lower.batch)
 
     def _set(self, exact: float) -> None:
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -4,6 +4,8 @@
 import typing
 from collections import abc
 
+FIRST_TOKEN_TARGET_S: typing.Final = 0.76
+
 # A hold for a faster replica ends after this long.
 MOST_HOLD_S: typing.Final = 0.25
 # A faster replica must save this much, and this part of the time.
@@ -15,6 +17,8 @@
 # A request with less than this times its estimate left is late: it may fail,
 # as an answer may be longer than its row's usual one.
 _SAFE_FIT: typing.Final = 1.3
+# The weight of time by which the first token is late against the answer's.
+_LATE_COST: typing.Final = 5.0
 
 
 class Wanted(typing.NamedTuple):
@@ -124,7 +128,7 @@
     _, best = min(timely)
     replica = best.replica
     finish_s = estimate_finish_s(wanted, best)
-    if not wanted.late and _SAFE_FIT * finish_s > wanted.remaining_s:
+    if not wanted.late and _is_late(wanted, best):
         return Choice(Verdict.LATE)
     if wanted.waited_s < MOST_HOLD_S and _find_faster(
         wanted, options, finish_s
@@ -189,11 +193,23 @@
     return makers[name]()
 
 
+def _is_late(wanted: Wanted, option: Option) -> bool:
+    finish_s = estimate_finish_s(wanted, option)
+    first_s = wanted.waited_s + estimate_first_s(wanted, option)
+    return (
+        _SAFE_FIT * finish_s > wanted.remaining_s
+        or first_s > FIRST_TOKEN_TARGET_S
+    )
+
+
 def _weigh(wanted: Wanted, option: Option) -> float:
     """Return the time to finish, with the delay of others by the prefill."""
     uncached = max(wanted.prompt_tokens - option.cached_tokens, 1)
     delay_s = uncached / option.prefill_rate * option.outstanding
-    return estimate_finish_s(wanted, option) + delay_s
+    first_s = wanted.waited_s + estimate_first_s(wanted, option)
+    late_s = max(0, first_s - FIRST_TOKEN_TARGET_S)
+    finish_s = estimate_finish_s(wanted, option)
+    return finish_s + delay_s + _LATE_COST * late_s
 
 
 def _read_reported(option: Option) -> int:
--- a/lavenderledge/policy/pool.py
+++ b/lavenderledge/policy/pool.py
@@ -59,6 +59,7 @@
             return
         self._infos = infos
         listed = {info.name: info for info in infos}
+        self.book.plain = any(info.kind == 'plain' for info in infos)
         for name, replica in tuple(self.book.replicas.items()):
             replica.list_as(listed.get(name))
             if replica.info is None and not replica.load.held:
@@ -99,7 +100,7 @@
         now_s: float,
     ) -> placement.Choice:
         """Return the policy's choice for a request."""
-        wanted = measure(request, now_s)
+        wanted = measure(self, request, now_s)
         late = self.book.queue.is_late(request)
         return self._policy.choose(wanted._replace(late=late), options)
 
@@ -118,11 +119,13 @@
                 self.book.queue.unblock(row)
 
 
-def measure(request: requests.Request, now_s: float) -> placement.Wanted:
+def measure(
+    pool: Pool, request: requests.Request, now_s: float
+) -> placement.Wanted:
     """Return what placement is to know of a request."""
     return placement.Wanted(
-        prompt_tokens=request.ask.prompt_tokens,
-        output_tokens=request.ask.output_tokens,
+        prompt_tokens=pool.book.count_prompt(request.ask.prompt_tokens),
+        output_tokens=pool.book.count_output(request.ask.output_tokens),
         remaining_s=request.deadline_s - now_s,
         waited_s=now_s - request.arrived_s,
     )
--- a/lavenderledge/policy/preemption.py
+++ b/lavenderledge/policy/preemption.py
@@ -4,10 +4,10 @@
 import typing
 from collections import abc
 
-FIRST_TOKEN_TARGET_S: typing.Final = 0.76
+from lavenderledge.policy import placement
 
 # The part of the time to the first-token target that may be waited away.
-_TARGET_PART: typing.Final = 0.8
+_TARGET_PART: typing.Final = 0.5
 # The part of the slack before the deadline that may be waited away.
 _SLACK_PART: typing.Final = 0.25
 
@@ -29,7 +29,7 @@
     ``remaining_s`` is the time from its arrival to its deadline;
     ``first_token_s`` and ``finish_s`` are expected from its grant on.
     """
-    for_target = FIRST_TOKEN_TARGET_S - first_token_s
+    for_target = placement.FIRST_TOKEN_TARGET_S - first_token_s
     for_deadline = remaining_s - finish_s
     return max(0, min(for_target * _TARGET_PART, for_deadline * _SLACK_PART))
 
--- a/lavenderledge/policy/queueing.py
+++ b/lavenderledge/policy/queueing.py
@@ -1,6 +1,5 @@
 """The waiting requests of one pool: strict tiers, fair order inside each."""
 
-import itertools
 from collections import abc
 
 from lavenderledge.policy import fairness, requests
@@ -8,12 +7,34 @@
 _LEAST_WEIGHT = 1e-6
 
 
+class _Line:
+    """One customer's waiting requests in a row, in order of arrival."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.fresh: requests.Requests = {}
+        self.late: requests.Requests = {}
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self.fresh) + len(self.late)
+
+    def find_first(self) -> requests.Request:
+        """Return the first; late ones come after all that are not."""
+        return next(iter((self.fresh or self.late).values()))
+
+    def remove(self, request_id: str) -> None:
+        """Remove a request, late or not."""
+        if self.late.pop(request_id, None) is None:
+            self.fresh.pop(request_id)
+
+
 class _Row:
-    """One row's waiting requests, by customer in order of arrival."""
+    """One row's waiting requests by customer."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.customers: dict[str, requests.Requests] = {}
+        self.customers: dict[str, _Line] = {}
         self.rotation = fairness.Rotation()
         self.weight = float(1)
 
@@ -26,7 +47,6 @@
         self.rows: dict[str, _Row] = {}
         self.rotation = fairness.Rotation()
         self.arrivals: requests.Requests = {}
-        self.late: requests.Requests = {}
 
 
 class Queue:
@@ -48,7 +68,8 @@
         tier = self._tiers.setdefault(ask.tier, _Tier())
         row = tier.rows.setdefault(ask.row, _Row())
         row.weight = max(ask.weight, _LEAST_WEIGHT)
-        row.customers.setdefault(ask.customer, {})[ask.request_id] = request
+        line = row.customers.setdefault(ask.customer, _Line())
+        line.fresh[ask.request_id] = request
         row.rotation.join(ask.customer)
         tier.arrivals[ask.request_id] = request
         self._counts[ask.row] = self._counts.get(ask.row, 0) + 1
@@ -61,19 +82,23 @@
         tier = self._tiers[ask.tier]
         del tier.arrivals[ask.request_id]  # noqa: WPS420
         self._counts[ask.row] -= 1
-        if tier.late.pop(ask.request_id, None) is None:
-            self._leave_flow(tier, request)
+        row = tier.rows[ask.row]
+        line = row.customers[ask.customer]
+        line.remove(ask.request_id)
+        if not line:
+            row.customers.pop(ask.customer)
+            row.rotation.leave(ask.customer)
+        if not row.customers:
+            tier.rotation.leave(ask.row)
 
     def defer(self, request: requests.Request) -> None:
-        """Serve a request after all of its tier that are not late."""
-        tier = self._tiers[request.ask.tier]
-        if request.request_id not in tier.late:
-            self._leave_flow(tier, request)
-            tier.late[request.request_id] = request
+        """Serve a request after its customer's that are not late."""
+        line = self._find_line(request)
+        line.late[request.request_id] = line.fresh.pop(request.request_id)
 
     def is_late(self, request: requests.Request) -> bool:
         """Return whether a request has been deferred."""
-        return request.request_id in self._tiers[request.ask.tier].late
+        return request.request_id in self._find_line(request).late
 
     def charge(self, request: requests.Request, cost: float) -> None:
         """Charge the request's flow with a cost in tokens, at its grant."""
@@ -119,19 +144,16 @@
         )
 
     def list_first(self, number: int, most: int) -> list[requests.Request]:
-        """Return a tier's requests due first, one for each flow.
-
-        Late ones come where no other may be served.
-        """
+        """Return a tier's requests due first, one for each flow."""
         tier = self._tiers[number]
         firsts: list[requests.Request] = []
         for name in tier.rotation.list_first(most):
             row = tier.rows[name]
             for customer in row.rotation.list_first(most - len(firsts)):
-                firsts.append(next(iter(row.customers[customer].values())))
+                firsts.append(row.customers[customer].find_first())
             if len(firsts) >= most:
                 break
-        return firsts or self._list_late(tier, most)
+        return firsts
 
     def walk_arrivals(self, number: int) -> abc.Iterator[requests.Request]:
         """Iterate over a tier's requests in order of arrival."""
@@ -150,24 +172,9 @@
         tier = self._tiers.get(number)
         return len(tier.arrivals) if tier else 0
 
-    def _leave_flow(self, tier: _Tier, request: requests.Request) -> None:
-        ask = request.ask
-        row = tier.rows[ask.row]
-        customer = row.customers[ask.customer]
-        del customer[ask.request_id]  # noqa: WPS420
-        if not customer:
-            row.customers.pop(ask.customer)
-            row.rotation.leave(ask.customer)
-        if not row.customers:
-            tier.rotation.leave(ask.row)
-
-    def _list_late(self, tier: _Tier, most: int) -> list[requests.Request]:
-        late = (
-            request
-            for request in tier.late.values()
-            if request.ask.row not in self._blocked
-        )
-        return list(itertools.islice(late, most))
+    def _find_line(self, request: requests.Request) -> _Line:
+        tier = self._tiers[request.ask.tier]
+        return tier.rows[request.ask.row].customers[request.ask.customer]
 
 
 def _count_arrivals(tier: _Tier) -> int:
--- a/lavenderledge/policy/speed.py
+++ b/lavenderledge/policy/speed.py
@@ -16,9 +16,9 @@
 _PRIOR_WEIGHT: typing.Final = 1.0
 # The part of the mean gap that the fit leaves at least for no batch.
 _LEAST_BASE: typing.Final = 0.1
-_RATE_UP: typing.Final = 0.5
-_RATE_DOWN: typing.Final = 0.05
-_LEAST_RATE: typing.Final = 50.0
+_PREFILL_FADE: typing.Final = 0.95
+# The prefill that is assumed at the default rate until there are readings.
+_PRIOR_TOKENS: typing.Final = 1000.0
 
 
 class Speed:
@@ -31,6 +31,8 @@
     def __init__(self, *, gap_s: float = DEFAULT_GAP_S) -> None:
         """Assume a gap until there are readings."""
         self.prefill_rate = DEFAULT_PREFILL_RATE
+        self._prefill_tokens = _PRIOR_TOKENS
+        self._prefill_s = _PRIOR_TOKENS / DEFAULT_PREFILL_RATE
         self.known = False
         self.most_batch = float(0)
         self._weight = float(0)
@@ -61,16 +63,17 @@
     def note_first_tokens(
         self, *, prefilled_tokens: int, first_token_s: float
     ) -> None:
-        """Learn the prefill rate from prefills that were not cached.
+        """Learn the rate at which prompts not cached get to a first token.
 
-        The time to first token includes waiting in the replica, so faster
-        readings are believed sooner than slower ones.
+        It is what a request meets, with the steps of others in between.
+        Readings of what was cached come later than those of first tokens, so
+        both are summed over many.
         """
-        if prefilled_tokens <= 0 or first_token_s <= 0:
-            return
-        rate = max(prefilled_tokens / first_token_s, _LEAST_RATE)
-        step = _RATE_UP if rate > self.prefill_rate else _RATE_DOWN
-        self.prefill_rate += step * (rate - self.prefill_rate)
+        fade = _PREFILL_FADE
+        tokens = self._prefill_tokens * fade + prefilled_tokens
+        self._prefill_tokens = max(tokens, 1)
+        self._prefill_s = self._prefill_s * fade + first_token_s
+        self.prefill_rate = self._prefill_tokens / self._prefill_s
 
     def gap_s(self, batch: float) -> float:
         """Return the usual gap between tokens at a batch, in seconds."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -156,6 +156,15 @@
     assert knee * 0.7 <= sum(last) / len(last) <= knee * 1.7
 
 
+def test_a_limit_far_over_the_knee_shrinks_without_missing_the_target():
+    limit = knees.Limit(start=60)
+    for period in range(200):
+        batch = limit.most if period > 10 else 16 + 4 * period
+        gap_s = 0.005 * max(1, batch / 16)
+        limit.note(batch=batch, gaps=50, gap_s=50 * gap_s, now_s=period * 0.6)
+    assert limit.most < 30
+
+
 def test_the_limit_shrinks_over_the_target_gap_and_not_while_idle():
     limit = knees.Limit(start=20)
     for period in range(10):
