Tick less while nothing waits; a burst decides only its own pools

Cause: an idle instance spent 2.9 % of a core, and every burst of messages decided for every pool. The asker's side ticks every 50 ms (25 before) while it holds requests and every 200 ms else, the allocator every 250 ms while none waits. Not measured yet on real instances.

--- a/lavenderledge/controllers/admission.py
+++ b/lavenderledge/controllers/admission.py
@@ -16,7 +16,8 @@
 
 REPORT_INTERVAL: typing.Final = datetime.timedelta(seconds=1)
 GRANT_TTL: typing.Final = datetime.timedelta(seconds=2)
-TICK: typing.Final = datetime.timedelta(milliseconds=25)
+TICK: typing.Final = datetime.timedelta(milliseconds=50)
+IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=200)
 
 _REPORT_INTERVAL_S: typing.Final = REPORT_INTERVAL.total_seconds()
 _GRANT_TTL_S: typing.Final = GRANT_TTL.total_seconds()
@@ -206,7 +207,7 @@
         """Tick until cancelled."""
         while True:
             self.tick()
-            await self._clock.sleep(TICK)
+            await self._clock.sleep(TICK if self._entries else IDLE_TICK)
 
     def _now(self) -> float:
         return self._clock.read_monotonic()
--- a/lavenderledge/controllers/allocator.py
+++ b/lavenderledge/controllers/allocator.py
@@ -19,6 +19,7 @@
 )
 
 TICK: typing.Final = datetime.timedelta(milliseconds=50)
+IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=250)
 POLICIES: typing.Final = placement.POLICIES
 
 ReplicaInfo: typing.TypeAlias = replicas.ReplicaInfo
@@ -85,7 +86,7 @@
         self._policy = placement.make_policy(decide)
         self._pools: dict[str, pools.Pool] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._scheduled = False
+        self._touched: set[str] = set()
 
     def receive(self, message: AskerMessage) -> None:
         """Take an instance's message; grants follow at the next tick.
@@ -102,7 +103,7 @@
             pool.intake.apply_ask(message, share=pool.fleet.share, now_s=now_s)
         else:
             pool.intake.apply_release(message, now_s=now_s)
-        self._schedule()
+        self._schedule(message.pool)
 
     def note_load(
         self, pool: str, replica: str, running: int, waiting: int
@@ -126,20 +127,15 @@
 
     def tick(self) -> None:
         """Decide for every pool and send what was decided."""
-        self._scheduled = False
-        now_s = self._clock.read_monotonic()
-        for name, pool in tuple(self._pools.items()):
-            if self._is_allocator(name):
-                self._decide(name, pool, now_s)
-            else:
-                self._pools.pop(name)
+        self._decide_for(tuple(self._pools))
 
     async def run(self) -> None:
         """Tick until cancelled."""
         self._loop = asyncio.get_running_loop()
         while True:
             self.tick()
-            await self._clock.sleep(TICK)
+            busy = any(pool.book.queue for pool in self._pools.values())
+            await self._clock.sleep(TICK if busy else IDLE_TICK)
 
     def describe(self) -> tuple[PoolStatus, ...]:
         """Return the state of every pool that is allocated here."""
@@ -147,10 +143,26 @@
             _describe_pool(name, pool) for name, pool in self._pools.items()
         )
 
-    def _schedule(self) -> None:
-        if self._loop is not None and not self._scheduled:
-            self._scheduled = True
-            self._loop.call_soon(self.tick)
+    def _schedule(self, name: str) -> None:
+        if self._loop is not None and not self._touched:
+            self._loop.call_soon(self._follow_burst)
+        self._touched.add(name)
+
+    def _follow_burst(self) -> None:
+        touched = tuple(self._touched)
+        self._touched.clear()
+        self._decide_for(touched)
+
+    def _decide_for(self, names: abc.Iterable[str]) -> None:
+        now_s = self._clock.read_monotonic()
+        for name in names:
+            pool = self._pools.get(name)
+            if pool is None:
+                continue
+            if self._is_allocator(name):
+                self._decide(name, pool, now_s)
+            else:
+                self._pools.pop(name)
 
     def _find_pool(self, name: str) -> pools.Pool:
         pool = self._pools.get(name)
