Keep polling connections open

Cause: a profile of an idle instance: of its work a third is opening connections to poll engines and the instance list, three a second an engine. Ruled out: polling less often (a leaving upstream must be seen in seconds).

--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -44,6 +44,7 @@
         metrics: meters.Metrics,
         tasks: background.Tasks,
         session: aiohttp.ClientSession,
+        polling_session: aiohttp.ClientSession,
     ) -> None:
         """Build all controllers; none runs yet."""
         self.granted: dict[str, exchange.Exchange] = {}
@@ -70,11 +71,11 @@
             count_retry=self.count_retry,
             run_detached=tasks.run_detached,
         )
-        self.directory = self._build_directory(session)
+        self.directory = self._build_directory(polling_session)
         self.admission = self._build_admission()
         self.allocator = self._build_allocator()
         self.load = load.LoadPoller(
-            observer=observation.Observer(session=session),
+            observer=observation.Observer(session=polling_session),
             clock=clock,
             loads=self.allocator,
             list_pools=self.list_allocated,
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -21,7 +21,7 @@
 from lavenderledge.filters import dispatch
 from lavenderledge.peers import link
 from lavenderledge.platform import keyvalue
-from lavenderledge.upstreams import connection
+from lavenderledge.upstreams import connection, observation
 
 _DETACHED_TIMEOUT_S = 30.0
 _IDLE_CHECK_S = 0.1
@@ -58,12 +58,14 @@
         self._metrics = meters.Metrics()
         self._tasks = background.Tasks(clock=clock, count=self._metrics.count)
         self._session = keyvalue.open_session()
+        self._polling_session = observation.open_session()
         self._controllers = assembly.Controllers(
             settings=settings,
             clock=clock,
             metrics=self._metrics,
             tasks=self._tasks,
             session=self._session,
+            polling_session=self._polling_session,
         )
         self._client = connection.UpstreamClient(
             connect_timeout_s=settings.connect_timeout.total_seconds()
@@ -172,6 +174,7 @@
         await self._controllers.link.close()
         await self._client.close()
         await self._session.close()
+        await self._polling_session.close()
 
     def _bind(self) -> 'expression.Result[_Sockets, Failure]':
         entry = servers.bind_socket(self._settings.listen)
--- a/lavenderledge/upstreams/observation.py
+++ b/lavenderledge/upstreams/observation.py
@@ -10,6 +10,7 @@
 from lavenderledge.policy import prefix
 
 _TIMEOUT_S = 2.0
+_KEEP_ALIVE_S = 15.0
 _OK = 200
 _UNAVAILABLE = 503
 _RUNNING = 'vllm:num_requests_running'
@@ -56,6 +57,20 @@
     next: int
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that keeps connections open between polls.
+
+    A connection that has gone silent costs one poll: it is closed at the
+    timeout, and the next poll makes a fresh one.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=_KEEP_ALIVE_S
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
 class Observer:
     """Reads what upstreams publish."""
 
