Give up callers that take nothing

Ruled out: a limit on every send of a stream (the deadline bounds those). Before, as a trial without the limit: tests/test_callers.py times out. After: it passes, and a stop leaves connections that take nothing after 10 s. A read of a response ends after 10 minutes in place of an hour. Conclusion: every wait on a caller is bounded.

--- a/lavenderledge/daemon/callers.py
+++ b/lavenderledge/daemon/callers.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface: ASGI in, the filter chain, ASGI out."""
 
 import asyncio
+import datetime
 import logging
 import uuid
 from collections import abc
@@ -15,6 +16,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+SEND_TIMEOUT = datetime.timedelta(seconds=30)
+
 _BODY_TIMEOUT_S = 30.0
 
 
@@ -28,12 +31,18 @@
         metrics: meters.Metrics,
         body_limit_bytes: int,
         most_in_flight: int,
+        send_timeout: datetime.timedelta = SEND_TIMEOUT,
     ) -> None:
-        """Serve nothing yet."""
+        """Serve nothing yet.
+
+        ``send_timeout`` bounds each wait for a caller to take bytes that
+        the request's deadline does not bound.
+        """
         self._clock = clock
         self._metrics = metrics
         self._body_limit_bytes = body_limit_bytes
         self._most_in_flight = most_in_flight
+        self._send_timeout_s = send_timeout.total_seconds()
         self.in_flight = 0
 
     def make_endpoint(
@@ -156,10 +165,10 @@
         answer: exchange.Answer,
     ) -> None:
         self._note_answer(current, answer)
-        await send(_build_start(current, answer))
+        await self._send(send, _build_start(current, answer))
         if answer.stream is not None:
             await self._send_stream(current, send, answer.stream)
-        await send(_build_chunk(answer.body, more=False))
+        await self._send(send, _build_chunk(answer.body, more=False))
 
     async def _send_stream(
         self,
@@ -176,9 +185,15 @@
             ended = expression.Error(self._refuse_internal(current).error)
         if ended.is_error():
             self._note_refusal(current, ended.error)
-            await sink(
-                refusals.format_stream_refusal(current.request_id, ended.error)
+            last = refusals.format_stream_refusal(
+                current.request_id, ended.error
             )
+            await self._send(send, _build_chunk(last, more=True))
+
+    async def _send(self, send: types.Send, message: types.Message) -> None:
+        """Send, and give the connection up where the caller takes nothing."""
+        async with asyncio.timeout(self._send_timeout_s):
+            await send(message)
 
     def _refuse_internal(self, current: exchange.Exchange) -> exchange.Outcome:
         _LOGGER.exception(
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -24,6 +24,7 @@
 from lavenderledge.upstreams import connection, observation
 
 _DETACHED_TIMEOUT_S = 30.0
+_FLUSH_TIMEOUT_S = 10.0
 _IDLE_CHECK_S = 0.1
 _SUPERSESSION_CHECK_S = 1.0
 # Beyond the reserve of the limit filter, with room for reads.
@@ -141,8 +142,8 @@
             self._clock.sleep(self._settings.notice_period)
         )
         entry_server.should_exit = True
-        await self._wait_unless_forced(asyncio.shield(serving))
         await self._wait_unless_forced(self._finish_work())
+        await self._wait_unless_forced(_flush(serving))
         entry_server.force_exit = True
 
     async def _watch_supersession(self) -> None:
@@ -269,3 +270,8 @@
     def _log(self, event: str, **fields: object) -> None:
         fields['instance'] = self._settings.instance
         logs.write_event(_LOGGER, event, level=logging.INFO, **fields)
+
+
+async def _flush(serving: 'asyncio.Task[None]') -> None:
+    """Wait until callers have taken what was sent, or leave the rest."""
+    await asyncio.wait((serving,), timeout=_FLUSH_TIMEOUT_S)
--- a/lavenderledge/filters/reading.py
+++ b/lavenderledge/filters/reading.py
@@ -12,7 +12,7 @@
 
 FindAddress = abc.Callable[[str, str], str | None]
 
-_READ_TIMEOUT_S = 3600
+_READ_TIMEOUT_S = 600
 _NOT_FOUND = 404
 
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,59 @@
+import asyncio
+import datetime
+
+import expression
+
+from lavenderledge import clock
+from lavenderledge.daemon import callers, metrics
+from lavenderledge.filters import exchange
+
+PATIENCE_S = 20
+SCOPE = {
+    'type': 'http',
+    'method': 'POST',
+    'path': '/',
+    'raw_path': b'/',
+    'query_string': b'',
+    'headers': [],
+}
+
+
+async def answer_whole(current):
+    return expression.Ok(exchange.Answer(200, (), b'whole'))
+
+
+async def answer_streamed(current):
+    async def pump(sink):
+        await asyncio.wait_for(sink(b'first'), 0.01)
+
+    return expression.Ok(exchange.Answer(200, (), stream=pump))
+
+
+async def test_a_caller_that_takes_nothing_is_given_up():
+    for handler in (answer_whole, answer_streamed):
+        entry = callers.Callers(
+            clock=clock.SystemClock(),
+            metrics=metrics.Metrics(),
+            body_limit_bytes=10,
+            most_in_flight=10,
+            send_timeout=datetime.timedelta(seconds=0.01),
+        )
+        endpoint = entry.make_endpoint(handler, methods={'POST'})
+        async with asyncio.timeout(PATIENCE_S):
+            await endpoint(SCOPE, make_receive(), send_to_nobody)
+        assert entry.in_flight == 0
+
+
+def make_receive():
+    messages = [{'type': 'http.request', 'body': b''}]
+
+    async def receive():
+        if messages:
+            return messages.pop()
+        return await asyncio.get_running_loop().create_future()
+
+    return receive
+
+
+async def send_to_nobody(message):
+    await asyncio.get_running_loop().create_future()
