--- a/lavenderledge/capacity/allocating.py
+++ b/lavenderledge/capacity/allocating.py
@@ -207,13 +207,13 @@
             prepare=world.report,
         )
         reports[size] = _measure_report(
-            f'report of 5 running: {size} replicas', size, 5
+            f'empty report: {size} replicas', size, 0
         )
     return [
         *figures.add_slope('idle tick by replicas', 'us', ticks),
         *figures.add_slope('ask, grant, release by replicas', 'us', cycles),
         *figures.add_slope('report, ask, grant, release', 'us', mixed),
-        *figures.add_slope('report by replicas', 'us', reports),
+        *figures.add_slope('empty report', 'us', reports),
     ]
 
 
--- a/lavenderledge/capacity/core.py
+++ b/lavenderledge/capacity/core.py
@@ -2,6 +2,7 @@
 
 import argparse
 import datetime
+import pathlib
 import typing
 from collections import abc
 
@@ -13,21 +14,48 @@
     allocating,
     asking,
     committing,
+    design,
     figures,
     gossiping,
+    idling,
     linking,
+    relaying,
     tables,
 )
 
+PROGRAM: typing.Final = 'python -m lavenderledge.capacity'
+
 Measure: typing.TypeAlias = abc.Callable[[], list[figures.Figure]]
 
+
+class Part(typing.NamedTuple):
+    """The figures of one part, and when their measuring began."""
+
+    part: str
+    began: datetime.datetime
+    found: list[figures.Figure]
+
+
+class _Fields(typing.TypedDict):
+    name: str
+    median: float
+
+
+class _Line(typing.TypedDict):
+    part: str
+    began: datetime.datetime
+    found: list[_Fields]
+
+
 PARTS: typing.Final[dict[str, Measure]] = {
     'peers': linking.measure,
+    'links': idling.measure,
     'allocator': allocating.measure,
     'admission': asking.measure,
     'table': tables.measure_table,
     'list': tables.measure_list,
     'claims': committing.measure,
+    'relay': relaying.measure,
     'membership': gossiping.measure,
     'cold-start': gossiping.measure_cold_start,
     'split': gossiping.measure_split,
@@ -37,37 +65,68 @@
 def main(
     args: abc.Sequence[str], env: environment.Environment
 ) -> status.ExitStatus:
-    """Measure one part or all, and show the figures."""
+    """Measure one part or all, or work the design out, and show figures."""
     try:
         given = _build_parser().parse_args(args)
     except SystemExit as end:
         return status.ExitStatus(int(end.code or 0))
+    render = _render_json if given.json else _render_text
+    if given.work_out is not None:
+        return _work_out(given.work_out, render, env)
     for name in given.part or PARTS:
         began = clocks.SystemClock().read_wall()
-        found = PARTS[name]()
-        if given.json:
-            env.stdout.write(_render_json(name, began, found))
-        else:
-            env.stdout.write(f'# {name}, {began:%Y-%m-%d %H:%M} UTC\n')
-            env.stdout.write(figures.render_text(found))
-        env.stdout.flush()
+        _write(render(Part(name, began, PARTS[name]())), env)
     return status.ExitStatus.SUCCESS
 
 
-def _render_json(
-    name: str, began: datetime.datetime, found: list[figures.Figure]
-) -> str:
-    """Return one line of JSON for a part."""
-    shown = [each._asdict() for each in found]
-    encoded = msgspec.json.encode(
-        {'part': name, 'began': began, 'figures': shown}
-    )
+def _work_out(
+    path: str,
+    render: abc.Callable[[Part], str],
+    env: environment.Environment,
+) -> status.ExitStatus:
+    """Show the costs at the design size, from the slopes in a file."""
+    try:
+        found = design.work_out(_read_slopes(path))
+    except (OSError, msgspec.MsgspecError, KeyError) as error:
+        env.write_error(
+            program=PROGRAM,
+            message=f'{path}: {error!r}',
+            hint='the file is what --json prints of every part',
+        )
+        return status.ExitStatus.ERROR
+    began = clocks.SystemClock().read_wall()
+    _write(render(Part('design', began, found)), env)
+    return status.ExitStatus.SUCCESS
+
+
+def _read_slopes(path: str) -> dict[str, float]:
+    lines = pathlib.Path(path).read_bytes().splitlines()
+    parts = [msgspec.json.decode(line, type=_Line) for line in lines]
+    return {
+        each['name']: each['median'] for part in parts for each in part['found']
+    }
+
+
+def _write(text: str, env: environment.Environment) -> None:
+    env.stdout.write(text)
+    env.stdout.flush()
+
+
+def _render_text(part: Part) -> str:
+    shown = figures.render_text(part.found)
+    return f'# {part.part}, {part.began:%Y-%m-%d %H:%M} UTC\n{shown}'
+
+
+def _render_json(part: Part) -> str:
+    """Return one line of JSON."""
+    found = [each._asdict() for each in part.found]
+    encoded = msgspec.json.encode({**part._asdict(), 'found': found})
     return f'{encoded.decode()}\n'
 
 
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
-        prog='python -m lavenderledge.capacity',
+        prog=PROGRAM,
         description='Measure the slopes that docs/CAPACITY.md rests on.',
     )
     parser.add_argument(
@@ -79,4 +138,9 @@
     parser.add_argument(
         '--json', action='store_true', help='print a line of JSON a part'
     )
+    parser.add_argument(
+        '--work-out',
+        metavar='FILE',
+        help='measure nothing, show the costs at the design size from FILE',
+    )
     return parser
--- a/lavenderledge/capacity/linking.py
+++ b/lavenderledge/capacity/linking.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from lavenderledge.capacity import figures
+from lavenderledge.capacity import figures, samples
 from lavenderledge.peers import benchmark, codec, messages
 
 _BURSTS: typing.Final = (1, 10)
@@ -11,6 +11,7 @@
 _REPEATS: typing.Final = 5
 _CODED: typing.Final = 500
 _SIZES: typing.Final = (5, 20, 100)
+_REPLICAS: typing.Final = 28
 
 
 def measure() -> list[figures.Figure]:
@@ -18,13 +19,49 @@
     kinds: dict[str, messages.Message] = {}
     for size in _SIZES:
         kinds.update(benchmark.list_samples(size))
+    kinds['Release'] = messages.Release(
+        'entry-0',
+        1796356800000,
+        samples.POOL,
+        samples.make_ask(1).request_id,
+        235,
+    )
     found = []
     for name, message in kinds.items():
         found.extend(_measure_codec(name, message))
+    found.extend(_measure_reports())
     found.extend(asyncio.run(_measure_links(kinds)))
     return found
 
 
+def _measure_reports() -> list[figures.Figure]:
+    """Return the size of reports with a reading for each replica used."""
+    points = {}
+    for size in (0, *_SIZES):
+        replicas = [
+            f'calculator-{each}' for each in range(min(size, _REPLICAS))
+        ]
+        report = messages.Report(
+            sender='entry-0',
+            incarnation=1796356800000,
+            pool=samples.POOL,
+            sequence=100,
+            stamp_s=12345.678,
+            grant_seen=99,
+            waiting=(),
+            running=tuple(
+                samples.make_running(number, replicas[number % len(replicas)])
+                for number in range(size)
+            ),
+            readings=tuple(map(samples.make_reading, replicas)),
+        )
+        encoded = codec.encode(report).default_value(b'')
+        points[size] = figures.build_figure(
+            f'report on the wire: {size} running', 'B', [len(encoded)]
+        )
+    return figures.add_slope('report on the wire', 'B', points)
+
+
 def _measure_codec(
     name: str, message: messages.Message
 ) -> list[figures.Figure]:
--- /dev/null
+++ b/lavenderledge/capacity/relaying.py
@@ -0,0 +1,155 @@
+"""What the data path costs one entry, by request and by token.
+
+This is data, not control. Also what an allocator's polls of its replicas
+cost. Real processes on loopback, so the figures take wall-clock time.
+"""
+
+import asyncio
+import typing
+
+from lavenderledge import clock as clocks
+from lavenderledge.capacity import figures
+from lavenderledge.load import fleet as fleets
+from lavenderledge.load import replay, targets, traces, workloads
+from lavenderledge.standins import batch
+
+_SPEED: typing.Final = batch.Speed(0.03, 64, 1_000_000, 256)
+_ENGINES: typing.Final = 8
+_RATE: typing.Final = 10
+_SECONDS: typing.Final = 12
+_LENGTHS: typing.Final = (20, 200)
+_REPEATS: typing.Final = 3
+_PERCENT: typing.Final = 100
+_MICROSECONDS: typing.Final = 1e6
+
+
+class Run(typing.NamedTuple):
+    """The cores of the entry, and what it relayed a second."""
+
+    cores: float
+    requests: float
+    tokens: float
+
+
+def measure() -> list[figures.Figure]:
+    """Return the costs of requests, tokens and polls."""
+    return asyncio.run(_measure())
+
+
+def solve(short: Run, long: Run, idle_cores: float) -> tuple[float, float]:
+    """Return the microseconds of a request and of a token.
+
+    Both runs spend ``idle_cores`` besides.
+    """
+    determinant = short.requests * long.tokens - long.requests * short.tokens
+    spent_short = short.cores - idle_cores
+    spent_long = long.cores - idle_cores
+    request = spent_short * long.tokens - spent_long * short.tokens
+    token = short.requests * spent_long - long.requests * spent_short
+    scale = _MICROSECONDS / determinant
+    return request * scale, token * scale
+
+
+async def _measure() -> list[figures.Figure]:
+    idle = await _replay(1, 0)
+    found = [
+        figures.build_figure(
+            'idle instance, allocator of 1 replica',
+            '% core',
+            [run.cores * _PERCENT for run in idle],
+        )
+    ]
+    runs = {
+        length: await _replay(_ENGINES, length) for length in (0, *_LENGTHS)
+    }
+    found.append(
+        figures.build_figure(
+            f'idle instance, allocator of {_ENGINES} replicas',
+            '% core',
+            [run.cores * _PERCENT for run in runs[0]],
+        )
+    )
+    found.append(
+        figures.build_figure(
+            'poll of a replica',
+            'us',
+            [
+                (many.cores - one.cores) / (_ENGINES - 1) * _MICROSECONDS
+                for one, many in zip(idle, runs[0], strict=True)
+            ],
+        )
+    )
+    solved = [
+        solve(short, long, alone.cores)
+        for alone, short, long in zip(
+            runs[0], *(runs[length] for length in _LENGTHS), strict=True
+        )
+    ]
+    pairs = zip(('request relayed', 'token relayed'), zip(*solved), strict=True)
+    found.extend(figures.build_figure(name, 'us', each) for name, each in pairs)
+    found.append(
+        figures.build_figure(
+            'tokens relayed, long answers',
+            '/s',
+            [run.tokens for run in runs[_LENGTHS[-1]]],
+        )
+    )
+    return found
+
+
+async def _replay(engines: int, output_tokens: int) -> list[Run]:
+    user = workloads.ABYSSINIA._replace(
+        instances=1, engines=(workloads.Engine(_SPEED),) * engines
+    )
+    trace = _build_trace(output_tokens)
+    runs = []
+    async with fleets.run_fleet(user, targets.OURS) as fleet:
+        for _ in range(_REPEATS):
+            run = await replay.replay_trace(
+                fleet,
+                trace,
+                policy=targets.OURS,
+                label=targets.OURS,
+                clock=clocks.SystemClock(),
+            )
+            runs.append(_read_run(run))
+    return runs
+
+
+def _read_run(run: replay.Run) -> Run:
+    elapsed_s = run.usage.elapsed_s
+    return Run(
+        cores=run.usage.programs['entry-0'],
+        requests=len(run.answers) / elapsed_s,
+        tokens=sum(answer.tokens for answer in run.answers) / elapsed_s,
+    )
+
+
+def _build_trace(output_tokens: int) -> traces.Trace:
+    count = _RATE * _SECONDS if output_tokens else 0
+    return traces.Trace(
+        seed=1,
+        counted=traces.Window(0, _SECONDS),
+        arrivals=tuple(
+            _make_arrival(number, output_tokens) for number in range(count)
+        ),
+        bursts=(),
+        episodes=(),
+    )
+
+
+def _make_arrival(number: int, output_tokens: int) -> traces.Arrival:
+    kind = workloads.ABYSSINIA.kinds[0]
+    return traces.Arrival(
+        number=number,
+        at_s=number / _RATE,
+        kind=kind.name,
+        tier=kind.tier,
+        customer=workloads.ABYSSINIA.customers[0].name,
+        entry=0,
+        prefix=0,
+        prefix_tokens=kind.prefix_tokens,
+        prompt_tokens=kind.prompt_tokens,
+        output_tokens=output_tokens,
+        timeout_s=60,
+    )
