Prove dispatch and relay by a state machine; cancel a lost stream at once

tests/test_relay.py runs the real entry, filters, admission and engine stream against fake engines, on a loop whose time jumps from timer to timer.

Fault found, by hand while looking at a trace: a stream that was given up was cancelled only after its caller had taken the refusal. With a caller that takes nothing the response had 0 cancels 18 s after the stall, until the send timeout of 30 s; now 3 attempts by then. Test: -k takes_nothing, failed without the change to relay.py.

--- a/lavenderledge/filters/relay.py
+++ b/lavenderledge/filters/relay.py
@@ -143,6 +143,8 @@
         early = await _end_early(upstreams, current, stream, limit.reason)
         return expression.Error(early.error)
     if ended.is_error():
+        # Telling a caller that takes nothing may take long; cancel first.
+        _leave(upstreams, current, stream)
         return current.refuse(outcomes.Reason.UPSTREAM_LOST, ended.error.detail)
     return _judge_end(upstreams, current, ended.ok, progress.document)
 
--- /dev/null
+++ b/tests/entry.py
@@ -0,0 +1,127 @@
+"""One instance's way of a request: its entry, filters and admission."""
+
+import asyncio
+import json
+
+from lavenderledge import outcomes
+from lavenderledge.controllers import admission
+from lavenderledge.daemon import callers, metrics
+from lavenderledge.filters import admit, chain, dispatch, identify, work
+from lavenderledge.peers import messages
+from lavenderledge.policy import table
+from tests import faultyengines
+
+POOL = 'calculator'
+ROW = table.Row('plans', '*', POOL, '*', 1, repeatable=True)
+
+
+class Entry:
+    """The real code between a caller and a faulty way to engines.
+
+    Engines are granted in turn, by grants that are ``grant_age_s`` old.
+    """
+
+    def __init__(self, *, loop, deadline_s, silence_s, note_preempted):
+        self.loop = loop
+        self.way = faultyengines.FaultyWay(check_dispatch=self._check_dispatch)
+        self.tasks = []
+        self.granted = {}
+        self.grant_age_s = 0
+        self.lapsed_dispatches = []
+        self._expiries = {}
+        self._deadline_s = deadline_s
+        self._silence_s = silence_s
+        self._note_preempted = note_preempted
+
+    def serve(self, caller):
+        self._spawn(self._serve_whole(caller))
+
+    async def _serve_whole(self, caller):
+        """Serve as the server does, which closes what has not ended."""
+        await self._serve(caller.scope, caller.receive, caller.send)
+        if not caller.ended and not caller.reading.is_set():
+            caller.leave()
+
+    def start(self):
+        self.requests = admission.Admission(
+            instance='a',
+            incarnation=1,
+            clock=self.loop,
+            send=self._send,
+            find_allocator=lambda pool: 'a',
+            on_preempt=self._on_preempt,
+        )
+        upstreams = dispatch.Upstreams(
+            client=self.way,
+            clock=self.loop,
+            requests=self.requests,
+            silence_s=self._silence_s,
+            lost_after_s=6,
+            answer_limit_bytes=1024,
+            count_retry=lambda reason: None,
+            run_detached=self._spawn,
+        )
+        self._serve = callers.Callers(
+            clock=self.loop,
+            metrics=metrics.Metrics(),
+            body_limit_bytes=4096,
+            most_in_flight=1000,
+        ).make_endpoint(self._build_handler(upstreams), methods=('POST',))
+        self._ticks = asyncio.ensure_future(self._tick())
+
+    def _build_handler(self, upstreams):
+        return chain.build_chain(
+            (
+                identify.identify,
+                work.make_read_work(work.read_response_work),
+                self._set_row,
+                dispatch.make_readmit(upstreams, attempts=3),
+                admit.make_admit(
+                    requests=self.requests,
+                    clock=self.loop,
+                    granted_exchanges=self.granted,
+                ),
+            ),
+            dispatch.make_dispatch(upstreams),
+        )
+
+    async def _tick(self):
+        while True:
+            self.requests.tick()
+            await asyncio.sleep(0.5)
+
+    def _send(self, to, message):
+        if isinstance(message, messages.NewAsk):
+            self.loop.call_soon(self._grant, message.ask.request_id)
+
+    def _grant(self, request_id):
+        number = len(self._expiries) + 1
+        stamp_s = self.loop.now_s - self.grant_age_s
+        replica = f'engine-{number % 3}'
+        self._expiries[number] = stamp_s + admission.GRANT_TTL.total_seconds()
+        self.requests.receive(
+            messages.Grant(
+                'a', POOL, number, request_id, replica, str(number), stamp_s
+            )
+        )
+
+    def _check_dispatch(self, url, body):
+        """Note a first byte on a grant that has lapsed."""
+        number = int(url.removeprefix('http://').split('/')[0])
+        if self.loop.now_s >= self._expiries[number]:
+            self.lapsed_dispatches.append(url)
+
+    def _on_preempt(self, request_id):
+        current = self.granted[request_id]
+        self._note_preempted(
+            json.loads(current.call.body)['metadata']['number']
+        )
+        current.interrupt(outcomes.Reason.PREEMPTED)
+
+    def _spawn(self, coroutine):
+        self.tasks.append(asyncio.ensure_future(coroutine))
+
+    async def _set_row(self, current, proceed):
+        current.row = ROW
+        current.deadline_s = current.call.received_s + self._deadline_s
+        return await proceed(current)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,233 @@
+"""Dispatch and relay of model requests under every failure at once."""
+
+import asyncio
+import json
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lavenderledge import outcomes
+from lavenderledge.peers import messages
+from tests import entry, faultyengines
+
+STREAM_FAULTS = st.builds(
+    faultyengines.Fault,
+    st.sampled_from(faultyengines.IN_THE_STREAM),
+    st.integers(0, 3),
+)
+FAULTS = st.one_of(
+    STREAM_FAULTS,
+    st.builds(faultyengines.Fault, st.sampled_from(faultyengines.ON_THE_WAY)),
+    st.just(faultyengines.Fault()),
+)
+INDEXES = st.integers(0, 2)
+DEADLINE_S = 30
+SILENCE_S = 2
+CANCEL_ATTEMPTS = 3
+CANCEL_S = faultyengines.CONNECT_S + SILENCE_S + 0.5
+SETTLE_S = 0.001
+WAITS_S = (0.1, 0.1, 0.5, 1, 2.5, 9, 31)
+NEVER = (outcomes.Reason.INTERNAL, outcomes.Reason.ANSWER_INCOMPLETE)
+
+
+class RelayMachine(stateful.RuleBasedStateMachine):
+    """Callers, one instance's filters, and engines behind a faulty way.
+
+    The oracle is what the engines were sent and generated.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = faultyengines.SkippingLoop()
+        self.entry = entry.Entry(
+            loop=self.loop,
+            deadline_s=DEADLINE_S,
+            silence_s=SILENCE_S,
+            note_preempted=self._note_preempted,
+        )
+        self.way = self.entry.way
+        self.callers = []
+        self._do(self.entry.start)
+
+    @stateful.rule(
+        tokens=st.integers(1, 8),
+        streamed=st.booleans(),
+        faults=st.lists(STREAM_FAULTS | FAULTS, max_size=3),
+    )
+    def ask(self, tokens, streamed, faults):
+        self.way.faults.extend(faults)
+        self._do(self._ask, tokens, streamed)
+
+    @stateful.rule(faults=st.lists(FAULTS, max_size=4))
+    def break_way(self, faults):
+        self.way.faults.extend(faults)
+
+    @stateful.rule(age_s=st.sampled_from((0, 1.5)))
+    def delay_grants(self, age_s):
+        self.entry.grant_age_s = age_s
+
+    @stateful.rule(count=st.integers(0, 4), seconds=st.sampled_from(WAITS_S))
+    def pass_time(self, count, seconds):
+        for generation in self.way.list_running():
+            self._do(generation.produce, count)
+        self.loop.advance(seconds)
+
+    @stateful.rule(
+        index=INDEXES, kind=st.sampled_from(('failed', 'incomplete'))
+    )
+    def end_one(self, index, kind):
+        for generation in self.way.list_running()[index:][:1]:
+            self._do(generation.end, kind)
+
+    @stateful.rule(index=INDEXES)
+    def forget_one(self, index):
+        for generation in self.way.list_running()[index:][:1]:
+            self._do(self.way.forget, generation)
+
+    @stateful.rule()
+    def deliver_late(self):
+        self._do(self.way.deliver_late)
+
+    @stateful.rule(index=INDEXES)
+    def leave(self, index):
+        for caller in self.callers[-1 - index :][:1]:
+            self._do(caller.leave)
+
+    @stateful.rule(index=INDEXES, reads=st.booleans())
+    def stall(self, index, reads):
+        for caller in self.callers[-1 - index :][:1]:
+            change = caller.reading.set if reads else caller.reading.clear
+            self._do(change)
+
+    @stateful.rule(index=INDEXES)
+    def preempt(self, index):
+        for request_id in list(self.entry.granted)[index:][:1]:
+            order = messages.Preempt('a', entry.POOL, request_id)
+            self._do(self.entry.requests.receive, order)
+
+    @stateful.invariant()
+    def at_most_once(self):
+        assert not self.entry.lapsed_dispatches
+        assert all(len(each) <= 1 for each in self.way.arrived.values())
+
+    @stateful.invariant()
+    def nothing_runs_for_nobody(self):
+        for caller in self.callers:
+            if caller.gone_s is None and (caller.ended or caller.left):
+                caller.gone_s = self.loop.now_s
+        for generation in self.way.list_running():
+            gone_s = self.callers[generation.number].gone_s
+            if gone_s is None or self.loop.now_s < gone_s + 4 * CANCEL_S:
+                continue
+            tried = self.way.cancels[generation.response_id]
+            assert tried >= CANCEL_ATTEMPTS
+
+    @stateful.invariant()
+    def deadlines_are_kept(self):
+        for caller in self.callers:
+            late_s = self.loop.now_s - caller.asked_s - DEADLINE_S
+            if caller.reading.is_set() and late_s >= CANCEL_S:
+                assert caller.ended or caller.left
+
+    @stateful.invariant()
+    def what_callers_were_told_is_true(self):
+        for caller in self.callers:
+            generations = self.way.arrived[caller.number] or [None]
+            if caller.streamed and caller.status == 200:
+                self._check_stream(caller, generations[0])
+            elif caller.ended and caller.status == 200:
+                assert json.loads(caller.told) == generations[0].response
+                assert generations[0].kind in {'completed', 'incomplete'}
+            elif caller.ended:
+                document = json.loads(caller.told)
+                self._check_refusal(caller, document, generations[0])
+
+    def teardown(self):
+        """Stop the faults: all cancels arrive, then everything ends."""
+        try:
+            self._settle()
+        finally:
+            self.loop.run_until_complete(_cancel_all())
+            self.loop.close()
+
+    def _settle(self):
+        self.way.faults.clear()
+        for caller in self.callers:
+            self._do(caller.reading.set)
+        self._do(self.way.deliver_late)
+        self.loop.advance(4 * CANCEL_S)
+        self.nothing_runs_for_nobody()
+        self.loop.advance(4 * CANCEL_S)
+        self.nothing_runs_for_nobody()
+        for generation in self.way.list_running():
+            self._do(generation.produce, 10)
+        self.loop.advance(DEADLINE_S + 30)
+        self.at_most_once()
+        self.what_callers_were_told_is_true()
+        assert all(task.done() for task in self.entry.tasks)
+        assert all(each.ended or each.left for each in self.callers)
+        assert not self.way.open
+        assert not self.entry.granted
+
+    def _note_preempted(self, number):
+        self.callers[number].gone_s = self.loop.now_s
+
+    def _ask(self, tokens, streamed):
+        caller = faultyengines.Caller(
+            number=len(self.callers), tokens=tokens, streamed=streamed
+        )
+        caller.asked_s = self.loop.now_s
+        self.callers.append(caller)
+        self.entry.serve(caller)
+
+    def _check_refusal(self, caller, document, generation):
+        """Check a refusal against what arrived at engines."""
+        error = document['error']
+        assert error['code'] not in NEVER
+        assert caller.outcome in {'', error['outcome']}
+        if error['outcome'] == outcomes.Outcome.NOT_RUN:
+            assert generation is None
+        lost = error['code'] == outcomes.Reason.UPSTREAM_LOST
+        if lost and generation is not None and not generation.forgotten:
+            assert self.way.troubles[generation.response_id] > 1
+
+    def _check_stream(self, caller, generation):
+        """Check that a stream is the engine's, in order, whole or refused."""
+        told, _, error = caller.told.partition(b'event: error\ndata: ')
+        events = b''.join(generation.events) if generation else b''
+        assert events.startswith(told)
+        if error:
+            self._check_refusal(caller, json.loads(error), generation)
+        elif caller.ended:
+            assert told == events
+            assert generation.kind in {'completed', 'incomplete'}
+
+    def _do(self, action, *args):
+        async def act():
+            action(*args)
+            await asyncio.sleep(SETTLE_S)
+
+        self.loop.run_until_complete(act())
+
+
+async def _cancel_all():
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+    await asyncio.sleep(SETTLE_S)
+
+
+RelayMachine.TestCase.settings = hypothesis.settings(
+    max_examples=400, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestRelay = RelayMachine.TestCase
+
+
+def test_a_lost_stream_is_cancelled_though_its_caller_takes_nothing():
+    machine = RelayMachine()
+    machine.ask(tokens=5, streamed=True, faults=())
+    machine.stall(index=0, reads=False)
+    machine.break_way([faultyengines.Fault('lost_before')] * 16)
+    machine.pass_time(count=0, seconds=20)
+    assert not machine.way.list_running()
+    machine.teardown()
