Try replicas whose speed is not known of late

And a newly listed replica, assumed at 30 ms a token beside learned 5 ms, got 0 of 30 requests five times. Ruled out: forgetting speeds by time alone (a busy pool would lose them); letting the fit fade faster (six probes were still needed; reverted). Now an idle replica without readings for 3 s makes nothing unreachable; a pace under 0.6 of the usual is believed at once; a newcomer is assumed at the pool's median.

--- a/lavenderledge/policy/options.py
+++ b/lavenderledge/policy/options.py
@@ -1,5 +1,6 @@
 """The replicas as options for requests, in one round of decisions."""
 
+import statistics
 import typing
 
 from lavenderledge.policy import (
@@ -77,11 +78,24 @@
         for option in options:
             replica = self._pool.book.replicas[option.replica]
             lower = replica.load.count_lower(tier)
-            gap_s = replica.speed.gap_s(replica.load.held + 1 - lower)
+            gap_s = self._assume_gap_s(replica, replica.load.held + 1 - lower)
             least_gap_s = gap_s * replica.slow_factor()
             discounted.append(option._replace(least_gap_s=least_gap_s))
         return discounted
 
+    def _assume_gap_s(self, replica: replicas.Replica, batch: float) -> float:
+        """Return a replica's token gap; a newcomer's is the pool's median."""
+        if replica.speed.known:
+            return replica.speed.gap_s(batch)
+        known = [
+            other.speed.gap_s(batch)
+            for other in self._pool.book.replicas.values()
+            if other.speed.known
+        ]
+        if known:
+            return statistics.median_low(known)
+        return replica.speed.gap_s(batch)
+
     def _find(self, name: str, replica: replicas.Replica) -> placement.Option:
         option = self._pool.options.get(name)
         if option is None or replica.load.changed or not replica.steady:
@@ -93,7 +107,7 @@
     def _build(self, name: str, replica: replicas.Replica) -> placement.Option:
         load = replica.load
         factor = replica.slow_factor()
-        gap_s = replica.speed.gap_s(load.held + 1) * factor
+        gap_s = self._assume_gap_s(replica, load.held + 1) * factor
         held = max(load.held, 1)
         return placement.Option(
             replica=name,
@@ -106,4 +120,5 @@
             free_in_s=load.output_left / held * gap_s / held,
             outstanding=load.held,
             reported=replica.reported,
+            is_stale=replica.is_stale(self._now_s),
         )
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -37,7 +37,8 @@
     ``gap_s`` is the token gap to expect with the request in the batch, and
     ``least_gap_s`` the one without the work that may be cancelled for it;
     ``queued_tokens`` is the prefill granted before it; ``free_in_s`` the time
-    until a slot is expected where none is free.
+    until a slot is expected where none is free. ``is_stale`` says that nothing
+    runs there and that its speed was not read of late.
     """
 
     replica: str
@@ -50,6 +51,7 @@
     free_in_s: float
     outstanding: int
     reported: int
+    is_stale: bool = False
 
 
 @enum.unique
@@ -98,13 +100,24 @@
 
 
 def is_unreachable(wanted: Wanted, options: abc.Sequence[Option]) -> bool:
-    """Return whether no replica could finish in time, if granted now."""
+    """Return whether no replica could finish in time, if granted now.
+
+    That is never said while an idle replica's speed is not known of late:
+    only a request that tries it can tell.
+    """
+    if any(option.is_stale for option in options):
+        return False
     least_s = min(
         (estimate_least_s(wanted, option) for option in options), default=0
     )
     return least_s * _MUST_FIT > wanted.remaining_s
 
 
+def _may_fit(wanted: Wanted, option: Option) -> bool:
+    least_s = estimate_least_s(wanted, option)
+    return option.is_stale or least_s * _MUST_FIT < wanted.remaining_s
+
+
 def choose_by_finish(wanted: Wanted, options: abc.Sequence[Option]) -> Choice:
     """Place where the answer is expected first, and in time.
 
@@ -120,8 +133,7 @@
     timely = [
         (_weigh(wanted, option), option)
         for option in options
-        if option.slots > 0
-        and estimate_least_s(wanted, option) * _MUST_FIT < wanted.remaining_s
+        if option.slots > 0 and _may_fit(wanted, option)
     ]
     if not timely:
         return _WAIT
--- a/lavenderledge/policy/replicas.py
+++ b/lavenderledge/policy/replicas.py
@@ -9,6 +9,10 @@
 PLAIN_LIMIT: typing.Final = 32
 
 _BATCH_WINDOW_S: typing.Final = 0.5
+# Without readings for so long, an idle replica may have changed its speed.
+_STALE_S: typing.Final = 3.0
+# A pace under this part of the usual is believed at once.
+_MUCH_FASTER: typing.Final = 0.6
 _FIRST_BACKOFF_S: typing.Final = 0.25
 _MOST_BACKOFF_S: typing.Final = 5.0
 _MOST_DOUBLINGS: typing.Final = 6
@@ -40,6 +44,7 @@
         self.standing = stragglers.Standing(stragglers.State.NORMAL, 0)
         self.load = Load()
         self.reported = 0
+        self.read_s = float('-inf')
         self.failures = 0
         self.closed_until_s = float('-inf')
         self._tried = False
@@ -81,10 +86,14 @@
         self.load.changed = True
 
     def slow_factor(self) -> float:
-        """Return by how much the replica is slower than usual now."""
-        if self.standing.state is stragglers.State.NORMAL:
-            return 1
-        return max(1, self.pace.ratio() or 1)
+        """Return by how much the replica is slower than usual now.
+
+        It is under 1 for one that has become much faster.
+        """
+        ratio = self.pace.ratio() or 1
+        if self.standing.state is not stragglers.State.NORMAL:
+            return max(1, ratio)
+        return ratio if ratio < _MUCH_FASTER else 1
 
     def note_granted(self, *, now_s: float) -> None:
         """Let one request try a replica that failed, and no more for now."""
@@ -101,8 +110,13 @@
             self._note_accepted()
             self._note_first_tokens(reading, now_s)
         if reading.token_gaps:
+            self.read_s = now_s
             self._note_gaps(reading, now_s)
 
+    def is_stale(self, now_s: float) -> bool:
+        """Return whether it is idle and its speed was not read of late."""
+        return not self.load.held and now_s - self.read_s > _STALE_S
+
     def judge(self, *, common: float, now_s: float) -> None:
         """Update the standing, given by how much all replicas are slow."""
         self.load.changed = True
--- /dev/null
+++ b/tests/test_probing.py
@@ -0,0 +1,79 @@
+"""Replicas whose speed is not known of late are tried."""
+
+from tests import fleet
+
+TOKENS = 20
+TIMEOUT_S = 20
+ESTIMATE = 256
+ROW = fleet.build_row('notes', tier=1, output_tokens=ESTIMATE)
+
+
+class Bench:
+    """One instance whose engines make tokens at given gaps."""
+
+    def __init__(self, *, replicas):
+        self.fleet = fleet.Fleet(replicas=replicas, rows=(ROW,))
+        self.gaps = {info.name: 0.005 for info in self.fleet.replicas}
+        self.node = self.fleet.nodes['a']
+        self.number = 0
+        self.fleet.advance(1)
+
+    def run(self, count):
+        """Run requests together to their ends; return their verdicts."""
+        tasks = [self.ask() for _ in range(count)]
+        verdicts = []
+        while tasks:
+            self.fleet.advance(fleet.STEP_S)
+            for task in [each for each in tasks if each.done()]:
+                tasks.remove(task)
+                verdicts.append(task.result())
+                if task.result().is_ok():
+                    self.work(task.result().ok)
+        return verdicts
+
+    def ask(self):
+        self.number += 1
+        ask = fleet.build_ask(
+            f'request-{self.number}',
+            row='notes',
+            output_tokens=ESTIMATE,
+            remaining_s=TIMEOUT_S,
+        )
+        return self.fleet.acquire('a', ask, timeout_s=TIMEOUT_S)
+
+    def work(self, placement):
+        """Make a request's tokens, the time passing with them."""
+        gap_s = self.gaps[placement.replica]
+        self.node.admission.start(placement.request_id)
+        together = max(1, round(fleet.STEP_S / gap_s))
+        for done in range(together, TOKENS + 1, together):
+            self.fleet.advance(gap_s * together)
+            self.node.admission.note_tokens(placement.request_id, done)
+        self.node.admission.release(placement.request_id, TOKENS)
+
+
+def test_a_pool_is_tried_again_after_it_was_too_slow():
+    bench = Bench(replicas=1)
+    bench.run(6)
+    bench.gaps['engine-0'] = 0.5
+    bench.run(20)
+    bench.gaps['engine-0'] = 0.005
+    bench.fleet.advance(5)
+    assert bench.run(1)[0].is_ok()
+    bench.fleet.advance(2)
+    assert all(verdict.is_ok() for verdict in bench.run(4))
+    bench.fleet.close()
+
+
+def test_a_newly_listed_replica_gets_its_part():
+    bench = Bench(replicas=3)
+    listed = bench.fleet.replicas
+    newcomer = listed[-1]
+    bench.fleet.replicas = listed[:-1]
+    bench.run(30)
+    bench.fleet.advance(2)
+    bench.fleet.replicas = listed
+    bench.fleet.advance(1)
+    placed = [bench.run(1)[0].ok.replica for _ in range(30)]
+    assert newcomer.name in placed
+    bench.fleet.close()
