Serve a tier in order of arrival, and no lower tier while one is short of time

Cause: served fresh requests before late ones. Ruled out: keeping the order and only stopping the notes (late checks would still starve behind fresh ones). The order of arrival is restored inside a customer's line, and lower tiers get no slot while a request waits because no free replica would be in time.

--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -68,6 +68,7 @@
         self._granted: list[Granted] = []
         self._room = pool.count_room()
         self._held_back: set[str] = set()
+        self._is_short = False
 
     def refuse_hopeless(self) -> None:
         """Refuse the oldest of each tier that no replica could finish."""
@@ -81,9 +82,15 @@
                 self._refuse(request, outcomes.Reason.DEADLINE_UNREACHABLE)
 
     def grant(self) -> list[Granted]:
-        """Grant in strict order of tiers, fairly inside each."""
+        """Grant in strict order of tiers, fairly inside each.
+
+        While a request waits because no free replica would be in time, lower
+        tiers get nothing: their work would have to be cancelled for it.
+        """
         for tier in self._book.queue.list_tiers():
             self._grant_tier(tier)
+            if self._is_short:
+                break
         return self._granted
 
     def settle_pressed(self) -> None:
@@ -150,8 +157,6 @@
             self._place(request, choice.replica)
         elif choice.verdict is placement.Verdict.UNREACHABLE:
             self._refuse(request, outcomes.Reason.DEADLINE_UNREACHABLE)
-        elif choice.verdict is placement.Verdict.LATE:
-            self._book.queue.defer(request)
         else:
             self._hold_back(request, choice.replica)
             return False
@@ -161,6 +166,8 @@
         self._held_back.add(request.request_id)
         if name:
             self.options.reserve(name)
+        else:
+            self._is_short = True
 
     def _place(self, request: requests.Request, name: str) -> None:
         replica = self._book.replicas[name]
--- a/lavenderledge/policy/placement.py
+++ b/lavenderledge/policy/placement.py
@@ -14,9 +14,6 @@
 # The part of the estimate that must fit before the deadline: an answer may
 # be shorter than its row's usual one.
 _MUST_FIT: typing.Final = 0.8
-# A request with less than this times its estimate left is late: it may fail,
-# as an answer may be longer than its row's usual one.
-_SAFE_FIT: typing.Final = 1.3
 # The weight of time by which the first token is late against the answer's.
 _LATE_COST: typing.Final = 5.0
 
@@ -28,7 +25,6 @@
     output_tokens: int
     remaining_s: float
     waited_s: float
-    late: bool = False
 
 
 class Option(typing.NamedTuple):
@@ -60,7 +56,6 @@
 
     PLACE = 'place'
     WAIT = 'wait'
-    LATE = 'late'
     UNREACHABLE = 'unreachable'
 
 
@@ -123,8 +118,7 @@
 
     A request waits a little for a much faster replica, and as long as only
     replicas are free that would be too slow for its deadline. It is
-    unreachable where no replica at all could finish it, if granted now, and
-    late where that is in doubt.
+    unreachable where no replica at all could finish it, if granted now.
     """
     if not options:
         return _WAIT
@@ -140,8 +134,6 @@
     _, best = min(timely)
     replica = best.replica
     finish_s = estimate_finish_s(wanted, best)
-    if not wanted.late and _is_late(wanted, best):
-        return Choice(Verdict.LATE)
     if wanted.waited_s < MOST_HOLD_S and _find_faster(
         wanted, options, finish_s
     ):
@@ -205,15 +197,6 @@
     return makers[name]()
 
 
-def _is_late(wanted: Wanted, option: Option) -> bool:
-    finish_s = estimate_finish_s(wanted, option)
-    first_s = wanted.waited_s + estimate_first_s(wanted, option)
-    return (
-        _SAFE_FIT * finish_s > wanted.remaining_s
-        or first_s > FIRST_TOKEN_TARGET_S
-    )
-
-
 def _weigh(wanted: Wanted, option: Option) -> float:
     """Return the time to finish, with the delay of others by the prefill."""
     uncached = max(wanted.prompt_tokens - option.cached_tokens, 1)
--- a/lavenderledge/policy/pool.py
+++ b/lavenderledge/policy/pool.py
@@ -100,9 +100,7 @@
         now_s: float,
     ) -> placement.Choice:
         """Return the policy's choice for a request."""
-        wanted = measure(self, request, now_s)
-        late = self.book.queue.is_late(request)
-        return self._policy.choose(wanted._replace(late=late), options)
+        return self._policy.choose(measure(self, request, now_s), options)
 
     def is_over_limit(self, row: str) -> bool:
         """Return whether a row runs as many requests as it may."""
--- a/lavenderledge/policy/queueing.py
+++ b/lavenderledge/policy/queueing.py
@@ -7,34 +7,12 @@
 _LEAST_WEIGHT = 1e-6
 
 
-class _Line:
-    """One customer's waiting requests in a row, in order of arrival."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self.fresh: requests.Requests = {}
-        self.late: requests.Requests = {}
-
-    def __len__(self) -> int:
-        """Return how many requests wait."""
-        return len(self.fresh) + len(self.late)
-
-    def find_first(self) -> requests.Request:
-        """Return the first; late ones come after all that are not."""
-        return next(iter((self.fresh or self.late).values()))
-
-    def remove(self, request_id: str) -> None:
-        """Remove a request, late or not."""
-        if self.late.pop(request_id, None) is None:
-            self.fresh.pop(request_id)
-
-
 class _Row:
-    """One row's waiting requests by customer."""
+    """One row's waiting requests, by customer in order of arrival."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.customers: dict[str, _Line] = {}
+        self.customers: dict[str, requests.Requests] = {}
         self.rotation = fairness.Rotation()
         self.weight = float(1)
 
@@ -68,8 +46,7 @@
         tier = self._tiers.setdefault(ask.tier, _Tier())
         row = tier.rows.setdefault(ask.row, _Row())
         row.weight = max(ask.weight, _LEAST_WEIGHT)
-        line = row.customers.setdefault(ask.customer, _Line())
-        line.fresh[ask.request_id] = request
+        row.customers.setdefault(ask.customer, {})[ask.request_id] = request
         row.rotation.join(ask.customer)
         tier.arrivals[ask.request_id] = request
         self._counts[ask.row] = self._counts.get(ask.row, 0) + 1
@@ -83,23 +60,14 @@
         del tier.arrivals[ask.request_id]  # noqa: WPS420
         self._counts[ask.row] -= 1
         row = tier.rows[ask.row]
-        line = row.customers[ask.customer]
-        line.remove(ask.request_id)
-        if not line:
+        waiting = row.customers[ask.customer]
+        waiting.pop(ask.request_id)
+        if not waiting:
             row.customers.pop(ask.customer)
             row.rotation.leave(ask.customer)
         if not row.customers:
             tier.rotation.leave(ask.row)
 
-    def defer(self, request: requests.Request) -> None:
-        """Serve a request after its customer's that are not late."""
-        line = self._find_line(request)
-        line.late[request.request_id] = line.fresh.pop(request.request_id)
-
-    def is_late(self, request: requests.Request) -> bool:
-        """Return whether a request has been deferred."""
-        return request.request_id in self._find_line(request).late
-
     def charge(self, request: requests.Request, cost: float) -> None:
         """Charge the request's flow with a cost in tokens, at its grant."""
         tier = self._tiers.setdefault(request.ask.tier, _Tier())
@@ -150,7 +118,7 @@
         for name in tier.rotation.list_first(most):
             row = tier.rows[name]
             for customer in row.rotation.list_first(most - len(firsts)):
-                firsts.append(row.customers[customer].find_first())
+                firsts.append(next(iter(row.customers[customer].values())))
             if len(firsts) >= most:
                 break
         return firsts
@@ -172,10 +140,6 @@
         tier = self._tiers.get(number)
         return len(tier.arrivals) if tier else 0
 
-    def _find_line(self, request: requests.Request) -> _Line:
-        tier = self._tiers[request.ask.tier]
-        return tier.rows[request.ask.row].customers[request.ask.customer]
-
 
 def _count_arrivals(tier: _Tier) -> int:
     return len(tier.arrivals)
