Let a higher tier in for the one it displaced, and decide by tier alone

Ruled out: no bound on bytes (a displaced request's bytes still count); no gate at all (connections cost memory too; it is far out now, and bodies are read 256 at a time). The test of bounds said memory_full for the first case; it now says let in, and stays strict on bytes.

--- a/lavenderledge/daemon/callers.py
+++ b/lavenderledge/daemon/callers.py
@@ -19,6 +19,7 @@
 SEND_TIMEOUT = datetime.timedelta(seconds=30)
 
 _BODY_TIMEOUT_S = 30.0
+_MOST_READERS = 256
 
 
 class Callers:
@@ -42,6 +43,7 @@
         self._metrics = metrics
         self._body_limit_bytes = body_limit_bytes
         self._most_in_flight = most_in_flight
+        self._readers = asyncio.Semaphore(_MOST_READERS)
         self._send_timeout_s = send_timeout.total_seconds()
         self.in_flight = 0
 
@@ -91,10 +93,15 @@
     async def _read_body(
         self, receive: types.Receive
     ) -> bytes | outcomes.Reason:
+        """Read the body; how many are read at a time is bounded.
+
+        Whoever comes beyond waits here: what is refused, and for whom, is
+        decided by tier, which the body tells.
+        """
         if self.in_flight > self._most_in_flight:
             return outcomes.Reason.MEMORY_FULL
         try:
-            async with asyncio.timeout(_BODY_TIMEOUT_S):
+            async with asyncio.timeout(_BODY_TIMEOUT_S), self._readers:
                 return await _read_body(receive, self._body_limit_bytes)
         except TimeoutError:
             return outcomes.Reason.BODY_TIMEOUT
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -27,8 +27,8 @@
 _FLUSH_TIMEOUT_S = 10.0
 _IDLE_CHECK_S = 0.1
 _SUPERSESSION_CHECK_S = 1.0
-# Beyond the reserve of the limit filter, with room for reads.
-_IN_FLIGHT_FACTOR = 3
+# Far beyond the reserve of the limit filter, which decides by tier.
+_IN_FLIGHT_FACTOR = 16
 _LOGGER = logging.getLogger(__name__)
 
 Failure: typing.TypeAlias = servers.ListenFailure | link.ListenFailure
--- a/lavenderledge/filters/limit.py
+++ b/lavenderledge/filters/limit.py
@@ -46,16 +46,23 @@
             for each in range(1, tier + 1)
         )
 
-    def is_full(self, size: int, *, reserve: int = 1) -> bool:
-        """Return whether one more body of ``size`` bytes passes a bound.
-
-        ``reserve`` multiplies the bounds.
-        """
+    def is_full(self, size: int) -> bool:
+        """Return whether one more body of ``size`` bytes passes a bound."""
         return (
-            self.requests >= self.bounds.requests * reserve
-            or self.body_bytes + size > self.bounds.body_bytes * reserve
+            self.requests >= self.bounds.requests
+            or self.body_bytes + size > self.bounds.body_bytes
         )
 
+    def has_reserve(self, size: int, *, displaced: bool) -> bool:
+        """Return whether the reserve takes one more body of ``size`` bytes.
+
+        One that has displaced another takes the other's place, which is
+        given up a moment later; only bytes count for it.
+        """
+        if self.body_bytes + size > self.bounds.body_bytes * _RESERVE:
+            return False
+        return displaced or self.requests < self.bounds.requests * _RESERVE
+
     @contextlib.contextmanager
     def hold(self, customer: str, tier: int, size: int) -> abc.Iterator[None]:
         """Count one request of ``size`` bytes until the context ends."""
@@ -103,9 +110,11 @@
                 'too many requests of this customer at this instance',
                 retry_after_s=1,
             )
-        if holdings.is_full(size) and not displace(tier):
-            current.pressed = True
-        if holdings.is_full(size, reserve=_RESERVE):
+        displaced = False
+        if holdings.is_full(size):
+            displaced = displace(tier)
+            current.pressed = not displaced
+        if not holdings.has_reserve(size, displaced=displaced):
             return current.refuse(
                 outcomes.Reason.MEMORY_FULL,
                 'this instance holds as much as it may',
