--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/mypy
 
 unit: install
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 4 --dist worksteal
 
 test: lint types unit
 
