--- a/lavenderledge/cli/settings.py
+++ b/lavenderledge/cli/settings.py
@@ -7,6 +7,7 @@
 
 import expression
 
+from lavenderledge import options
 from lavenderledge.cli import definition
 
 
@@ -19,18 +20,6 @@
     log_level: str
 
 
-class Problem(typing.NamedTuple):
-    """A setting that is missing or malformed."""
-
-    flag: str
-    variable: str
-    detail: str
-
-    def __str__(self) -> str:
-        """Return the problem in words."""
-        return f'{self.flag} ({self.variable}): {self.detail}'
-
-
 _ABSENT: typing.Final[abc.Mapping[str, typing.Any]] = {
     'keyvalue': (),
     'instance_list': '',
@@ -41,10 +30,10 @@
     given: argparse.Namespace,
     variables: abc.Mapping[str, str],
     needs: abc.Container[str],
-) -> 'expression.Result[Settings, tuple[Problem, ...]]':
+) -> 'expression.Result[Settings, tuple[options.Problem, ...]]':
     """Return all settings, or every problem with them at once."""
     found: dict[str, typing.Any] = dict(_ABSENT)
-    problems: list[Problem] = []
+    problems: list[options.Problem] = []
     for setting in definition.SETTINGS:
         text = getattr(given, setting.name, None)
         if text is None:
@@ -62,5 +51,5 @@
     return expression.Ok(Settings(**found))
 
 
-def _report(setting: definition.Setting, detail: str) -> Problem:
-    return Problem(setting.flag, setting.variable, detail)
+def _report(setting: definition.Setting, detail: str) -> options.Problem:
+    return options.Problem(setting.flag, setting.variable, detail)
--- a/lavenderledge/core.py
+++ b/lavenderledge/core.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from lavenderledge import clock as clocks
-from lavenderledge import environment, logs, status
+from lavenderledge import environment, logs, options, status
 from lavenderledge.cli import (
     context,
     definition,
@@ -62,7 +62,7 @@
 
 
 def _refuse_settings(
-    env: environment.Environment, problems: abc.Iterable[settings.Problem]
+    env: environment.Environment, problems: abc.Iterable[options.Problem]
 ) -> status.ExitStatus:
     for problem in problems:
         env.write_error(program=definition.PROGRAM, message=str(problem))
--- a/lavenderledge/daemon/settings.py
+++ b/lavenderledge/daemon/settings.py
@@ -8,6 +8,7 @@
 import expression
 
 import lavenderledge
+from lavenderledge import options
 from lavenderledge.daemon import definition, formats
 from lavenderledge.peers import keys
 
@@ -41,18 +42,6 @@
     log_level: str
 
 
-class Problem(typing.NamedTuple):
-    """A setting that is missing or malformed."""
-
-    flag: str
-    variable: str
-    detail: str
-
-    def __str__(self) -> str:
-        """Return the problem in words."""
-        return f'{self.flag} ({self.variable}): {self.detail}'
-
-
 def build_parser() -> argparse.ArgumentParser:
     """Return a parser that takes every flag as text."""
     parser = argparse.ArgumentParser(
@@ -75,10 +64,10 @@
 
 def read_settings(
     given: argparse.Namespace, variables: abc.Mapping[str, str]
-) -> 'expression.Result[Settings, tuple[Problem, ...]]':
+) -> 'expression.Result[Settings, tuple[options.Problem, ...]]':
     """Return all settings, or every problem with them at once."""
     found: dict[str, typing.Any] = {}
-    problems: list[Problem] = []
+    problems: list[options.Problem] = []
     for option in definition.OPTIONS:
         text = getattr(given, option.name)
         if text is None:
@@ -95,8 +84,8 @@
     return expression.Ok(Settings(**found))
 
 
-def _report(option: definition.Option, detail: str) -> Problem:
-    return Problem(option.flag, option.variable, detail)
+def _report(option: definition.Option, detail: str) -> options.Problem:
+    return options.Problem(option.flag, option.variable, detail)
 
 
 def _explain(option: definition.Option, text: str, error: ValueError) -> str:
--- a/lavenderledge/load/core.py
+++ b/lavenderledge/load/core.py
@@ -16,7 +16,7 @@
     scenarios,
     settings as configuration,
 )
-from lavenderledge.standins import launcher
+from lavenderledge.standins import programs
 
 Run: typing.TypeAlias = abc.Callable[
     [scenarios.Bench], abc.Coroutine[typing.Any, typing.Any, report.Report]
@@ -42,7 +42,7 @@
     try:
         found = asyncio.run(_run(read.ok, env))
         _write(found, read.ok, env)
-    except (launcher.LaunchError, OSError) as error:
+    except (programs.LaunchError, OSError) as error:
         env.write_error(
             program=definition.PROGRAM,
             message=str(error),
--- a/lavenderledge/standins/demo.py
+++ b/lavenderledge/standins/demo.py
@@ -6,7 +6,7 @@
 import typing
 
 from lavenderledge import environment, status
-from lavenderledge.standins import launcher
+from lavenderledge.standins import launcher, programs
 
 _TABLE = """\
 row,customer,pool,kind,tier,weight,rate,timeout_s,output_tokens,repeatable
@@ -197,7 +197,7 @@
     """Run the demonstration; all that it starts has ended afterwards."""
     try:
         asyncio.run(_demonstrate(env))
-    except (DemoFailure, launcher.LaunchError) as failure:
+    except (DemoFailure, programs.LaunchError) as failure:
         env.write_error(
             program='lavenderledge-standin demo', message=str(failure)
         )
--- a/lavenderledge/standins/launcher.py
+++ b/lavenderledge/standins/launcher.py
@@ -5,7 +5,6 @@
 import contextlib
 import os
 import pathlib
-import signal
 import sys
 import time
 import typing
@@ -15,57 +14,16 @@
 
 from lavenderledge.peers import keys
 from lavenderledge.policy import table
+from lavenderledge.standins import programs
 
 _COMMAND_MODULE = 'lavenderledge'
 _DAEMON_MODULE = 'lavenderledge.daemon'
 _STANDIN_MODULE = 'lavenderledge.standins'
-_READY_PREFIX = 'ready '
-_READY_TIMEOUT_S = 30.0
 _POLL_S = 0.1
 _TABLE_KEY = b'lavenderledge/table'
 _LOOP_CLOCK = time.monotonic
 
 
-class LaunchError(Exception):
-    """A program ended before it was ready."""
-
-
-class Program:
-    """One running program and the addresses that it told."""
-
-    def __init__(
-        self,
-        *,
-        name: str,
-        process: asyncio.subprocess.Process,
-        addresses: abc.Mapping[str, str],
-    ) -> None:
-        """Take a process that is ready."""
-        self.name = name
-        self.process = process
-        self.addresses = addresses
-
-    @property
-    def address(self) -> str:
-        """Return the address of a stand-in."""
-        return self.addresses['address']
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to a program that still runs."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
-
-    def terminate(self) -> None:
-        """Ask the program to end gracefully."""
-        self.send_signal(signal.SIGTERM)
-
-    async def kill(self) -> None:
-        """End the program at once; it keeps nothing that could be lost."""
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
-
-
 class Told(typing.NamedTuple):
     """What a command of the command line told."""
 
@@ -90,7 +48,7 @@
     def __init__(self, *, log_path: str | None = None) -> None:
         """Start nothing; programs append their logs to the path."""
         self.pair = keys.generate_pair()
-        self.programs: dict[str, Program] = {}
+        self.programs: dict[str, programs.Program] = {}
         self._session: aiohttp.ClientSession | None = None
         self._log: typing.IO[bytes] | int = asyncio.subprocess.DEVNULL
         self._files = contextlib.ExitStack()
@@ -142,7 +100,7 @@
 
     async def start_standin(
         self, kind: str, *flags: str, name: str | None = None
-    ) -> Program:
+    ) -> programs.Program:
         """Start a stand-in on a free port."""
         return await self._start(
             name or kind,
@@ -158,7 +116,7 @@
 
     async def start_instance(
         self, name: str, *flags: str, zone: str = 'zone-a', listed: bool = True
-    ) -> Program:
+    ) -> programs.Program:
         """Start an instance and enter it into the instance list."""
         program = await self._start(
             name,
@@ -202,16 +160,22 @@
     async def wait_until_ready(self, *names: str) -> None:
         """Wait until each instance is ready and some instance allocates.
 
-        Raises ``LaunchError`` where that takes too long.
+        Raises ``programs.LaunchError`` where that takes too long.
         """
-        give_up_s = _LOOP_CLOCK() + _READY_TIMEOUT_S
+        give_up_s = _LOOP_CLOCK() + programs.READY_TIMEOUT_S
         while not await self._is_ready(names):
             if _LOOP_CLOCK() > give_up_s:
-                raise LaunchError('the instances were not ready in time')
+                raise programs.LaunchError(
+                    'the instances were not ready in time'
+                )
             await asyncio.sleep(_POLL_S)
 
     async def list_instance(
-        self, program: Program, *, zone: str = 'zone-a', leaving: bool = False
+        self,
+        program: programs.Program,
+        *,
+        zone: str = 'zone-a',
+        leaving: bool = False,
     ) -> None:
         """Enter an instance into the instance list."""
         ports = {
@@ -244,7 +208,7 @@
 
     async def start_engine(
         self, name: str, pool: str, *flags: str, zone: str = 'zone-a'
-    ) -> Program:
+    ) -> programs.Program:
         """Start an engine and list it as a replica of the pool."""
         program = await self.start_standin(
             'engine',
@@ -260,7 +224,7 @@
 
     async def start_service(
         self, name: str, pool: str, *flags: str, zone: str = 'zone-a'
-    ) -> Program:
+    ) -> programs.Program:
         """Start a plain service and list it as a replica of the pool."""
         program = await self.start_standin('plain', *flags, name=name)
         await self.list_upstream(
@@ -316,7 +280,7 @@
 
     async def _start(
         self, name: str, module: str, flags: abc.Sequence[str]
-    ) -> Program:
+    ) -> programs.Program:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -330,30 +294,11 @@
                 'LAVENDERLEDGE_PEER_SECRET_KEY': self.pair.secret.decode(),
             },
         )
-        program = Program(name=name, process=process, addresses={})
+        program = programs.Program(name=name, process=process, addresses={})
         self.programs[name] = program
-        program.addresses = await _read_ready(name, process)
+        program.addresses = await programs.read_ready(name, process)
         return program
 
 
-async def _read_ready(
-    name: str, process: asyncio.subprocess.Process
-) -> dict[str, str]:
-    assert process.stdout is not None
-    try:
-        line = await asyncio.wait_for(
-            process.stdout.readline(), _READY_TIMEOUT_S
-        )
-    except TimeoutError as error:
-        process.kill()
-        raise LaunchError(f'{name} was not ready in time') from error
-    text = line.decode().strip()
-    if not text.startswith(_READY_PREFIX):
-        await process.wait()
-        raise LaunchError(f'{name} ended with status {process.returncode}')
-    pairs = text.removeprefix(_READY_PREFIX).split()
-    return dict(pair.split('=', 1) for pair in pairs)
-
-
 def _read_port(address: str) -> int:
     return int(address.rpartition(':')[-1])
