--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -68,7 +68,7 @@
         self._granted: list[Granted] = []
         self._room = pool.count_room()
         self._held_back: set[str] = set()
-        self._is_short = False
+        self._holds = False
 
     def refuse_hopeless(self) -> None:
         """Refuse the oldest of each tier that no replica could finish."""
@@ -84,12 +84,13 @@
     def grant(self) -> list[Granted]:
         """Grant in strict order of tiers, fairly inside each.
 
-        While a request waits because no free replica would be in time, lower
-        tiers get nothing: their work would have to be cancelled for it.
+        While a request is held back, for a faster replica or because no
+        free one would be in time, lower tiers get nothing: their work might
+        have to be cancelled for it.
         """
         for tier in self._book.queue.list_tiers():
             self._grant_tier(tier)
-            if self._is_short:
+            if self._holds:
                 break
         return self._granted
 
@@ -164,10 +165,9 @@
 
     def _hold_back(self, request: requests.Request, name: str) -> None:
         self._held_back.add(request.request_id)
+        self._holds = True
         if name:
             self.options.reserve(name)
-        else:
-            self._is_short = True
 
     def _place(self, request: requests.Request, name: str) -> None:
         replica = self._book.replicas[name]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -137,6 +137,20 @@
     assert names == ['second', 'note']
 
 
+def test_lower_tiers_wait_while_a_higher_is_held_for_a_faster_replica():
+    made = fleet.build_pool(engines=2)
+    slow, fast = made.book.replicas.values()
+    for replica, gap_s in ((slow, 0.1), (fast, 0.01)):
+        replica.speed.note_gaps(batch=1, gaps=64, gap_s=gap_s)
+        replica.read_s = 0
+    fast.limit.most = 1
+    fleet.add(made, fleet.build_ask('first', output_tokens=10))
+    assert len(allocation.decide(made, 0).granted) == 1
+    fleet.add(made, fleet.build_ask('held', tier=2))
+    fleet.add(made, fleet.build_ask('note', tier=3, output_tokens=1))
+    assert not allocation.decide(made, 0).granted
+
+
 def release(made, name, *, now_s):
     request = made.book.requests[name]
     fleet.release(made, request, now_s=now_s, output_done=50)
