--- a/lavenderledge/daemon/metrics.py
+++ b/lavenderledge/daemon/metrics.py
@@ -8,19 +8,22 @@
 
 PREFIX = 'lavenderledge_'
 
+_Collector = typing.TypeVar(
+    '_Collector', aioprometheus.Counter, aioprometheus.Gauge
+)
+
 _FIRST_BYTE_BUCKETS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.76, 1.0, 2.5, 5.0, 10.0, 30.0,
 )  # fmt: skip
 
 
 class Metrics:
-    """Counters by name, made at their first use, and two histograms."""
+    """Counters and gauges by name, made at their first use."""
 
     def __init__(self) -> None:
         """Start with a registry of its own."""
         self._registry = aioprometheus.Registry()
-        self._counters: dict[str, aioprometheus.Counter] = {}
-        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._collectors: dict[str, typing.Any] = {}
         self._waits = self._build_histogram(
             'first_byte_seconds',
             'Time from a request to the first byte of its answer',
@@ -32,26 +35,12 @@
 
     def add(self, name: str, amount: float, **labels: object) -> None:
         """Add an amount to the counter of this name."""
-        counter = self._counters.get(name)
-        if counter is None:
-            counter = aioprometheus.Counter(
-                f'{PREFIX}{name}_total',
-                name.replace('_', ' '),
-                registry=self._registry,
-            )
-            self._counters[name] = counter
+        counter = self._find(aioprometheus.Counter, f'{name}_total')
         counter.add(_write_labels(labels), amount)
 
     def set_gauge(self, name: str, amount: float, **labels: object) -> None:
         """Set the gauge of this name."""
-        gauge = self._gauges.get(name)
-        if gauge is None:
-            gauge = aioprometheus.Gauge(
-                f'{PREFIX}{name}',
-                name.replace('_', ' '),
-                registry=self._registry,
-            )
-            self._gauges[name] = gauge
+        gauge = self._find(aioprometheus.Gauge, name)
         gauge.set(_write_labels(labels), amount)
 
     def observe_first_byte(self, seconds: float, *, tier: int) -> None:
@@ -64,6 +53,18 @@
         """Return the exposition and its HTTP headers."""
         return renderer.render(self._registry, accepts)
 
+    def _find(self, kind: type[_Collector], name: str) -> _Collector:
+        """Return the collector of this name, made at its first use."""
+        collector: _Collector | None = self._collectors.get(name)
+        if collector is None:
+            collector = kind(
+                f'{PREFIX}{name}',
+                name.replace('_', ' '),
+                registry=self._registry,
+            )
+            self._collectors[name] = collector
+        return collector
+
     def _build_histogram(self, name: str, text: str) -> aioprometheus.Histogram:
         return aioprometheus.Histogram(
             f'{PREFIX}{name}',
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -119,12 +119,7 @@
 
 
 def test_lower_tiers_wait_while_no_free_replica_is_in_time_for_a_higher():
-    made = fleet.build_pool(engines=2)
-    slow, fast = made.book.replicas.values()
-    for replica, gap_s in ((slow, 0.5), (fast, 0.01)):
-        replica.speed.note_gaps(batch=1, gaps=64, gap_s=gap_s)
-        replica.read_s = 0
-    fast.limit.most = 1
+    made = build_slow_and_fast(slow_gap_s=0.5)
     fleet.add(made, fleet.build_ask('first', remaining_s=5))
     assert len(allocation.decide(made, 0).granted) == 1
     fleet.add(made, fleet.build_ask('second', tier=2, remaining_s=5))
@@ -138,12 +133,7 @@
 
 
 def test_lower_tiers_wait_while_a_higher_is_held_for_a_faster_replica():
-    made = fleet.build_pool(engines=2)
-    slow, fast = made.book.replicas.values()
-    for replica, gap_s in ((slow, 0.1), (fast, 0.01)):
-        replica.speed.note_gaps(batch=1, gaps=64, gap_s=gap_s)
-        replica.read_s = 0
-    fast.limit.most = 1
+    made = build_slow_and_fast(slow_gap_s=0.1)
     fleet.add(made, fleet.build_ask('first', output_tokens=10))
     assert len(allocation.decide(made, 0).granted) == 1
     fleet.add(made, fleet.build_ask('held', tier=2))
@@ -151,6 +141,17 @@
     assert not allocation.decide(made, 0).granted
 
 
+def build_slow_and_fast(*, slow_gap_s):
+    """Build a pool of a slow replica and a fast one with a single slot."""
+    made = fleet.build_pool(engines=2)
+    slow, fast = made.book.replicas.values()
+    for replica, gap_s in ((slow, slow_gap_s), (fast, 0.01)):
+        replica.speed.note_gaps(batch=1, gaps=64, gap_s=gap_s)
+        replica.read_s = 0
+    fast.limit.most = 1
+    return made
+
+
 def release(made, name, *, now_s):
     request = made.book.requests[name]
     fleet.release(made, request, now_s=now_s, output_done=50)
