Tidy: read the stored table in one place; no codes that nothing tells

Ruled out: sharing the load tool's and the capacity command's look-alikes (same shape, other matter). Before: the lines twice. Conclusion: behaviour is unchanged.

--- a/lavenderledge/cli/tablecommands.py
+++ b/lavenderledge/cli/tablecommands.py
@@ -2,6 +2,8 @@
 
 import pathlib
 
+import expression
+
 from lavenderledge import status
 from lavenderledge.cli import context, fleet, output, reporting
 from lavenderledge.controllers import edit, pasttable, table
@@ -15,10 +17,7 @@
 
 async def run_show(given: context.Context) -> status.ExitStatus:
     """Show the stored table, or some of its rows."""
-    snapshot = await given.keyvalue.read(table.TABLE_KEY)
-    if snapshot.is_error():
-        return reporting.report(given.env, snapshot.error)
-    stored = edit.read_stored(snapshot.ok)
+    stored = await _read_stored(given)
     if stored.is_error():
         return reporting.report(given.env, stored.error)
     known = {row.row: row for row in stored.ok.rows}
@@ -32,10 +31,7 @@
 
 async def run_export(given: context.Context) -> status.ExitStatus:
     """Write the stored table as a spreadsheet."""
-    snapshot = await given.keyvalue.read(table.TABLE_KEY)
-    if snapshot.is_error():
-        return reporting.report(given.env, snapshot.error)
-    stored = edit.read_stored(snapshot.ok)
+    stored = await _read_stored(given)
     if stored.is_error():
         return reporting.report(given.env, stored.error)
     text = spreadsheet.write_rows(stored.ok.rows)
@@ -172,3 +168,12 @@
             for each, state in fleet.list_states(waited)
         ],
     )
+
+
+async def _read_stored(
+    given: context.Context,
+) -> expression.Result[edit.Stored, edit.StoredInvalid | operations.Failure]:
+    snapshot = await given.keyvalue.read(table.TABLE_KEY)
+    if snapshot.is_error():
+        return expression.Error(snapshot.error)
+    return edit.read_stored(snapshot.ok)
--- a/lavenderledge/outcomes.py
+++ b/lavenderledge/outcomes.py
@@ -46,7 +46,6 @@
     OVERLOADED = 'overloaded'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
-    NO_UPSTREAM = 'no_upstream'
     CONNECT_FAILED = 'connect_failed'
     GRANT_LAPSED = 'grant_lapsed'
     UPSTREAM_REFUSED = 'upstream_refused'
