--- a/lavenderledge/capacity/committing.py
+++ b/lavenderledge/capacity/committing.py
@@ -7,7 +7,7 @@
 import expression
 
 from lavenderledge.capacity import figures, manual
-from lavenderledge.platform import groupcommit, operations
+from lavenderledge.registry import groupcommit, operations
 
 _STEP_S: typing.Final = 0.0005
 _COUNTED_S: typing.Final = 10.0
--- a/lavenderledge/capacity/network.py
+++ b/lavenderledge/capacity/network.py
@@ -14,7 +14,7 @@
 from lavenderledge.capacity import manual
 from lavenderledge.controllers import membership, table
 from lavenderledge.peers import codec, messages
-from lavenderledge.platform import operations
+from lavenderledge.registry import operations
 from lavenderledge.policy import gossip
 from lavenderledge.policy import table as tables
 
--- a/lavenderledge/capacity/tables.py
+++ b/lavenderledge/capacity/tables.py
@@ -8,7 +8,7 @@
 
 from lavenderledge.capacity import figures, manual
 from lavenderledge.controllers import directory, tablecopy
-from lavenderledge.platform import instancelist
+from lavenderledge.registry import instancelist
 from lavenderledge.policy import table, tablecheck
 
 CUSTOMERS: typing.Final = 500
--- a/lavenderledge/cli/context.py
+++ b/lavenderledge/cli/context.py
@@ -9,7 +9,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import environment
 from lavenderledge.cli import settings
-from lavenderledge.platform import instancelist, keyvalue
+from lavenderledge.registry import instancelist, keyvalue
 
 
 class Context(typing.NamedTuple):
--- a/lavenderledge/cli/fleet.py
+++ b/lavenderledge/cli/fleet.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lavenderledge.cli import context
-from lavenderledge.platform import instancelist
+from lavenderledge.registry import instancelist
 
 SERVICE = 'lavenderledge'
 ADMIN_PORT = 'admin'
--- a/lavenderledge/cli/reporting.py
+++ b/lavenderledge/cli/reporting.py
@@ -5,7 +5,7 @@
 from lavenderledge import environment, status
 from lavenderledge.cli import definition
 from lavenderledge.controllers import edit, pasttable
-from lavenderledge.platform import operations
+from lavenderledge.registry import operations
 from lavenderledge.policy import problems, spreadsheet, tablemerge
 
 
--- a/lavenderledge/cli/tablecommands.py
+++ b/lavenderledge/cli/tablecommands.py
@@ -7,7 +7,7 @@
 from lavenderledge import status
 from lavenderledge.cli import context, fleet, output, reporting
 from lavenderledge.controllers import edit, pasttable, table
-from lavenderledge.platform import operations
+from lavenderledge.registry import operations
 from lavenderledge.policy import history, spreadsheet
 from lavenderledge.policy import table as tables
 
--- a/lavenderledge/clock.py
+++ b/lavenderledge/clock.py
@@ -33,3 +33,11 @@
     async def sleep(self, delay: datetime.timedelta) -> None:
         """Sleep on the running event loop."""
         await asyncio.sleep(delay.total_seconds())
+
+
+class SuspendClock(SystemClock):
+    """A monotonic clock that goes on while the machine is suspended."""
+
+    def read_monotonic(self) -> float:
+        """Return the seconds since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/lavenderledge/controllers/beliefs.py
@@ -0,0 +1,141 @@
+"""What an instance believes of the outside, with its version and age."""
+
+import typing
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge.policy import routes, slots
+
+# After the store was out of reach, whoever lapsed meanwhile has this long to
+# be listed again, seconds: the store's users give two.
+RELIST_S: typing.Final = 2.2
+
+_Entry = typing.TypeVar('_Entry')
+
+
+class ListedReplica(typing.NamedTuple):
+    """One replica's entry as read; ``is_ready`` is False while it leaves."""
+
+    info: slots.ReplicaInfo
+    is_ready: bool
+
+
+class ConfigurationBelief:
+    """The newest configuration, and when it was last confirmed.
+
+    A version is never replaced by a lower one.
+    """
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        """Know nothing."""
+        self._clock = clock
+        self._current: routes.Configuration | None = None
+        self._confirmed_s = float('-inf')
+
+    @property
+    def current(self) -> routes.Configuration | None:
+        """Return the configuration in force, None before the first."""
+        return self._current
+
+    def age_s(self) -> float:
+        """Return the seconds since the confirming answer was asked for."""
+        return self._clock.read_monotonic() - self._confirmed_s
+
+    def accept(
+        self, configuration: routes.Configuration, asked_s: float
+    ) -> bool:
+        """Take a version that was read; False where it is not newer."""
+        known = self._current
+        if known is not None and configuration.version < known.version:
+            return False
+        self.confirm(asked_s)
+        newer = known is None or configuration.version > known.version
+        self._current = configuration
+        return newer
+
+    def confirm(self, asked_s: float) -> None:
+        """Note that nothing newer was there when the store was asked."""
+        self._confirmed_s = max(self._confirmed_s, asked_s)
+
+
+class Listing(typing.Generic[_Entry]):
+    """Entries of a directory whose lapses during an outage mean nothing yet.
+
+    ``entries`` is replaced, never changed, so that its identity tells whether
+    anything is new.
+    """
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        """Know nothing."""
+        self.is_known = False
+        self._clock = clock
+        self._entries: abc.Mapping[str, _Entry] = {}
+        self._missing: set[str] = set()
+        self._lapse_until_s = float('-inf')
+
+    @property
+    def entries(self) -> abc.Mapping[str, _Entry]:
+        """Return the entries by name."""
+        if self._missing and self._clock.read_monotonic() > self._lapse_until_s:
+            self._entries = {
+                name: entry
+                for name, entry in self._entries.items()
+                if name not in self._missing
+            }
+            self._missing.clear()
+        return self._entries
+
+    def note_outage(self) -> None:
+        """Take lapses of the next seconds for the store's, not for ends."""
+        self._lapse_until_s = self._clock.read_monotonic() + RELIST_S
+
+    def replace(self, listed: abc.Mapping[str, _Entry]) -> None:
+        """Take a whole list."""
+        self.is_known = True
+        gone = self.entries.keys() - listed.keys()
+        self.update({**dict.fromkeys(gone), **listed})
+
+    def update(self, changes: abc.Mapping[str, _Entry | None]) -> None:
+        """Take changed entries; None stands for one that is gone."""
+        changed = dict(self.entries)
+        lapsing = self._clock.read_monotonic() < self._lapse_until_s
+        for name, entry in changes.items():
+            if entry is None and lapsing and name in changed:
+                self._missing.add(name)
+            elif entry is None:
+                changed.pop(name, None)
+            else:
+                self._missing.discard(name)
+                changed[name] = entry
+        if changed != self._entries:
+            self._entries = changed
+
+
+class ReplicaBelief:
+    """The replicas that are listed."""
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        """Know nothing."""
+        self.listing: Listing[ListedReplica] = Listing(clock=clock)
+        self._seen: abc.Mapping[str, ListedReplica] = {}
+        self._usable: tuple[slots.ReplicaInfo, ...] = ()
+
+    def list_usable(self) -> abc.Sequence[slots.ReplicaInfo]:
+        """Return the replicas that take new requests.
+
+        It is the same object while nothing changes.
+        """
+        entries = self.listing.entries
+        if entries is not self._seen:
+            self._seen = entries
+            self._usable = tuple(
+                each.info for each in entries.values() if each.is_ready
+            )
+        return self._usable
+
+    def find(self, name: str) -> slots.ReplicaInfo | None:
+        """Return a replica if new requests may go there now."""
+        listed = self.listing.entries.get(name)
+        if listed is None or not listed.is_ready:
+            return None
+        return listed.info
--- a/lavenderledge/controllers/claims.py
+++ b/lavenderledge/controllers/claims.py
@@ -16,7 +16,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import timing
-from lavenderledge.platform import groupcommit, operations
+from lavenderledge.registry import groupcommit, operations
 
 CLAIM_PREFIX = 'lavenderledge/claims/'
 STORED_BODY_LIMIT_BYTES = 65_536
--- a/lavenderledge/controllers/directory.py
+++ b/lavenderledge/controllers/directory.py
@@ -7,7 +7,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
 from lavenderledge.controllers import membership
-from lavenderledge.platform import instancelist
+from lavenderledge.registry import instancelist
 from lavenderledge.policy import replicas
 
 INSTANCE_KIND = 'instance'
--- a/lavenderledge/controllers/edit.py
+++ b/lavenderledge/controllers/edit.py
@@ -16,7 +16,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.controllers import table as controller
-from lavenderledge.platform import keyvalue, operations
+from lavenderledge.registry import keyvalue, operations
 from lavenderledge.policy import (
     history,
     problems,
--- /dev/null
+++ b/lavenderledge/controllers/follower.py
@@ -0,0 +1,101 @@
+"""Follows a prefix of the store: one list, then watches."""
+
+import datetime
+import random
+import typing
+from collections import abc
+
+
+from lavenderledge import clock as clocks
+from lavenderledge import timing
+from lavenderledge.registry import store as stores
+
+# Pause after the first failed call and the longest, seconds: many instances
+# lose the store at the same moment and share its bounded rate.
+_FIRST_PAUSE_S: typing.Final = 0.1
+_MOST_PAUSE_S: typing.Final = 0.6
+
+
+class Following(typing.NamedTuple):
+    """What is followed, how often, and who is told.
+
+    ``wait_s`` bounds one watch, ``rest_s`` is the pause after changes, which
+    gathers several into one call. ``on_confirmed`` gets the time at which
+    an answer was asked for that knows of nothing newer.
+    """
+
+    prefix: str
+    wait_s: float
+    rest_s: float
+    on_list: abc.Callable[[tuple[stores.Change, ...], float], None]
+    on_changes: abc.Callable[[tuple[stores.Change, ...], float], None]
+    on_confirmed: abc.Callable[[float], None]
+
+
+class Follower:
+    """Keeps a belief up to date; tells when the store is lost or regained."""
+
+    def __init__(
+        self,
+        *,
+        following: Following,
+        store: stores.Store,
+        clock: clocks.Clock,
+        rng: random.Random,
+        on_lost: abc.Callable[[stores.StoreFailure], None],
+        on_regained: abc.Callable[[], None],
+    ) -> None:
+        """Know no revision yet."""
+        self._following = following
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._on_lost = on_lost
+        self._on_regained = on_regained
+        self._revision: int | None = None
+        self._pause_s = float(0)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            rest = await self.step()
+            await self._clock.sleep(rest)
+
+    async def step(self) -> datetime.timedelta:
+        """List or watch once; return how long to rest."""
+        asked_s = self._clock.read_monotonic()
+        listing = self._revision is None
+        found = await self._call()
+        if found.is_error():
+            return self._note_failure(found.error)
+        if self._pause_s:
+            self._pause_s = 0
+            self._on_regained()
+        self._revision = found.ok.revision
+        self._following.on_confirmed(asked_s)
+        if listing:
+            self._following.on_list(found.ok.changes, asked_s)
+        elif found.ok.changes:
+            self._following.on_changes(found.ok.changes, asked_s)
+            return timing.seconds(self._following.rest_s)
+        return timing.seconds(0)
+
+    async def _call(self) -> stores.Listed:
+        if self._revision is None:
+            return await self._store.list_keys(self._following.prefix)
+        return await self._store.watch(
+            self._following.prefix,
+            after=self._revision,
+            wait_s=self._following.wait_s,
+        )
+
+    def _note_failure(self, failure: stores.StoreFailure) -> datetime.timedelta:
+        if failure.fault is stores.Fault.COMPACTED:
+            self._revision = None
+            return timing.seconds(0)
+        if not self._pause_s:
+            self._pause_s = _FIRST_PAUSE_S
+        self._on_lost(failure)
+        pause_s = self._pause_s * (0.5 + self._rng.random())
+        self._pause_s = min(self._pause_s * 2, _MOST_PAUSE_S)
+        return timing.seconds(pause_s)
--- a/lavenderledge/controllers/pasttable.py
+++ b/lavenderledge/controllers/pasttable.py
@@ -7,7 +7,7 @@
 import expression
 
 from lavenderledge.controllers import edit, table
-from lavenderledge.platform import keyvalue, operations
+from lavenderledge.registry import keyvalue, operations
 from lavenderledge.policy import history, tablemerge
 
 MAX_EDITS = 200
--- /dev/null
+++ b/lavenderledge/controllers/slotallocator.py
@@ -0,0 +1,233 @@
+"""The allocating side of slots: what instances say, put into the book."""
+
+import asyncio
+import datetime
+import typing
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge.peers import slots as messages
+from lavenderledge.policy import routes, slots, tokenbuckets
+
+TICK: typing.Final = datetime.timedelta(milliseconds=50)
+# An instance that has not reported for so long is forgotten, seconds; three
+# reports may be lost before.
+SILENCE_S: typing.Final = 2.0
+
+# Outcomes of a reading, as they go between instances.
+ANSWERED: typing.Final = 0
+REFUSED: typing.Final = 1
+FAILED: typing.Final = 2
+
+Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
+FindQuota: typing.TypeAlias = abc.Callable[[str], routes.Quota | None]
+
+
+class _Sender:
+    def __init__(self, *, incarnation: int, now_s: float) -> None:
+        self.incarnation = incarnation
+        self.sequence = -1
+        self.heard_s = now_s
+
+
+class SlotAllocator:
+    """Grants slots to the requests of all instances that ask here."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        clock: clocks.Clock,
+        send: Send,
+        list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]],
+        find_quota: FindQuota,
+        count_alive: abc.Callable[[], int],
+    ) -> None:
+        """Hold nothing yet."""
+        self.book = slots.Book()
+        self._instance = instance
+        self._clock = clock
+        self._send = send
+        self._list_replicas = list_replicas
+        self._find_quota = find_quota
+        self._count_alive = count_alive
+        self._buckets = tokenbuckets.TokenBuckets()
+        self._senders: dict[str, _Sender] = {}
+        self._due = False
+
+    def receive(
+        self, message: messages.Ask | messages.Release | messages.Report
+    ) -> None:
+        """Take an instance's message; stale ones change nothing."""
+        now_s = self._clock.read_monotonic()
+        sender = self._find_sender(message.sender, message.incarnation, now_s)
+        if sender is None:
+            return
+        self.book.list_replicas(self._list_replicas(), now_s)
+        match message:
+            case messages.Ask():
+                self._take_ask(message, now_s)
+            case messages.Release():
+                self._take_release(message, now_s)
+            case messages.Report():
+                self._take_report(sender, message, now_s)
+        self._decide_soon()
+
+    def tick(self) -> None:
+        """Decide, forget who is silent, tell those that wait."""
+        now_s = self._clock.read_monotonic()
+        self._forget_silent(now_s)
+        if not self._senders:
+            return
+        self.book.list_replicas(self._list_replicas(), now_s)
+        self.book.free_lost(now_s)
+        self._buckets.forget_idle(now_s)
+        self._decide()
+        for name in slots.list_senders_waiting(self.book):
+            self._send(name, messages.Beat(self._instance))
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await self._clock.sleep(TICK)
+
+    def _find_sender(
+        self, name: str, incarnation: int, now_s: float
+    ) -> _Sender | None:
+        sender = self._senders.get(name)
+        if sender is not None and incarnation < sender.incarnation:
+            return None
+        if sender is not None and incarnation > sender.incarnation:
+            self._forget(name, now_s)
+            sender = None
+        if sender is None:
+            sender = _Sender(incarnation=incarnation, now_s=now_s)
+            self._senders[name] = sender
+            self._update_share()
+        return sender
+
+    def _take_ask(self, ask: messages.Ask, now_s: float) -> None:
+        wanted = ask.wanted
+        if wanted.request_id in self.book.holdings:
+            self.book.free(wanted.request_id, now_s)
+        retry_after_s = self._charge(wanted, now_s)
+        if retry_after_s > 0:
+            self._refuse(
+                slots.Refused(
+                    ask.sender, wanted.request_id, 'quota', retry_after_s
+                )
+            )
+            return
+        refused = slots.enqueue(self.book, ask.sender, wanted, now_s)
+        if refused is not None:
+            self._buckets.give_back(wanted.customer, wanted.cost)
+            self._refuse(refused)
+
+    def _charge(self, wanted: messages.Wanted, now_s: float) -> float:
+        quota = self._find_quota(wanted.customer)
+        if quota is None or not wanted.cost:
+            return 0
+        return self._buckets.take(
+            wanted.customer,
+            quota,
+            wanted.cost,
+            share=self.book.share,
+            now_s=now_s,
+        )
+
+    def _take_release(self, release: messages.Release, now_s: float) -> None:
+        for service in self.book.services.values():
+            waiting = service.queue.remove(release.request_id)
+            if waiting is not None and release.refund:
+                self._buckets.give_back(waiting.wanted.customer, release.refund)
+        replica = self.book.free(release.request_id, now_s)
+        reading = release.reading
+        if replica is None or reading is None:
+            return
+        if reading.outcome == ANSWERED:
+            replica.pace.note_answer(
+                pace_s=reading.gap_s or reading.first_s,
+                slowness=reading.slowness,
+                now_s=now_s,
+            )
+        else:
+            replica.pace.note_failure(now_s)
+
+    def _take_report(
+        self, sender: _Sender, report: messages.Report, now_s: float
+    ) -> None:
+        if report.sequence <= sender.sequence:
+            return
+        sender.sequence = report.sequence
+        sender.heard_s = now_s
+        held = {each.request_id: each for each in report.held}
+        waiting = set(report.waiting)
+        for request_id, holding in tuple(self.book.holdings.items()):
+            gone = request_id not in held and request_id not in waiting
+            if holding.sender == report.sender and gone:
+                self.book.free(request_id, now_s)
+        for request_id, each in held.items():
+            self.book.hold(
+                request_id,
+                slots.Holding(
+                    report.sender,
+                    each.replica,
+                    each.tier,
+                    now_s,
+                    float('inf'),
+                ),
+                service=each.service,
+            )
+        for service in self.book.services.values():
+            for request_id in service.queue.list_of(report.sender):
+                if request_id not in waiting:
+                    service.queue.remove(request_id)
+        self._send(report.sender, messages.Beat(self._instance))
+
+    def _forget_silent(self, now_s: float) -> None:
+        for name, sender in tuple(self._senders.items()):
+            if now_s - sender.heard_s > SILENCE_S:
+                self._forget(name, now_s)
+        self._update_share()
+
+    def _forget(self, name: str, now_s: float) -> None:
+        self._senders.pop(name)
+        for request_id, holding in tuple(self.book.holdings.items()):
+            if holding.sender == name:
+                self.book.free(request_id, now_s)
+        for service in self.book.services.values():
+            for request_id in service.queue.list_of(name):
+                service.queue.remove(request_id)
+
+    def _update_share(self) -> None:
+        alive = max(self._count_alive(), 1)
+        self.book.share = min(1.0, len(self._senders) / alive)
+
+    def _decide_soon(self) -> None:
+        """Decide once for all messages of this turn of the loop."""
+        if not self._due:
+            self._due = True
+            asyncio.get_running_loop().call_soon(self._decide)
+
+    def _decide(self) -> None:
+        self._due = False
+        granted, refused = slots.decide(self.book, self._clock.read_monotonic())
+        for each in granted:
+            self._send(
+                each.sender,
+                messages.Grant(self._instance, each.request_id, each.replica),
+            )
+        for turned_away in refused:
+            self._refuse(turned_away)
+
+    def _refuse(self, refused: slots.Refused) -> None:
+        self._send(
+            refused.sender,
+            messages.Refusal(
+                self._instance,
+                refused.request_id,
+                refused.reason,
+                refused.retry_after_s,
+            ),
+        )
--- /dev/null
+++ b/lavenderledge/controllers/slotrequester.py
@@ -0,0 +1,268 @@
+"""The asking side of slots: every request that this instance holds."""
+
+import asyncio
+import datetime
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import clock as clocks
+from lavenderledge.peers import slots as messages
+
+TICK: typing.Final = datetime.timedelta(milliseconds=50)
+REPORT_S: typing.Final = 0.5
+# An allocator that has not answered for so long is passed over, seconds: a
+# few round trips and ticks, far less than any objective.
+PATIENCE_S: typing.Final = 0.2
+
+Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
+
+
+class Denial(typing.NamedTuple):
+    """Why a request gets no slot, and when to come again."""
+
+    reason: str
+    retry_after_s: float
+
+
+Verdict: typing.TypeAlias = expression.Result[str, Denial]
+
+
+class _Entry:
+    def __init__(
+        self,
+        wanted: messages.Wanted,
+        waiter: 'asyncio.Future[Verdict]',
+        now_s: float,
+    ) -> None:
+        self.wanted = wanted
+        self.waiter = waiter
+        self.asked_s = now_s
+        self.objective_s = now_s + wanted.objective_left_s
+        self.expires_s = now_s + wanted.remaining_s
+        self.charged = False
+        self.replica = ''
+
+    def renew(self, now_s: float) -> messages.Wanted:
+        """Return what is wanted with its times as they are now."""
+        return self.wanted._replace(
+            objective_left_s=self.objective_s - now_s,
+            remaining_s=self.expires_s - now_s,
+            cost=0 if self.charged else self.wanted.cost,
+        )
+
+
+class SlotRequester:
+    """Asks the allocator for slots and keeps it told of those held.
+
+    Where the allocator does not answer in time the next in line is asked,
+    which may be this instance itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        send: Send,
+        rank_allocators: abc.Callable[[], abc.Sequence[str]],
+        note_allocator: abc.Callable[[str, str], None],
+    ) -> None:
+        """Hold nothing yet; ``note_allocator`` is told of each change."""
+        self._instance = instance
+        self._incarnation = incarnation
+        self._clock = clock
+        self._send = send
+        self._rank_allocators = rank_allocators
+        self._note_allocator = note_allocator
+        self._entries: dict[str, _Entry] = {}
+        self._allocator = instance
+        self._asked_s: float | None = None
+        self._reported_s = float('-inf')
+        self._sequence = 0
+        self._suspects: set[str] = set()
+
+    @property
+    def allocator(self) -> str:
+        """Return the instance that is asked now."""
+        return self._allocator
+
+    async def acquire(self, wanted: messages.Wanted) -> Verdict:
+        """Wait for a replica's name, a refusal, or the end of the time.
+
+        Cancelling releases the request.
+        """
+        now_s = self._clock.read_monotonic()
+        waiter: asyncio.Future[Verdict]
+        waiter = asyncio.get_running_loop().create_future()
+        entry = _Entry(wanted, waiter, now_s)
+        self._entries[wanted.request_id] = entry
+        self._turn()
+        self._ask(entry, now_s)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.release(wanted.request_id, refund=wanted.cost)
+            raise
+
+    def release(
+        self,
+        request_id: str,
+        *,
+        reading: messages.Reading | None = None,
+        refund: float = 0,
+    ) -> None:
+        """Give back a request, whatever its state; repeats do nothing."""
+        entry = self._entries.pop(request_id, None)
+        if entry is None:
+            return
+        self._send(
+            self._allocator,
+            messages.Release(
+                self._instance,
+                self._incarnation,
+                request_id,
+                entry.replica,
+                refund,
+                reading,
+            ),
+        )
+
+    def receive(
+        self, message: messages.Grant | messages.Refusal | messages.Beat
+    ) -> None:
+        """Take an allocator's message."""
+        self._suspects.discard(message.sender)
+        if message.sender == self._allocator:
+            self._asked_s = None
+        match message:
+            case messages.Grant():
+                self._take_grant(message)
+            case messages.Refusal():
+                self._take_refusal(message)
+
+    def tick(self) -> None:
+        """Pass over a silent allocator, report, end what is out of time."""
+        now_s = self._clock.read_monotonic()
+        self._check_allocator(now_s)
+        self._turn()
+        if now_s - self._reported_s >= REPORT_S:
+            self._report(now_s)
+        for entry in tuple(self._entries.values()):
+            if entry.expires_s <= now_s and not entry.waiter.done():
+                self._settle(entry, expression.Error(Denial('deadline', 0)))
+                self.release(entry.wanted.request_id)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await self._clock.sleep(TICK)
+
+    def _check_allocator(self, now_s: float) -> None:
+        if self._asked_s is None or self._allocator == self._instance:
+            return
+        if now_s - self._asked_s > PATIENCE_S:
+            self._suspects.add(self._allocator)
+            self._asked_s = None
+
+    def _turn(self) -> None:
+        """Ask whoever is first in line; tell a new one everything."""
+        ranked = self._rank_allocators()
+        self._suspects.intersection_update(ranked)
+        first = next(
+            (name for name in ranked if name not in self._suspects),
+            self._instance,
+        )
+        if first == self._allocator:
+            return
+        self._note_allocator(self._allocator, first)
+        self._allocator = first
+        self._asked_s = None
+        now_s = self._clock.read_monotonic()
+        self._report(now_s)
+        for entry in tuple(self._entries.values()):
+            if not entry.waiter.done():
+                self._ask(entry, now_s)
+
+    def _ask(self, entry: _Entry, now_s: float) -> None:
+        if self._asked_s is None:
+            self._asked_s = now_s
+        self._send(
+            self._allocator,
+            messages.Ask(self._instance, self._incarnation, entry.renew(now_s)),
+        )
+
+    def _report(self, now_s: float) -> None:
+        self._reported_s = now_s
+        self._sequence += 1
+        report = messages.Report(
+            self._instance,
+            self._incarnation,
+            self._sequence,
+            tuple(
+                messages.Held(
+                    request_id,
+                    entry.wanted.service,
+                    entry.replica,
+                    entry.wanted.tier,
+                )
+                for request_id, entry in self._entries.items()
+                if entry.replica
+            ),
+            tuple(
+                request_id
+                for request_id, entry in self._entries.items()
+                if not entry.replica
+            ),
+        )
+        if self._asked_s is None:
+            self._asked_s = now_s
+        self._send(self._allocator, report)
+        for suspect in self._suspects:
+            self._send(suspect, report._replace(held=(), waiting=()))
+
+    def _take_grant(self, grant: messages.Grant) -> None:
+        entry = self._entries.get(grant.request_id)
+        if entry is None or entry.waiter.done():
+            known = entry is not None and entry.replica == grant.replica
+            if not known:
+                self._give_back(grant)
+            return
+        if grant.sender != self._allocator:
+            self._give_back(grant)
+            return
+        entry.replica = grant.replica
+        entry.charged = True
+        self._settle(entry, expression.Ok(grant.replica))
+
+    def _give_back(self, grant: messages.Grant) -> None:
+        self._send(
+            grant.sender,
+            messages.Release(
+                self._instance,
+                self._incarnation,
+                grant.request_id,
+                grant.replica,
+                0,
+                None,
+            ),
+        )
+
+    def _take_refusal(self, refusal: messages.Refusal) -> None:
+        entry = self._entries.get(refusal.request_id)
+        if entry is None or entry.waiter.done():
+            return
+        if refusal.sender != self._allocator:
+            return
+        self._entries.pop(refusal.request_id)
+        self._settle(
+            entry,
+            expression.Error(Denial(refusal.reason, refusal.retry_after_s)),
+        )
+
+    def _settle(self, entry: _Entry, verdict: Verdict) -> None:
+        if not entry.waiter.done():
+            entry.waiter.set_result(verdict)
--- a/lavenderledge/controllers/table.py
+++ b/lavenderledge/controllers/table.py
@@ -10,7 +10,7 @@
 from lavenderledge import logs
 from lavenderledge.controllers import tablecopy
 from lavenderledge.peers import messages
-from lavenderledge.platform import changes, operations
+from lavenderledge.registry import changes, operations
 from lavenderledge.policy import problems, table, tablecheck
 
 TABLE_KEY = 'lavenderledge/table'
--- a/lavenderledge/controllers/tablefeed.py
+++ b/lavenderledge/controllers/tablefeed.py
@@ -11,7 +11,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs
 from lavenderledge.controllers import table
-from lavenderledge.platform import keyvalue, operations, watches
+from lavenderledge.registry import keyvalue, operations, watches
 
 MIN_POLL_PERIOD = datetime.timedelta(seconds=10)
 POLL_PERIOD_PER_INSTANCE = datetime.timedelta(milliseconds=250)
--- a/lavenderledge/core.py
+++ b/lavenderledge/core.py
@@ -16,7 +16,7 @@
     statuscommand,
     tablecommands,
 )
-from lavenderledge.platform import instancelist, keyvalue
+from lavenderledge.registry import instancelist, keyvalue
 
 Run: typing.TypeAlias = abc.Callable[
     [context.Context],
--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -21,7 +21,7 @@
 from lavenderledge.filters import exchange
 from lavenderledge import outcomes
 from lavenderledge.peers import link, messages
-from lavenderledge.platform import groupcommit, instancelist, keyvalue
+from lavenderledge.registry import groupcommit, instancelist, keyvalue
 from lavenderledge.policy import rendezvous
 from lavenderledge.policy import table as tables
 from lavenderledge.upstreams import observation
--- a/lavenderledge/daemon/definition.py
+++ b/lavenderledge/daemon/definition.py
@@ -31,158 +31,159 @@
         return self.flag.removeprefix('--').replace('-', '_')
 
 
-def _declare(
+def declare(
     flag: str, metavar: str, parse: Parse, default: str | None, text: str
 ) -> Option:
+    """Return an option whose variable has the flag's name."""
     name = flag.removeprefix('--').replace('-', '_').upper()
     return Option(flag, f'LAVENDERLEDGE_{name}', metavar, parse, default, text)
 
 
 OPTIONS: typing.Final = (
-    _declare(
+    declare(
         '--instance',
         'NAME',
         formats.parse_name,
         None,
         'this instance, by the name that the instance list gives it',
     ),
-    _declare(
+    declare(
         '--availability-zone',
         'NAME',
         formats.parse_name,
         None,
         'the availability zone that this instance runs in',
     ),
-    _declare(
+    declare(
         '--listen',
         'HOST:PORT',
         formats.parse_address,
         '127.0.0.1:8080',
         'where callers connect; port 0 takes a free one',
     ),
-    _declare(
+    declare(
         '--admin-listen',
         'HOST:PORT',
         formats.parse_address,
         '127.0.0.1:8081',
         'where /live, /ready, /status and /metrics answer',
     ),
-    _declare(
+    declare(
         '--peer-listen',
         'HOST:PORT',
         formats.parse_address,
         '127.0.0.1:8082',
         'where this instance listens for other instances',
     ),
-    _declare(
+    declare(
         '--peer-address',
         'HOST:PORT',
         formats.parse_optional_address,
         '',
         'where other instances reach it, where that is not --peer-listen',
     ),
-    _declare(
+    declare(
         '--keyvalue',
         'URL[,URL]',
         formats.parse_urls,
         None,
         'the key-value service',
     ),
-    _declare(
+    declare(
         '--instance-list', 'URL', formats.parse_url, None, 'the instance list'
     ),
-    _declare(
+    declare(
         '--peer-secret-key',
         'KEY',
         formats.parse_secret_key,
         None,
         'the CURVE secret key that all instances share, 40 characters',
     )._replace(secret=True),
-    _declare(
+    declare(
         '--peer-accepted-keys',
         'KEY[,KEY]',
         formats.parse_public_keys,
         '',
         'further public keys to accept, while keys are being changed',
     ),
-    _declare(
+    declare(
         '--policy',
         '|'.join(POLICIES),
         formats.make_parse_choice(POLICIES),
         POLICIES[0],
         'how replicas are chosen; the last two are for comparison',
     ),
-    _declare(
+    declare(
         '--notice-period',
         'SECONDS',
         formats.parse_duration,
         '5',
         'how long a stopping instance still accepts, while not ready',
     ),
-    _declare(
+    declare(
         '--silence-timeout',
         'SECONDS',
         formats.parse_positive_duration,
         '5',
         'how long an open stream may be silent before it is resumed',
     ),
-    _declare(
+    declare(
         '--lost-timeout',
         'SECONDS',
         formats.parse_positive_duration,
         '20',
         'how long a broken stream is tried again',
     ),
-    _declare(
+    declare(
         '--connect-timeout',
         'SECONDS',
         formats.parse_positive_duration,
         '1',
         'how long a connection to an upstream may take',
     ),
-    _declare(
+    declare(
         '--claim-timeout',
         'SECONDS',
         formats.parse_positive_duration,
         '5',
         'how long a claim may take before its request is refused',
     ),
-    _declare(
+    declare(
         '--max-requests',
         'COUNT',
         formats.parse_count,
         '2000',
         'most requests held at a time',
     ),
-    _declare(
+    declare(
         '--max-customer-requests',
         'COUNT',
         formats.parse_count,
         '1000',
         'most requests held at a time for one customer',
     ),
-    _declare(
+    declare(
         '--max-body-bytes',
         'BYTES',
         formats.parse_count,
         '1048576',
         'largest request body',
     ),
-    _declare(
+    declare(
         '--max-held-bytes',
         'BYTES',
         formats.parse_count,
         '67108864',
         'most bytes of request bodies held at a time',
     ),
-    _declare(
+    declare(
         '--max-answer-bytes',
         'BYTES',
         formats.parse_count,
         '16777216',
         'largest answer of a plain service',
     ),
-    _declare(
+    declare(
         '--log-level',
         'LEVEL',
         formats.make_parse_choice(('debug', 'info', 'warning', 'error')),
--- a/lavenderledge/daemon/lifecycle.py
+++ b/lavenderledge/daemon/lifecycle.py
@@ -20,7 +20,7 @@
 from lavenderledge.daemon import tasks as background
 from lavenderledge.filters import dispatch
 from lavenderledge.peers import link
-from lavenderledge.platform import keyvalue
+from lavenderledge.registry import keyvalue
 from lavenderledge.upstreams import connection, observation
 
 _DETACHED_TIMEOUT_S = 30.0
--- a/lavenderledge/daemon/settings.py
+++ b/lavenderledge/daemon/settings.py
@@ -42,10 +42,13 @@
     log_level: str
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return a parser that takes every flag as text."""
+def build_parser(
+    declared: abc.Sequence[definition.Option] = definition.OPTIONS,
+    program: str = PROGRAM,
+) -> argparse.ArgumentParser:
+    """Return a parser that takes every declared flag as text."""
     parser = argparse.ArgumentParser(
-        prog=PROGRAM,
+        prog=program,
         description='Schedules requests of callers over unlike upstreams.',
         epilog='Each flag can be given by the environment variable named '
         'with it; a flag goes first.',
@@ -53,9 +56,9 @@
     parser.add_argument(
         '--version',
         action='version',
-        version=f'{PROGRAM} {lavenderledge.__version__}',
+        version=f'{program} {lavenderledge.__version__}',
     )
-    for option in definition.OPTIONS:
+    for option in declared:
         parser.add_argument(
             option.flag, metavar=option.metavar, help=_describe(option)
         )
@@ -66,9 +69,19 @@
     given: argparse.Namespace, variables: abc.Mapping[str, str]
 ) -> 'expression.Result[Settings, tuple[options.Problem, ...]]':
     """Return all settings, or every problem with them at once."""
+    found = read_options(definition.OPTIONS, given, variables)
+    return found.map(lambda named: Settings(**named))
+
+
+def read_options(
+    declared: abc.Sequence[definition.Option],
+    given: argparse.Namespace,
+    variables: abc.Mapping[str, str],
+) -> 'expression.Result[dict[str, typing.Any], tuple[options.Problem, ...]]':
+    """Return the options by name, or every problem with them at once."""
     found: dict[str, typing.Any] = {}
     problems: list[options.Problem] = []
-    for option in definition.OPTIONS:
+    for option in declared:
         text = getattr(given, option.name)
         if text is None:
             text = variables.get(option.variable, option.default)
@@ -81,7 +94,7 @@
             problems.append(_report(option, _explain(option, text, error)))
     if problems:
         return expression.Error(tuple(problems))
-    return expression.Ok(Settings(**found))
+    return expression.Ok(found)
 
 
 def _report(option: definition.Option, detail: str) -> options.Problem:
--- /dev/null
+++ b/lavenderledge/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections over asyncio transports, parsed by httptools."""
--- /dev/null
+++ b/lavenderledge/http1/messages.py
@@ -0,0 +1,151 @@
+"""Heads of HTTP/1.1 messages, as parsed and as written."""
+
+import enum
+import typing
+from collections import abc
+
+Header: typing.TypeAlias = tuple[bytes, bytes]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP: typing.Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+OK: typing.Final = 200
+BAD_REQUEST: typing.Final = 400
+UNAUTHORIZED: typing.Final = 401
+NOT_FOUND: typing.Final = 404
+REQUEST_TIMEOUT: typing.Final = 408
+CONTENT_TOO_LARGE: typing.Final = 413
+MISDIRECTED: typing.Final = 421
+TOO_MANY_REQUESTS: typing.Final = 429
+HEADERS_TOO_LARGE: typing.Final = 431
+INTERNAL_ERROR: typing.Final = 500
+BAD_GATEWAY: typing.Final = 502
+UNAVAILABLE: typing.Final = 503
+GATEWAY_TIMEOUT: typing.Final = 504
+
+_PHRASES: typing.Final = {
+    OK: b'OK',
+    BAD_REQUEST: b'Bad Request',
+    UNAUTHORIZED: b'Unauthorized',
+    NOT_FOUND: b'Not Found',
+    REQUEST_TIMEOUT: b'Request Timeout',
+    CONTENT_TOO_LARGE: b'Content Too Large',
+    MISDIRECTED: b'Misdirected Request',
+    TOO_MANY_REQUESTS: b'Too Many Requests',
+    HEADERS_TOO_LARGE: b'Request Header Fields Too Large',
+    INTERNAL_ERROR: b'Internal Server Error',
+    BAD_GATEWAY: b'Bad Gateway',
+    UNAVAILABLE: b'Service Unavailable',
+    GATEWAY_TIMEOUT: b'Gateway Timeout',
+}
+
+
+class Fields:
+    """Header fields in their order, with a look-up by lower-case name."""
+
+    __slots__ = ('_by_name', 'pairs')
+
+    def __init__(self, pairs: abc.Iterable[Header] = ()) -> None:
+        """Take name and value pairs."""
+        self.pairs: list[Header] = []
+        self._by_name: dict[bytes, bytes] = {}
+        for name, text in pairs:
+            self.add(name, text)
+
+    def add(self, name: bytes, text: bytes) -> None:
+        """Append a field; a look-up finds the first of its name."""
+        self.pairs.append((name, text))
+        self._by_name.setdefault(name.lower(), text)
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the first value of a lower-case name, None if absent."""
+        return self._by_name.get(name)
+
+    def count(self, name: bytes) -> int:
+        """Return how often a lower-case name occurs."""
+        return [each.lower() for each, _ in self.pairs].count(name)
+
+
+class Request(typing.NamedTuple):
+    """A whole request; ``received_s`` is the clock's reading at its end."""
+
+    method: bytes
+    target: bytes
+    fields: Fields
+    body: bytes
+    received_s: float
+
+
+class ResponseHead(typing.NamedTuple):
+    """The head of a response; ``length`` is None where it was not given."""
+
+    status: int
+    fields: Fields
+    length: int | None
+
+
+@enum.unique
+class Ending(enum.Enum):
+    """How a response ended."""
+
+    COMPLETE = 'complete'
+    CLOSED = 'closed'
+    MALFORMED = 'malformed'
+
+
+def write_request(
+    method: bytes,
+    target: bytes,
+    fields: abc.Iterable[Header],
+    body: bytes = b'',
+) -> bytes:
+    """Return the bytes of a request; a body gets its length."""
+    parts = [method, b' ', target, b' HTTP/1.1\r\n']
+    parts += [b'%b: %b\r\n' % pair for pair in fields]
+    if body or method not in {b'GET', b'HEAD', b'DELETE'}:
+        parts.append(b'Content-Length: %d\r\n' % len(body))
+    parts += (b'\r\n', body)
+    return b''.join(parts)
+
+
+def write_head(
+    status: int,
+    fields: abc.Iterable[Header],
+    *,
+    length: int | None,
+    close: bool,
+) -> bytes:
+    """Return the bytes of a response's head; no length means chunks."""
+    parts = [b'HTTP/1.1 %d ' % status, _PHRASES.get(status, b''), b'\r\n']
+    parts += [b'%b: %b\r\n' % pair for pair in fields]
+    if length is None:
+        parts.append(b'Transfer-Encoding: chunked\r\n')
+    else:
+        parts.append(b'Content-Length: %d\r\n' % length)
+    if close:
+        parts.append(b'Connection: close\r\n')
+    parts.append(b'\r\n')
+    return b''.join(parts)
+
+
+def list_end_to_end(fields: Fields) -> list[Header]:
+    """Return the fields that are not about one connection only."""
+    named = fields.find(b'connection') or b''
+    hops = HOP_BY_HOP
+    if named:
+        hops = hops | {name.strip().lower() for name in named.split(b',')}
+    return [pair for pair in fields.pairs if pair[0].lower() not in hops]
--- /dev/null
+++ b/lavenderledge/http1/server.py
@@ -0,0 +1,397 @@
+"""The serving side of HTTP/1.1: one protocol object a connection."""
+
+import asyncio
+import typing
+from collections import abc
+
+import httptools
+
+from lavenderledge import clock as clocks
+from lavenderledge.http1 import messages
+
+# Writes beyond this many bytes pause whoever produces the answer; a peer
+# that takes nothing then holds little memory. asyncio's default is 64 KiB.
+_HIGH_WATER_BYTES: typing.Final = 65536
+_BACKLOG: typing.Final = 1024
+# Longest request line that is read before its headers are counted, bytes.
+_TARGET_LIMIT_BYTES: typing.Final = 8192
+
+
+class Bounds(typing.NamedTuple):
+    """What a client may send, in bytes, and how long it may take."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class Reply:
+    """Where the answer to one request goes."""
+
+    __slots__ = ('_chunked', '_connection', 'ended', 'started')
+
+    def __init__(self, connection: 'Connection') -> None:
+        """Belong to a connection whose request was read."""
+        self._connection = connection
+        self._chunked = False
+        self.started = False
+        self.ended = False
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether the client takes more now."""
+        return self._connection.is_writable
+
+    def watch_writable(self, notify: abc.Callable[[bool], None]) -> None:
+        """Have changes of ``is_writable`` told."""
+        self._connection.notify_writable = notify
+
+    def send(
+        self, status: int, fields: abc.Iterable[messages.Header], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, fields, length=len(body))
+        self.write(body)
+        self.finish()
+
+    def start(
+        self,
+        status: int,
+        fields: abc.Iterable[messages.Header],
+        *,
+        length: int | None,
+    ) -> None:
+        """Send the head; without a length the body goes in chunks."""
+        self.started = True
+        self._chunked = length is None
+        self._connection.write(
+            messages.write_head(
+                status, fields, length=length, close=self._connection.closing
+            )
+        )
+
+    def write(self, body: bytes) -> None:
+        """Send a part of the body."""
+        if not body:
+            return
+        if self._chunked:
+            body = b'%x\r\n%b\r\n' % (len(body), body)
+        self._connection.write(body)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if self._chunked:
+            self._connection.write(b'0\r\n\r\n')
+        self.ended = True
+        self._connection.end_exchange()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer is not taken as whole."""
+        self.ended = True
+        self._connection.abort()
+
+
+Handle: typing.TypeAlias = abc.Callable[
+    [messages.Request, Reply], abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+class Connection(asyncio.Protocol):
+    """Reads one request at a time and has it handled in a task.
+
+    The task is cancelled when the client goes away. Bytes of a further
+    request wait in the socket until the answer has been sent.
+    """
+
+    def __init__(
+        self, *, listener: 'Listener', handle: Handle, clock: clocks.Clock
+    ) -> None:
+        """Belong to a listener, which knows the bounds."""
+        self._listener = listener
+        self._handle = handle
+        self._clock = clock
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._fields = messages.Fields()
+        self._target = b''
+        self._body: list[bytes] = []
+        self._size = 0
+        self._task: asyncio.Task[None] | None = None
+        self._pending = b''
+        self._reading = False
+        self._fault = 0
+        self._complete = False
+        self.since_s = clock.read_monotonic()
+        self.closing = False
+        self.is_writable = True
+        self.notify_writable: abc.Callable[[bool], None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or handled."""
+        return self._task is None and not self._reading
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request has come."""
+        return self._task is None and self._reading
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport of an accepted connection."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
+        self._transport = transport
+        self._listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request whose client has gone."""
+        self._listener.connections.discard(self)
+        self._transport = None
+        self.notify_writable = None
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close: a client that sends no more takes no answer either."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Tell the producer to pause."""
+        self._set_writable(value=False)
+
+    def resume_writing(self) -> None:
+        """Tell the producer to go on."""
+        self._set_writable(value=True)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has come, one request at a time."""
+        if self._fault or self._complete:
+            self._pending += data
+            if len(self._pending) > self._listener.bounds.header_bytes:
+                self._pause()
+            return
+        if not self._reading:
+            self._reading = True
+            self.since_s = self._clock.read_monotonic()
+        self._feed(data)
+
+    def on_message_begin(self) -> None:
+        """Begin a request; a second one in the same bytes is refused."""
+        if self._complete:
+            self._fault = messages.BAD_REQUEST
+            return
+        self._fields = messages.Fields()
+        self._target = b''
+        self._body = []
+        self._size = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        self._target += url
+        if len(self._target) > _TARGET_LIMIT_BYTES:
+            self._fault = messages.HEADERS_TOO_LARGE
+
+    def on_header(self, name: bytes, text: bytes | None) -> None:
+        """Take a header."""
+        text = text or b''
+        self._size += len(name) + len(text) + 4
+        if self._size > self._listener.bounds.header_bytes:
+            self._fault = messages.HEADERS_TOO_LARGE
+            return
+        self._fields.add(name, text.strip(b' \t'))
+
+    def on_headers_complete(self) -> None:
+        """Refuse ambiguous framing before the body is read."""
+        self._size = 0
+        if not is_framing_clear(self._fields):
+            self._fault = messages.BAD_REQUEST
+        elif self._fields.find(b'expect') and self._transport is not None:
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._size += len(body)
+        if self._size > self._listener.bounds.body_bytes:
+            self._fault = messages.CONTENT_TOO_LARGE
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Mark the request as whole; it is handled after the parser's turn."""
+        self._complete = True
+
+    def write(self, data: bytes) -> None:
+        """Write to the client, if it is still there."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Break the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close after what was written has gone out."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def end_exchange(self) -> None:
+        """Make ready for the next request, or close."""
+        self._task = None
+        self._reading = False
+        self._complete = False
+        self.notify_writable = None
+        self.since_s = self._clock.read_monotonic()
+        if self.closing or not self._parser.should_keep_alive():
+            self.close()
+            return
+        self._parser = httptools.HttpRequestParser(self)
+        if self._transport is not None:
+            self._transport.resume_reading()
+        if self._pending:
+            data = self._pending
+            self._pending = b''
+            self.data_received(data)
+
+    def refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        self._fault = self._fault or status
+        self.closing = True
+        self.write(messages.write_head(status, (), length=0, close=True))
+        self.close()
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fault = self._fault or messages.BAD_REQUEST
+        except httptools.HttpParserError:
+            self._fault = self._fault or messages.BAD_REQUEST
+        if self._fault:
+            self._listener.note_fault(self._fault)
+            self.refuse(self._fault)
+        elif self._complete:
+            self._begin()
+
+    def _begin(self) -> None:
+        request = messages.Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            fields=self._fields,
+            body=b''.join(self._body),
+            received_s=self._clock.read_monotonic(),
+        )
+        self._body = []
+        if self._parser.get_http_version() != '1.1':
+            self.closing = True
+        self._task = asyncio.get_running_loop().create_task(
+            self._handle(request, Reply(self))
+        )
+        self._task.add_done_callback(self._check_task)
+
+    def _check_task(self, task: asyncio.Task[None]) -> None:
+        """Break the connection where a handler ended without an answer."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._listener.note_error(error)
+        if error is not None or self._task is task:
+            self.abort()
+
+    def _pause(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _set_writable(self, *, value: bool) -> None:
+        self.is_writable = value
+        if self.notify_writable is not None:
+            self.notify_writable(value)
+
+
+class Listener:
+    """Accepts connections on one address and bounds them."""
+
+    def __init__(
+        self,
+        *,
+        handle: Handle,
+        clock: clocks.Clock,
+        bounds: Bounds,
+        note_fault: abc.Callable[[int], None],
+        note_error: abc.Callable[[BaseException], None],
+    ) -> None:
+        """Accept nothing yet; ``bounds`` may be replaced at any time."""
+        self.bounds = bounds
+        self.connections: set[Connection] = set()
+        self.note_fault = note_fault
+        self.note_error = note_error
+        self._handle = handle
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._draining = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no connection has a request."""
+        return all(each.is_idle for each in self.connections)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Bind and accept.
+
+        Raises OSError where the address can't be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, host, port, backlog=_BACKLOG
+        )
+
+    def drain(self) -> None:
+        """Have every further answer close its connection."""
+        self._draining = True
+        for each in self.connections:
+            each.closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request."""
+        for each in tuple(self.connections):
+            if each.is_idle:
+                each.close()
+
+    def sweep(self) -> None:
+        """Close what was idle too long, refuse what comes too slowly."""
+        now_s = self._clock.read_monotonic()
+        for each in tuple(self.connections):
+            age_s = now_s - each.since_s
+            if each.is_idle and age_s > self.bounds.idle_timeout_s:
+                each.close()
+            elif each.is_reading and age_s > self.bounds.header_timeout_s:
+                self.note_fault(messages.REQUEST_TIMEOUT)
+                each.refuse(messages.REQUEST_TIMEOUT)
+
+    def stop(self) -> None:
+        """Accept no more and close what is open."""
+        if self._server is not None:
+            self._server.close()
+        for each in tuple(self.connections):
+            each.close()
+
+    def _accept(self) -> Connection:
+        connection = Connection(
+            listener=self, handle=self._handle, clock=self._clock
+        )
+        connection.closing = self._draining
+        return connection
+
+
+def is_framing_clear(fields: messages.Fields) -> bool:
+    """Return whether a body's end can be told in one way only."""
+    coding = fields.find(b'transfer-encoding')
+    if coding is None:
+        return fields.count(b'content-length') <= 1
+    if fields.find(b'content-length') is not None:
+        return False
+    return (
+        coding.lower() == b'chunked' and fields.count(b'transfer-encoding') == 1
+    )
--- /dev/null
+++ b/lavenderledge/peers/bounds.py
@@ -0,0 +1,16 @@
+"""Types of message fields, with the bounds that decoding checks."""
+
+import sys
+import typing
+
+import msgspec
+
+Name: typing.TypeAlias = typing.Annotated[str, msgspec.Meta(max_length=256)]
+Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=1, le=4)]
+Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0)]
+Finite: typing.TypeAlias = typing.Annotated[
+    float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)
+]
+Span: typing.TypeAlias = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=sys.float_info.max)
+]
--- a/lavenderledge/peers/messages.py
+++ b/lavenderledge/peers/messages.py
@@ -5,25 +5,16 @@
 that are given with the fields.
 """
 
-import sys
 import typing
 
 import msgspec
 
+from lavenderledge.peers import bounds, slots
+
 _MOST_REQUESTS = 20_000
 _MOST_MEMBERS = 1000
 _MOST_BLOCKS = 256
 
-Name: typing.TypeAlias = typing.Annotated[str, msgspec.Meta(max_length=256)]
-Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=1, le=4)]
-Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0)]
-Finite: typing.TypeAlias = typing.Annotated[
-    float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)
-]
-Span: typing.TypeAlias = typing.Annotated[
-    float, msgspec.Meta(ge=0, le=sys.float_info.max)
-]
-
 
 class Ask(typing.NamedTuple):
     """One request that waits for a replica.
@@ -33,18 +24,18 @@
     refusal, without further waiting.
     """
 
-    request_id: Name
-    row: Name
-    customer: Name
-    tier: Tier
-    weight: Span
-    prompt_tokens: Count
-    output_tokens: Count
+    request_id: bounds.Name
+    row: bounds.Name
+    customer: bounds.Name
+    tier: bounds.Tier
+    weight: bounds.Span
+    prompt_tokens: bounds.Count
+    output_tokens: bounds.Count
     prefix: typing.Annotated[
         tuple[int, ...], msgspec.Meta(max_length=_MOST_BLOCKS)
     ]
-    remaining_s: Finite
-    waited_s: Span
+    remaining_s: bounds.Finite
+    waited_s: bounds.Span
     preemptible: bool
     pressed: bool
 
@@ -52,14 +43,14 @@
 class Running(typing.NamedTuple):
     """One request that holds a grant."""
 
-    request_id: Name
-    row: Name
-    customer: Name
-    tier: Tier
-    replica: Name
-    prompt_tokens: Count
-    output_tokens: Count
-    output_done: Count
+    request_id: bounds.Name
+    row: bounds.Name
+    customer: bounds.Name
+    tier: bounds.Tier
+    replica: bounds.Name
+    prompt_tokens: bounds.Count
+    output_tokens: bounds.Count
+    output_done: bounds.Count
     preemptible: bool
     started: bool
 
@@ -73,14 +64,14 @@
     ``failures`` counts failed connects and refusals by the replica itself.
     """
 
-    replica: Name
-    token_gaps: Count
-    token_gap_s: Span
-    first_tokens: Count
-    first_token_s: Span
-    prefill_tokens: Count
-    cached_tokens: Count
-    failures: Count
+    replica: bounds.Name
+    token_gaps: bounds.Count
+    token_gap_s: bounds.Span
+    first_tokens: bounds.Count
+    first_token_s: bounds.Span
+    prefill_tokens: bounds.Count
+    cached_tokens: bounds.Count
+    failures: bounds.Count
 
 
 class Report(typing.NamedTuple):
@@ -90,12 +81,12 @@
     from the allocator it reports to.
     """
 
-    sender: Name
-    incarnation: Count
-    pool: Name
-    sequence: Count
-    stamp_s: Finite
-    grant_seen: Count
+    sender: bounds.Name
+    incarnation: bounds.Count
+    pool: bounds.Name
+    sequence: bounds.Count
+    stamp_s: bounds.Finite
+    grant_seen: bounds.Count
     waiting: typing.Annotated[
         tuple[Ask, ...], msgspec.Meta(max_length=_MOST_REQUESTS)
     ]
@@ -110,21 +101,21 @@
 class NewAsk(typing.NamedTuple):
     """A request that has just begun to wait."""
 
-    sender: Name
-    incarnation: Count
-    pool: Name
-    stamp_s: Finite
+    sender: bounds.Name
+    incarnation: bounds.Count
+    pool: bounds.Name
+    stamp_s: bounds.Finite
     ask: Ask
 
 
 class Release(typing.NamedTuple):
     """A request that no longer waits or runs; ``output_done`` in tokens."""
 
-    sender: Name
-    incarnation: Count
-    pool: Name
-    request_id: Name
-    output_done: Count
+    sender: bounds.Name
+    incarnation: bounds.Count
+    pool: bounds.Name
+    request_id: bounds.Name
+    output_done: bounds.Count
 
 
 class Grant(typing.NamedTuple):
@@ -134,13 +125,13 @@
     the asker lets the grant expire on its own clock counted from there.
     """
 
-    sender: Name
-    pool: Name
-    sequence: Count
-    request_id: Name
-    replica: Name
-    address: Name
-    stamp_s: Finite
+    sender: bounds.Name
+    pool: bounds.Name
+    sequence: bounds.Count
+    request_id: bounds.Name
+    replica: bounds.Name
+    address: bounds.Name
+    stamp_s: bounds.Finite
 
 
 class Refuse(typing.NamedTuple):
@@ -149,19 +140,19 @@
     ``reason`` is a value of ``outcomes.Reason``.
     """
 
-    sender: Name
-    pool: Name
-    request_id: Name
-    reason: Name
-    retry_after_s: Span
+    sender: bounds.Name
+    pool: bounds.Name
+    request_id: bounds.Name
+    reason: bounds.Name
+    retry_after_s: bounds.Span
 
 
 class Preempt(typing.NamedTuple):
     """An order to cancel a running request for one of a higher tier."""
 
-    sender: Name
-    pool: Name
-    request_id: Name
+    sender: bounds.Name
+    pool: bounds.Name
+    request_id: bounds.Name
 
 
 class Member(typing.NamedTuple):
@@ -171,20 +162,20 @@
     with each start of the process.
     """
 
-    instance: Name
-    incarnation: Count
-    heartbeat: Count
+    instance: bounds.Name
+    incarnation: bounds.Count
+    heartbeat: bounds.Count
     leaving: bool
-    availability_zone: Name
-    address: Name
-    table_revision: Count
+    availability_zone: bounds.Name
+    address: bounds.Name
+    table_revision: bounds.Count
 
 
 class Pulse(typing.NamedTuple):
     """A member's heartbeat alone; ``digest`` as ``gossip.digest_member``."""
 
     digest: int
-    heartbeat: Count
+    heartbeat: bounds.Count
 
 
 class Heartbeat(typing.NamedTuple):
@@ -193,7 +184,7 @@
     ``pulses`` holds the heartbeats of all of them in a large fleet.
     """
 
-    sender: Name
+    sender: bounds.Name
     members: typing.Annotated[
         tuple[Member, ...], msgspec.Meta(max_length=_MOST_MEMBERS)
     ]
@@ -205,15 +196,15 @@
 class TableRequest(typing.NamedTuple):
     """A request for the table, from an instance with a lower revision."""
 
-    sender: Name
-    revision: Count
+    sender: bounds.Name
+    revision: bounds.Count
 
 
 class TableCopy(typing.NamedTuple):
     """The table's stored value at a revision."""
 
-    sender: Name
-    revision: Count
+    sender: bounds.Name
+    revision: bounds.Count
     body: bytes
 
 
@@ -227,4 +218,5 @@
     | Heartbeat
     | TableRequest
     | TableCopy
+    | slots.Message
 )
--- /dev/null
+++ b/lavenderledge/peers/slots.py
@@ -0,0 +1,133 @@
+"""Messages about the slots of routed services.
+
+Durations are in seconds and count from the moment of sending.
+"""
+
+import typing
+
+import msgspec
+
+from lavenderledge.peers import bounds
+
+_MOST_REQUESTS = 20_000
+_MOST_EXCLUDED = 64
+_MOST_PARTS = 64
+_LOWEST_TIER = 1000
+
+Tier: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=_LOWEST_TIER)
+]
+
+
+class Wanted(typing.NamedTuple):
+    """One request that wants a slot of a service.
+
+    ``objective_left_s`` is what is left of the time within which its first
+    byte is due. ``cost`` is what it takes of its customer's quota, 0 where it
+    was taken before. ``excluded`` names replicas that it may not have.
+    ``parts`` are the ids of the prompt's parts, in order.
+    """
+
+    request_id: bounds.Name
+    service: bounds.Name
+    customer: bounds.Name
+    tier: Tier
+    prompt_tokens: bounds.Count
+    output_tokens: bounds.Count
+    objective_left_s: bounds.Finite
+    remaining_s: bounds.Finite
+    cost: bounds.Span
+    excluded: typing.Annotated[
+        tuple[bounds.Name, ...], msgspec.Meta(max_length=_MOST_EXCLUDED)
+    ] = ()
+    parts: typing.Annotated[
+        tuple[bounds.Name, ...], msgspec.Meta(max_length=_MOST_PARTS)
+    ] = ()
+
+
+class Reading(typing.NamedTuple):
+    """What one request met at its replica.
+
+    ``first_s`` runs from the dispatch to the first byte, ``gap_s`` is the
+    mean between the pieces of a stream, of which there were ``pieces``.
+    ``slowness`` is the replica's word on its machine, 1 being usual, 0 where
+    it said nothing.
+    """
+
+    outcome: bounds.Count
+    first_s: bounds.Span
+    gap_s: bounds.Span
+    pieces: bounds.Count
+    slowness: bounds.Span
+
+
+class Held(typing.NamedTuple):
+    """One request that holds a slot."""
+
+    request_id: bounds.Name
+    service: bounds.Name
+    replica: bounds.Name
+    tier: Tier
+
+
+class Ask(typing.NamedTuple):
+    """A request that begins to wait."""
+
+    sender: bounds.Name
+    incarnation: bounds.Count
+    wanted: Wanted
+
+
+class Grant(typing.NamedTuple):
+    """A slot of a replica for a request that waited."""
+
+    sender: bounds.Name
+    request_id: bounds.Name
+    replica: bounds.Name
+
+
+class Refusal(typing.NamedTuple):
+    """Word that a request gets no slot, and when to come again."""
+
+    sender: bounds.Name
+    request_id: bounds.Name
+    reason: bounds.Name
+    retry_after_s: bounds.Span
+
+
+class Release(typing.NamedTuple):
+    """A request that no longer waits or holds a slot.
+
+    ``replica`` is empty where it held none; ``refund`` is what its customer
+    gets back.
+    """
+
+    sender: bounds.Name
+    incarnation: bounds.Count
+    request_id: bounds.Name
+    replica: bounds.Name
+    refund: bounds.Span
+    reading: Reading | None
+
+
+class Report(typing.NamedTuple):
+    """Everything that an instance holds and waits for; replaces the last."""
+
+    sender: bounds.Name
+    incarnation: bounds.Count
+    sequence: bounds.Count
+    held: typing.Annotated[
+        tuple[Held, ...], msgspec.Meta(max_length=_MOST_REQUESTS)
+    ]
+    waiting: typing.Annotated[
+        tuple[bounds.Name, ...], msgspec.Meta(max_length=_MOST_REQUESTS)
+    ]
+
+
+class Beat(typing.NamedTuple):
+    """An allocator's word that it is there and has what it was told."""
+
+    sender: bounds.Name
+
+
+Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/platform/__init__.py
+++ b/lavenderledge/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Clients of the platform's key-value service and instance list."""
+"""The adapter to the users' platform: names, formats and calls.
+
+Nothing here decides anything, and nothing outside knows these names.
+"""
--- /dev/null
+++ b/lavenderledge/platform/__main__.py
@@ -0,0 +1,27 @@
+"""The program on the users' platform: ``python -m lavenderledge.platform``."""
+
+import sys
+
+from lavenderledge import environment
+from lavenderledge.platform import dialect, documents, store
+from lavenderledge.proxy import core, instance
+
+PLATFORM = instance.Platform(
+    dialect=dialect.DIALECT,
+    configuration_key=documents.CONFIGURATION_KEY,
+    replicas_prefix=documents.REPLICAS_PREFIX,
+    read_configuration=documents.read_configuration,
+    read_replica=documents.read_replica,
+    open_store=lambda address, pool, clock: store.PlatformStore(
+        address=address, pool=pool, clock=clock
+    ),
+)
+
+
+def main() -> None:
+    """Run one instance with the process's own arguments and streams."""
+    sys.exit(core.main(sys.argv[1:], environment.Environment(), PLATFORM))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lavenderledge/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The routed data path: callers' HTTP requests to the replicas of services."""
--- a/lavenderledge/platform/changes.py
+++ b/lavenderledge/registry/changes.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from lavenderledge.platform import operations
+from lavenderledge.registry import operations
 
 
 class Changed(typing.NamedTuple):
--- a/lavenderledge/platform/gateway.py
+++ b/lavenderledge/registry/gateway.py
@@ -10,7 +10,7 @@
 import expression
 import msgspec
 
-from lavenderledge.platform import changes, operations, shapes
+from lavenderledge.registry import changes, operations, shapes
 
 
 Shape = typing.TypeVar('Shape')
--- a/lavenderledge/platform/groupcommit.py
+++ b/lavenderledge/registry/groupcommit.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from lavenderledge.platform import keyvalue, operations
+from lavenderledge.registry import keyvalue, operations
 
 BATCH_ITEMS = 100
 BATCH_BYTES = 900_000
--- a/lavenderledge/platform/keyvalue.py
+++ b/lavenderledge/registry/keyvalue.py
@@ -16,7 +16,7 @@
 import expression
 import msgspec
 
-from lavenderledge.platform import gateway, operations, shapes, watches
+from lavenderledge.registry import gateway, operations, shapes, watches
 
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
 MAX_OPERATIONS = 128
--- a/lavenderledge/platform/watches.py
+++ b/lavenderledge/registry/watches.py
@@ -11,7 +11,7 @@
 import expression
 import msgspec
 
-from lavenderledge.platform import changes, gateway, operations, shapes
+from lavenderledge.registry import changes, gateway, operations, shapes
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
 LIMIT_BYTES = 8_000_000
--- a/tests/claimants.py
+++ b/tests/claimants.py
@@ -8,7 +8,7 @@
 from lavenderledge import outcomes
 from lavenderledge.controllers import claims
 from lavenderledge.filters import chain, claim, exchange
-from lavenderledge.platform import groupcommit, operations
+from lavenderledge.registry import groupcommit, operations
 from lavenderledge.policy import table
 
 ROW = table.Row(row='orders', customer='*', pool='orders', kind='*', tier=1)
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -6,7 +6,7 @@
 import expression
 import msgspec
 
-from lavenderledge.platform import gateway, operations, shapes
+from lavenderledge.registry import gateway, operations, shapes
 from lavenderledge.standins import gateway as wire
 from lavenderledge.standins import protocol, store
 
--- a/tests/peermessages.py
+++ b/tests/peermessages.py
@@ -1,5 +1,6 @@
 """Peer messages drawn within their bounds, or just outside one."""
 
+import types
 import typing
 
 from hypothesis import strategies
@@ -16,6 +17,8 @@
         fields = typing.get_type_hints(base, include_extras=True)
         drawn = {name: draw_within(each) for name, each in fields.items()}
         return strategies.builds(base, **drawn)
+    if typing.get_origin(base) is types.UnionType:
+        return strategies.one_of(*map(draw_within, typing.get_args(base)))
     if typing.get_origin(base) is tuple:
         item = draw_within(typing.get_args(base)[0])
         return strategies.lists(item, max_size=3).map(tuple)
@@ -56,8 +59,11 @@
 
 
 def _find_least(item):
+    item, _ = _split(item)
     if item is int:
         return 0
+    if item is str:
+        return ''
     fields = typing.get_type_hints(item)
     return item(
         *(
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,13 +4,14 @@
 import pytest
 from hypothesis import strategies
 
-from lavenderledge.peers import codec, messages
+from lavenderledge.peers import codec, messages, slots
 from tests import peermessages
 
 BOUNDED = [
     (kind, name, wrong)
     for kind in (*peermessages.KINDS, messages.Ask, messages.Running)
     + (messages.Reading, messages.Member)
+    + (slots.Wanted, slots.Held, slots.Reading)
     for name, wrong in peermessages.list_bounded(kind)
 ]
 HOLDERS = {
@@ -18,7 +19,11 @@
     messages.Running: (messages.Report, 'running'),
     messages.Reading: (messages.Report, 'readings'),
     messages.Member: (messages.Heartbeat, 'members'),
+    slots.Held: (slots.Report, 'held'),
+    slots.Wanted: (slots.Ask, 'wanted'),
+    slots.Reading: (slots.Release, 'reading'),
 }
+SINGLE = {'wanted', 'reading'}
 
 
 def test_every_field_but_digests_flags_and_bodies_is_bounded():
@@ -37,6 +42,9 @@
         ('Running', 'started'),
         ('Member', 'leaving'),
         ('TableCopy', 'body'),
+        # Their own fields are checked each.
+        ('Ask', 'wanted'),
+        ('Release', 'reading'),
     }
 
 
@@ -49,7 +57,8 @@
     if kind in HOLDERS:
         holder, field = HOLDERS[kind]
         outer = data.draw(peermessages.draw_within(holder))
-        message = outer._replace(**{field: (message,)})
+        inner = message if field in SINGLE else (message,)
+        message = outer._replace(**{field: inner})
     encoded = codec.encode(message)
     if encoded.is_error():
         assert encoded.error.fault is not codec.Fault.MALFORMED
--- a/tests/test_groupcommit.py
+++ b/tests/test_groupcommit.py
@@ -3,7 +3,7 @@
 import datetime
 
 from lavenderledge import clock
-from lavenderledge.platform import groupcommit, keyvalue, operations
+from lavenderledge.registry import groupcommit, keyvalue, operations
 from lavenderledge.standins import keyvalue as serving
 from lavenderledge.standins import server
 
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lavenderledge import clock
-from lavenderledge.platform import changes, instancelist, keyvalue, operations
+from lavenderledge.registry import changes, instancelist, keyvalue, operations
 from lavenderledge.standins import server
 from lavenderledge.standins import instancelist as listing
 from lavenderledge.standins import keyvalue as serving
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -15,7 +15,7 @@
 from lavenderledge.controllers import table as controller
 from lavenderledge.controllers import tablecopy, tablefeed
 from lavenderledge.peers import messages
-from lavenderledge.platform import gateway, operations
+from lavenderledge.registry import gateway, operations
 from lavenderledge.policy import (
     history,
     problems,
