Rank by customer and route, fresh before late, hopeless refused

Change: the rank is the customer's tier, then the route's; a request that no replica could begin to answer in time goes behind; one that no slot reaches before its caller leaves is refused at once, told when the queue is clear. Expected first bytes are a line over prompt tokens, times a replica's factor.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -109,8 +109,7 @@
 
     def _take_ask(self, ask: messages.Ask, now_s: float) -> None:
         wanted = ask.wanted
-        if wanted.request_id in self.book.holdings:
-            self.book.free(wanted.request_id, now_s)
+        self.book.free(wanted.request_id)
         retry_after_s = self._charge(wanted, now_s)
         if retry_after_s > 0:
             self._refuse(
@@ -141,18 +140,19 @@
             waiting = service.queue.remove(release.request_id)
             if waiting is not None and release.refund:
                 self._buckets.give_back(waiting.wanted.customer, release.refund)
-        replica = self.book.free(release.request_id, now_s)
+        holding = self.book.free(release.request_id)
         reading = release.reading
-        if replica is None or reading is None:
+        if holding is None or reading is None:
             return
         if reading.outcome == ANSWERED:
-            replica.pace.note_answer(
-                pace_s=reading.gap_s or reading.first_s,
+            self.book.note_answer(
+                holding,
+                first_s=reading.first_s,
                 slowness=reading.slowness,
                 now_s=now_s,
             )
         else:
-            replica.pace.note_failure(now_s)
+            self.book.note_failure(holding, now_s)
 
     def _take_report(
         self, sender: _Sender, report: messages.Report, now_s: float
@@ -166,7 +166,7 @@
         for request_id, holding in tuple(self.book.holdings.items()):
             gone = request_id not in held and request_id not in waiting
             if holding.sender == report.sender and gone:
-                self.book.free(request_id, now_s)
+                self.book.free(request_id)
         for request_id, each in held.items():
             self.book.hold(
                 request_id,
@@ -174,6 +174,7 @@
                     report.sender,
                     each.replica,
                     each.tier,
+                    0,
                     now_s,
                     float('inf'),
                 ),
@@ -195,7 +196,7 @@
         self._senders.pop(name)
         for request_id, holding in tuple(self.book.holdings.items()):
             if holding.sender == name:
-                self.book.free(request_id, now_s)
+                self.book.free(request_id)
         for service in self.book.services.values():
             for request_id in service.queue.list_of(name):
                 service.queue.remove(request_id)
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -22,10 +22,11 @@
 class Wanted(typing.NamedTuple):
     """One request that wants a slot of a service.
 
-    ``objective_left_s`` is what is left of the time within which its first
-    byte is due. ``cost`` is what it takes of its customer's quota, 0 where it
-    was taken before. ``excluded`` names replicas that it may not have.
-    ``parts`` are the ids of the prompt's parts, in order.
+    ``tier`` is its rank, 0 the highest. ``objective_left_s`` is what is left
+    of the time within which its first byte is due, ``remaining_s`` of that
+    within which a slot is of any use. ``cost`` is what it takes of its
+    customer's quota, 0 where it was taken before. ``excluded`` names replicas
+    that it may not have. ``parts`` are the ids of the prompt's parts.
     """
 
     request_id: bounds.Name
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -13,6 +13,11 @@
 REPLICAS_PREFIX: typing.Final = 'servers/'
 
 _MILLISECONDS: typing.Final = 1000
+# Callers leave a stream after the longest of these without an event: a time
+# in ms, and multiples of the objective and of the longest pause in time.
+_LEAST_SILENCE_MS: typing.Final = 2000
+_SILENCE_OBJECTIVES: typing.Final = 4
+_SILENCE_PAUSES: typing.Final = 8
 _UNLIMITED_BYTES: typing.Final = 1 << 22
 _DEFAULT_HEADER_BYTES: typing.Final = 16384
 _DEFAULT_HEADER_MS: typing.Final = 3000
@@ -53,6 +58,8 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    # The longest pause between events for an answer that is in time.
+    itl_target_ms: float = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -172,6 +179,12 @@
         most_replicas=max(1, route.max_attempts),
         timeout_s=route.timeout_ms / _MILLISECONDS,
         objective_s=(route.slo_ms or route.timeout_ms) / _MILLISECONDS,
+        most_silence_s=max(
+            _LEAST_SILENCE_MS,
+            _SILENCE_OBJECTIVES * route.slo_ms,
+            _SILENCE_PAUSES * route.itl_target_ms,
+        )
+        / _MILLISECONDS,
         tier=max(0, route.priority),
         public=route.public,
     )
--- a/lavenderledge/policy/pacing.py
+++ b/lavenderledge/policy/pacing.py
@@ -1,8 +1,6 @@
 """How fast a replica is, by what requests met there."""
 
-import statistics
 import typing
-from collections import abc
 
 # Weight of the newest reading in a running mean.
 _WEIGHT: typing.Final = 0.2
@@ -15,6 +13,15 @@
 _FIRST_CLOSED_S: typing.Final = 0.2
 _MOST_CLOSED_S: typing.Final = 3.0
 _MOST_DOUBLINGS: typing.Final = 5
+# How much of the sums behind the line is kept at each reading.
+_FADE: typing.Final = 0.98
+# The line's slope is not believed before prompts have differed by so much,
+# as the variance of their thousands of tokens.
+_LEAST_VARIANCE: typing.Final = 0.05
+_THOUSAND: typing.Final = 1000
+# Bounds of one replica's factor against the service's line.
+_LEAST_FACTOR: typing.Final = 0.1
+_MOST_FACTOR: typing.Final = 20.0
 
 
 class Mean:
@@ -36,16 +43,51 @@
         return default if self._mean is None else self._mean
 
 
-class Pace:
-    """One replica's pace, and whether it is open to requests.
+class FirstByteLine:
+    """The time to the first byte as a line over the prompt's tokens.
 
-    A pace is the seconds between pieces of a stream, or to a plain answer;
-    they are compared inside one service only.
+    It is a whole service's, at the pace of its usual replica.
     """
 
+    def __init__(self) -> None:
+        """Start without readings."""
+        self._weight = float(0)
+        self._tokens = float(0)
+        self._squares = float(0)
+        self._seconds = float(0)
+        self._products = float(0)
+
+    def note(self, prompt_tokens: int, seconds: float) -> None:
+        """Take a reading, of a replica at the usual pace."""
+        thousands = prompt_tokens / _THOUSAND
+        self._weight = self._weight * _FADE + 1
+        self._tokens = self._tokens * _FADE + thousands
+        self._squares = self._squares * _FADE + thousands**2
+        self._seconds = self._seconds * _FADE + seconds
+        self._products = self._products * _FADE + thousands * seconds
+
+    def expect(self, prompt_tokens: int) -> float:
+        """Return the seconds to the first byte, 0 without readings."""
+        if not self._weight:
+            return 0
+        mean_tokens = self._tokens / self._weight
+        mean_s = self._seconds / self._weight
+        variance = self._squares / self._weight - mean_tokens**2
+        slope = float(0)
+        if variance > _LEAST_VARIANCE:
+            covariance = self._products / self._weight - mean_tokens * mean_s
+            slope = max(0, covariance / variance)
+        base = max(0, mean_s - slope * mean_tokens)
+        return base + slope * prompt_tokens / _THOUSAND
+
+
+class Pace:
+    """One replica's pace, and whether it is open to requests."""
+
     def __init__(self, *, cold_until_s: float) -> None:
         """Start without readings."""
-        self.seconds = Mean()
+        self.hold_s = Mean()
+        self._factor = Mean()
         self._cold_until_s = cold_until_s
         self._word = 1.0
         self._word_at_s = float('-inf')
@@ -62,13 +104,17 @@
             self._closed_until_s = now_s + self._closed_s()
 
     def note_answer(
-        self, *, pace_s: float, slowness: float, now_s: float
+        self, *, ratio: float, slowness: float, now_s: float
     ) -> None:
-        """Take what a request met; 0 stands for what is not known."""
+        """Take what a request met.
+
+        ``ratio`` is the time to its first byte against the service's usual;
+        0 stands for what is not known.
+        """
         self._failures = 0
         self._closed_until_s = float('-inf')
-        if pace_s > 0:
-            self.seconds.note(pace_s)
+        if ratio > 0:
+            self._factor.note(min(max(ratio, _LEAST_FACTOR), _MOST_FACTOR))
         if slowness > 0:
             self._word = slowness
             self._word_at_s = now_s
@@ -79,21 +125,20 @@
             self._failures = min(self._failures + 1, _MOST_DOUBLINGS)
         self._closed_until_s = now_s + self._closed_s()
 
-    def expect(self, usual_s: float, now_s: float) -> float:
-        """Return the pace to expect now; ``usual_s`` where none is known."""
-        pace_s = self.seconds.read(usual_s)
+    @property
+    def factor(self) -> float:
+        """Return the first byte's time against the service's usual."""
+        return self._factor.read(1)
+
+    def slow_by(self, now_s: float) -> float:
+        """Return how much longer than usual for it work takes there now."""
+        slow = 1.0
         if now_s - self._word_at_s < _WORD_S:
-            pace_s *= self._word
+            slow = self._word
         if now_s < self._cold_until_s:
-            pace_s *= _COLD_FACTOR
-        return pace_s
+            slow *= _COLD_FACTOR
+        return slow
 
     def _closed_s(self) -> float:
         closed_s = _FIRST_CLOSED_S * 2 ** (self._failures - 1)
         return min(closed_s, _MOST_CLOSED_S)
-
-
-def find_usual(paces: abc.Iterable[Pace]) -> float:
-    """Return the median of the known paces, 1 where none is known."""
-    known = [each.seconds.read(0) for each in paces]
-    return statistics.median([pace_s for pace_s in known if pace_s] or [1.0])
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -6,6 +6,9 @@
 
 import xxhash
 
+# Route tiers beyond this count as the lowest.
+ROUTE_TIERS: typing.Final = 16
+
 _POINTS: typing.Final = 1 << 32
 
 
@@ -54,7 +57,8 @@
     """Where requests of a host and path prefix go, and within what time.
 
     Times are in seconds; ``objective_s`` runs to the whole answer, for a
-    stream to its first event. Tier 0 is the highest.
+    stream to its first event. Callers leave a stream after ``most_silence_s``
+    without an event. Tier 0 is the highest.
     """
 
     name: str
@@ -65,6 +69,7 @@
     most_replicas: int
     timeout_s: float
     objective_s: float
+    most_silence_s: float
     tier: int
     public: bool
 
@@ -121,11 +126,15 @@
     customer: Customer | None
 
     @property
-    def tier(self) -> int:
-        """Return the request's tier."""
-        if self.customer is not None and self.customer.tier is not None:
-            return self.customer.tier
-        return self.route.tier
+    def rank(self) -> int:
+        """Return the request's place in the order, 0 being the highest.
+
+        The customer's tier goes before the route's.
+        """
+        route_tier = min(self.route.tier, ROUTE_TIERS - 1)
+        if self.customer is None or self.customer.tier is None:
+            return route_tier
+        return min(self.customer.tier, ROUTE_TIERS) * ROUTE_TIERS + route_tier
 
 
 @enum.unique
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -1,8 +1,9 @@
 """The order in which requests of one service wait for slots.
 
-Tiers are strict. Inside a tier, requests whose objective can still be met go
-first, in order of arrival; those that are late already follow, the one with
-the least time left first.
+Ranks are strict. Inside a rank requests go in order of arrival. One whose
+objective can't be met any more goes behind the fresh ones of its own rank
+and of the next, whose callers can still be served in time, and before those
+of the ranks below.
 """
 
 import collections
@@ -11,6 +12,9 @@
 
 from lavenderledge.peers import slots
 
+# How many ranks a late request goes back.
+_LATE_RANKS: typing.Final = 1.5
+
 
 class Waiting(typing.NamedTuple):
     """One request that waits; times are the allocator's clock."""
@@ -31,89 +35,63 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._waiting: dict[str, Waiting] = {}
-        self._tiers: dict[int, collections.OrderedDict[str, Waiting]] = {}
+        self._places: dict[str, float] = {}
+        self._lines: dict[float, collections.OrderedDict[str, Waiting]] = {}
 
     def __len__(self) -> int:
         """Return how many requests wait."""
-        return len(self._waiting)
-
-    def add(self, sender: str, wanted: slots.Wanted, now_s: float) -> None:
-        """Add a request as its tier's newest; a repeat changes nothing."""
-        if wanted.request_id in self._waiting:
-            return
-        self.put_back(
-            Waiting(
-                sender,
-                wanted,
-                now_s + wanted.objective_left_s,
-                now_s + wanted.remaining_s,
-            ),
-            newest=True,
-        )
+        return len(self._places)
 
-    def put_back(self, waiting: Waiting, *, newest: bool = False) -> None:
-        """Return a request that was taken out to its place."""
-        self._waiting[waiting.request_id] = waiting
-        tier = self._tiers.setdefault(
-            waiting.wanted.tier, collections.OrderedDict()
-        )
-        tier[waiting.request_id] = waiting
-        if not newest:
-            tier.move_to_end(waiting.request_id, last=False)
+    def __contains__(self, request_id: str) -> bool:
+        """Return whether a request waits."""
+        return request_id in self._places
+
+    def add(self, waiting: Waiting) -> None:
+        """Add a request as the newest of its rank."""
+        self._put(waiting, waiting.wanted.tier)
+
+    def demote(self, waiting: Waiting) -> None:
+        """Put a request among the late ones of its rank."""
+        self.remove(waiting.request_id)
+        self._put(waiting, waiting.wanted.tier + _LATE_RANKS)
 
     def remove(self, request_id: str) -> Waiting | None:
         """Take a request out, if it is there."""
-        waiting = self._waiting.pop(request_id, None)
-        if waiting is not None:
-            self._tiers[waiting.wanted.tier].pop(request_id, None)
-        return waiting
-
-    def pop(self, now_s: float) -> Waiting:
-        """Take out the request that is next; raises KeyError if empty."""
-        for tier in sorted(self._tiers):
-            waiting = self._find_next(self._tiers[tier].values(), now_s)
-            if waiting is not None:
-                self.remove(waiting.request_id)
-                return waiting
-        raise KeyError('the queue is empty')
-
-    def pop_expired(self, now_s: float) -> list[Waiting]:
-        """Take out the requests whose time has run out."""
-        expired = [
-            waiting
-            for waiting in self._waiting.values()
-            if waiting.expires_s <= now_s
-        ]
-        for waiting in expired:
-            self.remove(waiting.request_id)
-        return expired
+        place = self._places.pop(request_id, None)
+        return None if place is None else self._lines[place].pop(request_id)
+
+    def is_late(self, waiting: Waiting) -> bool:
+        """Return whether a request that waits was put among the late."""
+        return self._places[waiting.request_id] != waiting.wanted.tier
 
-    def count_up_to(self, tier: int) -> int:
-        """Return how many wait in a tier and those above it."""
+    def walk(self) -> abc.Iterator[Waiting]:
+        """Yield the requests in order; those yielded may be moved."""
+        for place in sorted(self._lines):
+            yield from tuple(self._lines[place].values())
+
+    def count_before(self, place: float) -> int:
+        """Return how many wait at a place in the order and before it."""
         return sum(
-            len(held) for number, held in self._tiers.items() if number <= tier
+            len(line) for each, line in self._lines.items() if each <= place
         )
 
-    def list_senders(self) -> set[str]:
-        """Return the instances whose requests wait."""
-        return {waiting.sender for waiting in self._waiting.values()}
+    def find_place(self, tier: int, *, late: bool) -> float:
+        """Return a place in the order, for ``count_before``."""
+        return tier + _LATE_RANKS if late else tier
 
     def list_of(self, sender: str) -> list[str]:
         """Return the ids of the requests of one instance."""
         return [
             waiting.request_id
-            for waiting in self._waiting.values()
+            for waiting in self.walk()
             if waiting.sender == sender
         ]
 
-    def _find_next(
-        self, tier: abc.Iterable[Waiting], now_s: float
-    ) -> Waiting | None:
-        late: Waiting | None = None
-        for waiting in tier:
-            if waiting.due_s > now_s:
-                return waiting
-            if late is None or waiting.expires_s < late.expires_s:
-                late = waiting
-        return late
+    def list_senders(self) -> set[str]:
+        """Return the instances whose requests wait."""
+        return {waiting.sender for waiting in self.walk()}
+
+    def _put(self, waiting: Waiting, place: float) -> None:
+        self._places[waiting.request_id] = place
+        line = self._lines.setdefault(place, collections.OrderedDict())
+        line[waiting.request_id] = waiting
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -2,7 +2,7 @@
 
 Replicas run a fixed number of requests at a time and admit in order of
 arrival, so that nothing is sent to one whose slots are taken: requests wait
-here, where tiers and objectives are known.
+here, where ranks and objectives are known.
 """
 
 import itertools
@@ -10,17 +10,26 @@
 import typing
 from collections import abc
 
+import xxhash
+
 from lavenderledge.peers import slots
 from lavenderledge.policy import pacing, slotqueue
 
-# Of a request's remaining time that must be left when it is granted, as a
-# multiple of the expected first byte.
-_START_MARGIN: typing.Final = 1.2
-# A slot whose release was never heard of is free again after this long
-# beyond its request's deadline, seconds.
+# A slot whose release was never heard of is free again this long after its
+# request's deadline, seconds.
 _LOST_RELEASE_S: typing.Final = 1.0
-# Retry-After is at least this, so that no caller returns in a busy loop.
-_LEAST_RETRY_S: typing.Final = 0.1
+# Retry-After lies between these, seconds, and is spread by this part, so that
+# callers neither return in a busy loop nor all at once.
+_LEAST_RETRY_S: typing.Final = 0.3
+_MOST_RETRY_S: typing.Final = 5.0
+_RETRY_SPREAD: typing.Final = 0.4
+# Assumed until requests have ended, seconds a slot is held.
+_DEFAULT_HOLD_S: typing.Final = 0.5
+# A full replica takes so much longer than an empty one.
+_FULL_FACTOR: typing.Final = 0.5
+# No request is looked at for lateness more often than this, seconds.
+_SORT_INTERVAL_S: typing.Final = 0.02
+_POINTS: typing.Final = 1 << 32
 
 
 class ReplicaInfo(typing.NamedTuple):
@@ -57,6 +66,7 @@
     sender: str
     replica: str
     tier: int
+    prompt_tokens: int
     since_s: float
     until_s: float
 
@@ -69,6 +79,7 @@
         self.info = info
         self.held = 0
         self.pace = pacing.Pace(cold_until_s=now_s + info.cold_s)
+        self.prefill_until_s = now_s
 
     def count_free(self, *, share: float) -> int:
         """Return how many slots may be granted here."""
@@ -84,10 +95,36 @@
         self.replicas: dict[str, Replica] = {}
         self.queue = slotqueue.SlotQueue()
         self.hold_s = pacing.Mean()
-
-    def count_slots(self) -> int:
-        """Return how many requests the service runs at a time."""
-        return sum(each.info.slots for each in self.replicas.values())
+        self.first_byte = pacing.FirstByteLine()
+        self.sorted_s = float('-inf')
+
+    def expect_first_s(
+        self, replica: Replica, prompt_tokens: int, now_s: float
+    ) -> float:
+        """Return the seconds to a first byte if granted now."""
+        own_s = (
+            self.first_byte.expect(prompt_tokens)
+            * replica.pace.factor
+            * replica.pace.slow_by(now_s)
+        )
+        if not prompt_tokens:
+            return own_s
+        return max(0, replica.prefill_until_s - now_s) + own_s
+
+    def expect_hold_s(self, replica: Replica, now_s: float) -> float:
+        """Return the seconds for which a slot there is held."""
+        usual_s = self.hold_s.read(_DEFAULT_HOLD_S)
+        hold_s = replica.pace.hold_s.read(usual_s)
+        return hold_s * replica.pace.slow_by(now_s)
+
+    def count_rate(self, share: float) -> float:
+        """Return how many requests a second the slots get through."""
+        usual_s = self.hold_s.read(_DEFAULT_HOLD_S)
+        rate = sum(
+            replica.info.slots / max(replica.pace.hold_s.read(usual_s), 0.001)
+            for replica in self.replicas.values()
+        )
+        return max(rate * share, 0.001)
 
 
 class Book:
@@ -125,8 +162,8 @@
         if replica is not None:
             replica.held += 1
 
-    def free(self, request_id: str, now_s: float) -> Replica | None:
-        """Count a slot as free; return its replica if it is listed."""
+    def free(self, request_id: str) -> Holding | None:
+        """Count a slot as free; return who held it."""
         holding = self.holdings.pop(request_id, None)
         if holding is None:
             return None
@@ -134,15 +171,45 @@
             replica = service.replicas.get(holding.replica)
             if replica is not None:
                 replica.held -= 1
-                service.hold_s.note(now_s - holding.since_s)
-                return replica
-        return None
+        return holding
 
     def free_lost(self, now_s: float) -> None:
         """Free the slots whose requests must have ended long ago."""
         for request_id, holding in tuple(self.holdings.items()):
             if now_s > holding.until_s:
-                self.free(request_id, now_s)
+                self.free(request_id)
+
+    def note_answer(
+        self,
+        holding: Holding,
+        *,
+        first_s: float,
+        slowness: float,
+        now_s: float,
+    ) -> None:
+        """Learn from a request that was answered."""
+        for service in self.services.values():
+            replica = service.replicas.get(holding.replica)
+            if replica is None:
+                continue
+            usual_s = service.first_byte.expect(holding.prompt_tokens)
+            replica.pace.note_answer(
+                ratio=first_s / usual_s if usual_s else 0,
+                slowness=slowness,
+                now_s=now_s,
+            )
+            service.first_byte.note(
+                holding.prompt_tokens, first_s / replica.pace.factor
+            )
+            replica.pace.hold_s.note(now_s - holding.since_s)
+            service.hold_s.note(now_s - holding.since_s)
+
+    def note_failure(self, holding: Holding, now_s: float) -> None:
+        """Learn from a request that its replica failed or turned away."""
+        for service in self.services.values():
+            replica = service.replicas.get(holding.replica)
+            if replica is not None:
+                replica.pace.note_failure(now_s)
 
     def _relist(
         self, service: Service, infos: dict[str, ReplicaInfo], now_s: float
@@ -159,9 +226,7 @@
             present.info = info
 
     def _count_held(self, replica: str) -> int:
-        return sum(
-            1 for each in self.holdings.values() if each.replica == replica
-        )
+        return [each.replica for each in self.holdings.values()].count(replica)
 
 
 def enqueue(
@@ -170,43 +235,112 @@
     """Let a request wait, or refuse it where no slot will come in time."""
     service = book.services.get(wanted.service)
     if service is None or not service.replicas:
-        return Refused(sender, wanted.request_id, 'no_upstream', 1.0)
-    wait_s = expect_wait(book, service, wanted.tier)
-    if wait_s > wanted.remaining_s:
-        return Refused(
-            sender,
-            wanted.request_id,
-            'overloaded',
-            max(_LEAST_RETRY_S, wait_s - wanted.remaining_s),
-        )
-    service.queue.add(sender, wanted, now_s)
+        return Refused(sender, wanted.request_id, 'no_upstream', _LEAST_RETRY_S)
+    if wanted.request_id in service.queue:
+        return None
+    waiting = slotqueue.Waiting(
+        sender,
+        wanted,
+        now_s + wanted.objective_left_s,
+        now_s + wanted.remaining_s,
+    )
+    late = wanted.objective_left_s <= 0
+    refused = _refuse_hopeless(book, service, waiting, now_s, late=late)
+    if refused is not None:
+        return refused
+    service.queue.add(waiting)
+    if late:
+        service.queue.demote(waiting)
     return None
 
 
-def expect_wait(book: Book, service: Service, tier: int) -> float:
-    """Return the seconds until a request of a tier would get a slot."""
-    capacity = max(1, service.count_slots() * book.share)
-    ahead = service.queue.count_up_to(tier)
-    held = sum(replica.held for replica in service.replicas.values())
-    beyond = ahead + 1 + held - capacity
-    return max(0, beyond) / capacity * service.hold_s.read(0)
-
-
 def decide(book: Book, now_s: float) -> tuple[list[Granted], list[Refused]]:
-    """Grant what can be granted, in order; refuse what came to its end."""
+    """Grant what can be granted, in order; refuse what is hopeless."""
     granted: list[Granted] = []
     refused: list[Refused] = []
     for name, service in book.services.items():
-        if not service.queue:
-            continue
-        refused += [
-            Refused(each.sender, each.request_id, 'expired', _LEAST_RETRY_S)
-            for each in service.queue.pop_expired(now_s)
-        ]
-        granted += _grant(book, name, service, now_s)
+        if service.queue:
+            refused += _sort_out(book, service, now_s)
+            granted += _grant(book, name, service, now_s)
     return granted, refused
 
 
+def list_senders_waiting(book: Book) -> set[str]:
+    """Return the instances whose requests wait."""
+    return set(
+        itertools.chain.from_iterable(
+            service.queue.list_senders() for service in book.services.values()
+        )
+    )
+
+
+def _sort_out(book: Book, service: Service, now_s: float) -> list[Refused]:
+    """Put the late behind, and refuse those whom no slot reaches in time."""
+    if now_s - service.sorted_s < _SORT_INTERVAL_S:
+        return []
+    service.sorted_s = now_s
+    refused: list[Refused] = []
+    for waiting in service.queue.walk():
+        found = None
+        if waiting.expires_s <= now_s:
+            found = _refuse(book, service, waiting)
+        elif not service.queue.is_late(waiting) and _is_late(
+            service, waiting, now_s
+        ):
+            service.queue.demote(waiting)
+            found = _refuse_hopeless(book, service, waiting, now_s, late=True)
+        if found is not None:
+            service.queue.remove(waiting.request_id)
+            refused.append(found)
+    return refused
+
+
+def _is_late(
+    service: Service, waiting: slotqueue.Waiting, now_s: float
+) -> bool:
+    """Return whether no replica could begin to answer by the objective."""
+    fastest_s = min(
+        (
+            service.first_byte.expect(waiting.wanted.prompt_tokens)
+            * replica.pace.factor
+            for replica in service.replicas.values()
+        ),
+        default=float(0),
+    )
+    return now_s + fastest_s > waiting.due_s
+
+
+def _refuse_hopeless(
+    book: Book,
+    service: Service,
+    waiting: slotqueue.Waiting,
+    now_s: float,
+    *,
+    late: bool,
+) -> Refused | None:
+    place = service.queue.find_place(waiting.wanted.tier, late=late)
+    ahead = service.queue.count_before(place)
+    wait_s = ahead / service.count_rate(book.share)
+    if now_s + wait_s <= waiting.expires_s:
+        return None
+    return _refuse(book, service, waiting)
+
+
+def _refuse(
+    book: Book, service: Service, waiting: slotqueue.Waiting
+) -> Refused:
+    """Return a refusal until the present queue should have been served."""
+    clear_s = len(service.queue) / service.count_rate(book.share)
+    point = xxhash.xxh32_intdigest(waiting.request_id.encode()) / _POINTS
+    spread_s = clear_s * (1 + _RETRY_SPREAD * point)
+    return Refused(
+        waiting.sender,
+        waiting.request_id,
+        'overloaded',
+        min(max(spread_s, _LEAST_RETRY_S), _MOST_RETRY_S),
+    )
+
+
 def _grant(
     book: Book, name: str, service: Service, now_s: float
 ) -> list[Granted]:
@@ -217,64 +351,80 @@
         and replica.pace.is_open(now_s)
     ]
     granted: list[Granted] = []
-    usual_s = pacing.find_usual(
-        replica.pace for replica in service.replicas.values()
-    )
-    passed: list[slotqueue.Waiting] = []
-    while free and service.queue:
-        waiting = service.queue.pop(now_s)
-        chosen = _choose(free, waiting.wanted, usual_s, now_s)
+    for waiting in service.queue.walk():
+        if not free:
+            break
+        chosen = _choose(service, free, waiting, now_s)
         if chosen is None:
-            passed.append(waiting)
             continue
-        chosen.pace.note_granted(now_s)
-        book.hold(
-            waiting.request_id,
-            Holding(
-                waiting.sender,
-                chosen.info.name,
-                waiting.wanted.tier,
-                now_s,
-                waiting.expires_s + _LOST_RELEASE_S,
-            ),
-            service=name,
-        )
+        service.queue.remove(waiting.request_id)
+        _take(book, name, chosen, waiting, now_s)
         granted.append(
             Granted(waiting.sender, waiting.request_id, chosen.info.name)
         )
-        if chosen.count_free(share=book.share) <= 0 or not chosen.pace.is_open(
-            now_s
+        if not (
+            chosen.count_free(share=book.share) > 0
+            and chosen.pace.is_open(now_s)
         ):
             free.remove(chosen)
-    for waiting in reversed(passed):
-        service.queue.put_back(waiting)
     return granted
 
 
+def _take(
+    book: Book,
+    name: str,
+    replica: Replica,
+    waiting: slotqueue.Waiting,
+    now_s: float,
+) -> None:
+    wanted = waiting.wanted
+    replica.pace.note_granted(now_s)
+    first_s = book.services[name].expect_first_s(
+        replica, wanted.prompt_tokens, now_s
+    )
+    replica.prefill_until_s = now_s + first_s
+    book.hold(
+        waiting.request_id,
+        Holding(
+            waiting.sender,
+            replica.info.name,
+            wanted.tier,
+            wanted.prompt_tokens,
+            now_s,
+            float('inf'),
+        ),
+        service=name,
+    )
+
+
 def _choose(
+    service: Service,
     free: list[Replica],
-    wanted: slots.Wanted,
-    usual_s: float,
+    waiting: slotqueue.Waiting,
     now_s: float,
 ) -> Replica | None:
-    """Return the replica on which the request should be over soonest."""
+    """Return the replica on which the request should be over soonest.
+
+    A request that is in time waits on where only replicas are free that
+    would make it late.
+    """
+    wanted = waiting.wanted
     fitting = [
         replica for replica in free if replica.info.name not in wanted.excluded
     ]
-    return min(
-        fitting,
-        key=lambda replica: (
-            replica.pace.expect(usual_s, now_s)
-            * (1 + replica.held / max(1, replica.info.slots))
-        ),
-        default=None,
-    )
+    if not service.queue.is_late(waiting):
+        left_s = waiting.due_s - now_s
+        fitting = [
+            replica
+            for replica in fitting
+            if service.expect_first_s(replica, wanted.prompt_tokens, now_s)
+            <= left_s
+        ]
 
+    def expect_end(replica: Replica) -> float:
+        crowd = replica.held / max(1, replica.info.slots)
+        return service.expect_first_s(
+            replica, wanted.prompt_tokens, now_s
+        ) + service.expect_hold_s(replica, now_s) * (1 + _FULL_FACTOR * crowd)
 
-def list_senders_waiting(book: Book) -> set[str]:
-    """Return the instances whose requests wait."""
-    return set(
-        itertools.chain.from_iterable(
-            service.queue.list_senders() for service in book.services.values()
-        )
-    )
+    return min(fitting, key=expect_end, default=None)
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -16,6 +16,9 @@
 
 # A final answer goes out this long before the request's time is up, seconds.
 _ANSWER_MARGIN_S: typing.Final = 0.03
+# Requests whose callers are about to leave are answered so much before,
+# seconds: an answer still takes its way to the caller.
+_LEAVE_MARGIN_S: typing.Final = 0.15
 # A new connection takes a round trip; a replica that does not accept within
 # this is dark, seconds.
 _CONNECT_TIMEOUT_S: typing.Final = 0.3
@@ -235,7 +238,7 @@
             route=route,
             service=self._service,
             customer=self._customer_name() or '',
-            tier='' if self._standing is None else self._standing.tier,
+            rank='' if self._standing is None else self._standing.rank,
             status=ending.status,
             outcome=ending.outcome,
             reason=ending.reason,
@@ -332,18 +335,28 @@
             request_id=self._call.request_id,
             service=self._service,
             customer=self._customer_name() or '',
-            tier=standing.tier,
+            tier=standing.rank,
             prompt_tokens=self._call.prompt_tokens,
             output_tokens=self._call.output_tokens,
             objective_left_s=trail.started_s
             + standing.route.objective_s
             - now_s,
-            remaining_s=trail.end_s - _ANSWER_MARGIN_S - now_s,
+            remaining_s=self._find_start_end_s() - now_s,
             cost=self._count_cost() if first else 0,
             excluded=tuple(trail.excluded),
             parts=self._call.parts,
         )
 
+    def _find_start_end_s(self) -> float:
+        """Return when a slot is of no use to the caller any more."""
+        standing = self._standing
+        assert standing is not None
+        end_s = self._trail.end_s - _ANSWER_MARGIN_S
+        if not standing.route.repetition.is_stream or self._trail.runs:
+            return end_s
+        silent_s = self._trail.started_s + standing.route.most_silence_s
+        return min(end_s, silent_s - _LEAVE_MARGIN_S)
+
     def _count_cost(self) -> float:
         standing = self._standing
         if standing is None or standing.customer is None:
