Let three instances ask the store on behalf of all

Change: only the first three in line watch configuration and replicas. The others hear the version and its age with each answer of their allocator, counted from the stamp that they sent, so that an age never gets younger on the way, and ask by themselves when they hear of a newer version or nothing for 1.8 s. A grant carries the replica's address and lapses after 0.6 s. An allocator that the store does not answer while it answers others resigns.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -31,6 +31,7 @@
         self._clock = clock
         self._current: routes.Configuration | None = None
         self._confirmed_s = float('-inf')
+        self._asked_s = float('-inf')
 
     @property
     def current(self) -> routes.Configuration | None:
@@ -41,6 +42,10 @@
         """Return the seconds since the confirming answer was asked for."""
         return self._clock.read_monotonic() - self._confirmed_s
 
+    def own_age_s(self) -> float:
+        """Return the same for answers of the store to this instance."""
+        return self._clock.read_monotonic() - self._asked_s
+
     def accept(
         self, configuration: routes.Configuration, asked_s: float
     ) -> bool:
@@ -55,8 +60,18 @@
 
     def confirm(self, asked_s: float) -> None:
         """Note that nothing newer was there when the store was asked."""
+        self._asked_s = max(self._asked_s, asked_s)
         self._confirmed_s = max(self._confirmed_s, asked_s)
 
+    def hear(self, version: int, confirmed_s: float) -> bool:
+        """Take a peer's word; False where the peer knows a newer version."""
+        known = self._current
+        if known is None or version > known.version:
+            return False
+        if version == known.version:
+            self._confirmed_s = max(self._confirmed_s, confirmed_s)
+        return True
+
 
 class Listing(typing.Generic[_Entry]):
     """Entries of a directory whose lapses during an outage mean nothing yet.
--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -14,6 +14,8 @@
 # lose the store at the same moment and share its bounded rate.
 _FIRST_PAUSE_S: typing.Final = 0.1
 _MOST_PAUSE_S: typing.Final = 0.6
+# How often a follower that is not needed looks whether it is.
+_IDLE_CHECK: typing.Final = timing.seconds(0.05)
 
 
 class Following(typing.NamedTuple):
@@ -21,7 +23,8 @@
 
     ``wait_s`` bounds one watch, ``rest_s`` is the pause after changes, which
     gathers several into one call. ``on_confirmed`` gets the time at which
-    an answer was asked for that knows of nothing newer.
+    an answer was asked for that knows of nothing newer. Nothing is asked
+    while ``is_needed`` says no; afterwards the list is read anew.
     """
 
     prefix: str
@@ -30,6 +33,7 @@
     on_list: abc.Callable[[tuple[stores.Change, ...], float], None]
     on_changes: abc.Callable[[tuple[stores.Change, ...], float], None]
     on_confirmed: abc.Callable[[float], None]
+    is_needed: abc.Callable[[], bool]
 
 
 class Follower:
@@ -63,6 +67,9 @@
 
     async def step(self) -> datetime.timedelta:
         """List or watch once; return how long to rest."""
+        if not self._following.is_needed():
+            self._revision = None
+            return _IDLE_CHECK
         asked_s = self._clock.read_monotonic()
         listing = self._revision is None
         found = await self._call()
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -14,6 +14,12 @@
 # reports may be lost before.
 SILENCE_S: typing.Final = 2.0
 
+# An allocator that the store has not answered for so long gives its place to
+# one that it answers, seconds: a watch takes half a second.
+RESIGN_AGE_S: typing.Final = 1.6
+# Ages are told up to this, seconds.
+_MOST_AGE_S: typing.Final = 3600.0
+
 # Outcomes of a reading, as they go between instances.
 ANSWERED: typing.Final = 0
 REFUSED: typing.Final = 1
@@ -23,11 +29,20 @@
 FindQuota: typing.TypeAlias = abc.Callable[[str], routes.Quota | None]
 
 
+class Knowledge(typing.NamedTuple):
+    """How well an instance knows the configuration; the age in seconds."""
+
+    version: int
+    age_s: float
+
+
 class _Sender:
     def __init__(self, *, incarnation: int, now_s: float) -> None:
         self.incarnation = incarnation
         self.sequence = -1
         self.heard_s = now_s
+        self.stamp_s: float | None = None
+        self.age_s = float('inf')
 
 
 class SlotAllocator:
@@ -42,6 +57,7 @@
         list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]],
         find_quota: FindQuota,
         count_alive: abc.Callable[[], int],
+        read_knowledge: abc.Callable[[], Knowledge],
     ) -> None:
         """Hold nothing yet."""
         self.book = slots.Book()
@@ -51,6 +67,7 @@
         self._list_replicas = list_replicas
         self._find_quota = find_quota
         self._count_alive = count_alive
+        self._read_knowledge = read_knowledge
         self._buckets = tokenbuckets.TokenBuckets()
         self._senders: dict[str, _Sender] = {}
         self._due = False
@@ -84,7 +101,12 @@
         self._buckets.forget_idle(now_s)
         self._decide()
         for name in slots.list_senders_waiting(self.book):
-            self._send(name, messages.Beat(self._instance))
+            self._beat(name)
+
+    def tell_all(self) -> None:
+        """Tell every instance that reports here what is known now."""
+        for name in self._senders:
+            self._beat(name)
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -161,6 +183,8 @@
             return
         sender.sequence = report.sequence
         sender.heard_s = now_s
+        sender.stamp_s = report.stamp_s
+        sender.age_s = report.age_s
         held = {each.request_id: each for each in report.held}
         waiting = set(report.waiting)
         for request_id, holding in tuple(self.book.holdings.items()):
@@ -184,7 +208,28 @@
             for request_id in service.queue.list_of(report.sender):
                 if request_id not in waiting:
                     service.queue.remove(request_id)
-        self._send(report.sender, messages.Beat(self._instance))
+        self._beat(report.sender)
+
+    def _beat(self, name: str) -> None:
+        sender = self._senders.get(name)
+        known = self._read_knowledge()
+        self._send(
+            name,
+            messages.Beat(
+                self._instance,
+                None if sender is None else sender.stamp_s,
+                known.version,
+                min(known.age_s, _MOST_AGE_S),
+                self._is_resigning(known.age_s),
+            ),
+        )
+
+    def _is_resigning(self, age_s: float) -> bool:
+        """Return whether others reach the store and this one does not."""
+        return age_s > RESIGN_AGE_S and any(
+            sender.age_s < age_s - RESIGN_AGE_S / 2
+            for sender in self._senders.values()
+        )
 
     def _forget_silent(self, now_s: float) -> None:
         for name, sender in tuple(self._senders.items()):
@@ -217,7 +262,9 @@
         for each in granted:
             self._send(
                 each.sender,
-                messages.Grant(self._instance, each.request_id, each.replica),
+                messages.Grant(
+                    self._instance, each.request_id, each.replica, each.address
+                ),
             )
         for turned_away in refused:
             self._refuse(turned_away)
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -15,6 +15,8 @@
 # An allocator that has not answered for so long is passed over, seconds: a
 # few round trips and ticks, far less than any objective.
 PATIENCE_S: typing.Final = 0.2
+# Ages are told up to this, seconds.
+_MOST_AGE_S: typing.Final = 3600.0
 
 Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
 
@@ -26,7 +28,15 @@
     retry_after_s: float
 
 
-Verdict: typing.TypeAlias = expression.Result[str, Denial]
+class Slot(typing.NamedTuple):
+    """A replica's slot; ``granted_s`` is when the grant came."""
+
+    replica: str
+    address: str
+    granted_s: float
+
+
+Verdict: typing.TypeAlias = expression.Result[Slot, Denial]
 
 
 class _Entry:
@@ -69,20 +79,30 @@
         send: Send,
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
         note_allocator: abc.Callable[[str, str], None],
+        note_knowledge: abc.Callable[[int, float], None],
+        read_age_s: abc.Callable[[], float],
     ) -> None:
-        """Hold nothing yet; ``note_allocator`` is told of each change."""
+        """Hold nothing yet; ``note_allocator`` is told of each change.
+
+        ``note_knowledge`` gets the version that the allocator knows and the
+        time from which on it was confirmed; ``read_age_s`` gives the seconds
+        since the store itself confirmed the configuration here.
+        """
         self._instance = instance
         self._incarnation = incarnation
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
         self._note_allocator = note_allocator
+        self._note_knowledge = note_knowledge
+        self._read_age_s = read_age_s
         self._entries: dict[str, _Entry] = {}
         self._allocator = instance
         self._asked_s: float | None = None
         self._reported_s = float('-inf')
         self._sequence = 0
         self._suspects: set[str] = set()
+        self._resigned: set[str] = set()
 
     @property
     def allocator(self) -> str:
@@ -135,6 +155,8 @@
     ) -> None:
         """Take an allocator's message."""
         self._suspects.discard(message.sender)
+        if isinstance(message, messages.Beat):
+            self._take_beat(message)
         if message.sender == self._allocator:
             self._asked_s = None
         match message:
@@ -172,9 +194,10 @@
         """Ask whoever is first in line; tell a new one everything."""
         ranked = self._rank_allocators()
         self._suspects.intersection_update(ranked)
+        self._resigned.intersection_update(ranked)
+        avoided = self._suspects | self._resigned
         first = next(
-            (name for name in ranked if name not in self._suspects),
-            self._instance,
+            (name for name in ranked if name not in avoided), self._instance
         )
         if first == self._allocator:
             return
@@ -202,6 +225,8 @@
             self._instance,
             self._incarnation,
             self._sequence,
+            now_s,
+            min(self._read_age_s(), _MOST_AGE_S),
             tuple(
                 messages.Held(
                     request_id,
@@ -221,8 +246,16 @@
         if self._asked_s is None:
             self._asked_s = now_s
         self._send(self._allocator, report)
-        for suspect in self._suspects:
-            self._send(suspect, report._replace(held=(), waiting=()))
+        for avoided in self._suspects | self._resigned:
+            self._send(avoided, report._replace(held=(), waiting=()))
+
+    def _take_beat(self, beat: messages.Beat) -> None:
+        if beat.is_resigning:
+            self._resigned.add(beat.sender)
+        else:
+            self._resigned.discard(beat.sender)
+        if beat.stamp_s is not None:
+            self._note_knowledge(beat.version, beat.stamp_s - beat.age_s)
 
     def _take_grant(self, grant: messages.Grant) -> None:
         entry = self._entries.get(grant.request_id)
@@ -236,7 +269,9 @@
             return
         entry.replica = grant.replica
         entry.charged = True
-        self._settle(entry, expression.Ok(grant.replica))
+        now_s = self._clock.read_monotonic()
+        slot = Slot(grant.replica, grant.address, now_s)
+        self._settle(entry, expression.Ok(slot))
 
     def _give_back(self, grant: messages.Grant) -> None:
         self._send(
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -80,11 +80,12 @@
 
 
 class Grant(typing.NamedTuple):
-    """A slot of a replica for a request that waited."""
+    """A slot of a replica, reached at ``host:port``."""
 
     sender: bounds.Name
     request_id: bounds.Name
     replica: bounds.Name
+    address: bounds.Name
 
 
 class Refusal(typing.NamedTuple):
@@ -112,11 +113,17 @@
 
 
 class Report(typing.NamedTuple):
-    """Everything that an instance holds and waits for; replaces the last."""
+    """Everything that an instance holds and waits for; replaces the last.
+
+    ``stamp_s`` is the sender's clock. ``age_s`` tells how long ago the store
+    confirmed the configuration to the sender itself, not through a peer.
+    """
 
     sender: bounds.Name
     incarnation: bounds.Count
     sequence: bounds.Count
+    stamp_s: bounds.Finite
+    age_s: bounds.Span
     held: typing.Annotated[
         tuple[Held, ...], msgspec.Meta(max_length=_MOST_REQUESTS)
     ]
@@ -126,9 +133,18 @@
 
 
 class Beat(typing.NamedTuple):
-    """An allocator's word that it is there and has what it was told."""
+    """An allocator's word that it is there and has what it was told.
+
+    ``stamp_s`` echoes the newest report, None where there was none. The
+    allocator has the configuration ``version``, which the store confirmed
+    ``age_s`` before. One that ``is_resigning`` is cut off from the store.
+    """
 
     sender: bounds.Name
+    stamp_s: bounds.Finite | None
+    version: bounds.Count
+    age_s: bounds.Span
+    is_resigning: bool
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -44,11 +44,12 @@
 
 
 class Granted(typing.NamedTuple):
-    """A request and the replica it was granted."""
+    """A request and the replica it was granted, at ``host:port``."""
 
     sender: str
     request_id: str
     replica: str
+    address: str
 
 
 class Refused(typing.NamedTuple):
@@ -360,7 +361,12 @@
         service.queue.remove(waiting.request_id)
         _take(book, name, chosen, waiting, now_s)
         granted.append(
-            Granted(waiting.sender, waiting.request_id, chosen.info.name)
+            Granted(
+                waiting.sender,
+                waiting.request_id,
+                chosen.info.name,
+                chosen.info.address,
+            )
         )
         if not (
             chosen.count_free(share=book.share) > 0
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -26,6 +26,9 @@
 # seconds: on an older one the peer's silent close would leave its fate open.
 _ONCE_IDLE_S: typing.Final = 1.0
 _REPEATABLE_IDLE_S: typing.Final = 60.0
+# A grant is good for so long, seconds: it covers a slow connect, and a process
+# that was suspended meanwhile asks again.
+_GRANT_S: typing.Final = 0.6
 # Without a deadline of the caller, seconds.
 _DEFAULT_REMAINING_S: typing.Final = 60.0
 # A replica that says nothing for so long has hung, seconds; repeatable
@@ -89,7 +92,6 @@
         dialect: calls.Dialect,
         clock: clocks.Clock,
         configuration: beliefs.ConfigurationBelief,
-        replicas: beliefs.ReplicaBelief,
         requester: slotrequester.SlotRequester,
         pool: client.Pool,
         metrics: meters.Metrics,
@@ -101,7 +103,6 @@
         self._dialect = dialect
         self._clock = clock
         self._configuration = configuration
-        self._replicas = replicas
         self._requester = requester
         self._pool = pool
         self._metrics = metrics
@@ -162,11 +163,6 @@
         """Return the belief in the configuration."""
         return self._configuration
 
-    @property
-    def replicas(self) -> beliefs.ReplicaBelief:
-        """Return the belief in the replicas."""
-        return self._replicas
-
     @property
     def requester(self) -> slotrequester.SlotRequester:
         """Return whom to ask for slots."""
@@ -373,32 +369,29 @@
             return None
         return standing.customer.name
 
-    async def _use_slot(self, replica: str) -> slotmessages.Reading | None:
+    async def _use_slot(
+        self, slot: slotrequester.Slot
+    ) -> slotmessages.Reading | None:
         """Send the request to a replica and take what comes."""
         trail = self._trail
-        trail.replica = replica
-        info = self._forwarder.replicas.find(replica)
-        if info is None:
-            trail.excluded.append(replica)
-            trail.last_failure = 'not_listed'
-            return None
+        trail.replica = slot.replica
         once = not self._repetition().is_repeatable
         opened = await self._forwarder.pool.open(
-            info.address,
+            slot.address,
             timeout_s=_CONNECT_TIMEOUT_S,
             most_idle_s=_ONCE_IDLE_S if once else _REPEATABLE_IDLE_S,
         )
         if opened.is_error():
-            trail.excluded.append(replica)
+            trail.excluded.append(slot.replica)
             trail.last_failure = 'connect_failed'
             self._check_sends()
             return _build_reading(slotallocator.REFUSED)
         connection = opened.ok
         attempt: attempts.Attempt | None = None
         try:
-            if not self._may_send(replica):
+            if not self._may_send(slot):
                 return None
-            attempt = self._send(connection, replica)
+            attempt = self._send(connection, slot.replica)
             outcome = await self._wait(attempt)
         finally:
             if attempt is not None and not attempt.done.done():
@@ -406,7 +399,7 @@
             self._forwarder.pool.give_back(connection)
         return self._take_result(attempt, outcome)
 
-    def _may_send(self, replica: str) -> bool:
+    def _may_send(self, slot: slotrequester.Slot) -> bool:
         """Check all that may have changed, right before the first byte."""
         service = self._service
         if self._clock.read_monotonic() >= self._trail.end_s - _ANSWER_MARGIN_S:
@@ -417,9 +410,8 @@
             return False
         if known != self._version and service != self._service:
             return False
-        if self._forwarder.replicas.find(replica) is None:
-            self._trail.excluded.append(replica)
-            self._trail.last_failure = 'not_listed'
+        if self._clock.read_monotonic() - slot.granted_s > _GRANT_S:
+            self._trail.last_failure = 'grant_lapsed'
             return False
         if not self._trail.sends:
             return True
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -39,7 +39,12 @@
 # What is left of the grace period when running requests are cut, seconds.
 _CUT_MARGIN_S: typing.Final = 0.4
 _IDLE_CHECK: typing.Final = timing.seconds(0.05)
-_CONFIGURATION_WAIT_S: typing.Final = 1.0
+# How many instances, the first in line, ask the store on behalf of all.
+WATCHERS: typing.Final = 3
+# An instance whose peers told it nothing fresher asks the store itself,
+# seconds: a configuration is to be in force within two.
+_HEARSAY_AGE_S: typing.Final = 1.8
+_CONFIGURATION_WAIT_S: typing.Final = 0.5
 _REPLICAS_WAIT_S: typing.Final = 5.0
 _REPLICAS_REST_S: typing.Final = 0.4
 _MEMBERS_WAIT_S: typing.Final = 10.0
@@ -96,6 +101,8 @@
             send=self._send,
             rank_allocators=self._registration.rank_allocators,
             note_allocator=self._note_allocator,
+            note_knowledge=self._note_knowledge,
+            read_age_s=self._configuration.own_age_s,
         )
         self._allocator = slotallocator.SlotAllocator(
             instance=settings.instance,
@@ -104,13 +111,13 @@
             list_replicas=self._replicas.list_usable,
             find_quota=self._find_quota,
             count_alive=self._registration.count_alive,
+            read_knowledge=self._read_knowledge,
         )
         self._forwarder = forwarding.Forwarder(
             settings=_bound_forwarding(settings),
             dialect=platform.dialect,
             clock=clock,
             configuration=self._configuration,
-            replicas=self._replicas,
             requester=self._requester,
             pool=self._pool,
             metrics=self._metrics,
@@ -121,6 +128,7 @@
         self._exposition = self._build_listener(self._answer_metrics)
         self._stop_requested = asyncio.Event()
         self._store_lost: set[str] = set()
+        self._newest_heard = 0
 
     def handle_signals(
         self, read_settings: abc.Callable[[], configuration.Read]
@@ -188,7 +196,7 @@
             self._configuration.age_s()
             <= self._settings.revocation_s - _REVOCATION_MARGIN_S
         )
-        return known and fresh and self._replicas.listing.is_known
+        return known and fresh
 
     async def _drain(self) -> None:
         """Leave the fleet, end what runs, and close."""
@@ -226,6 +234,7 @@
                 on_list=self._take_configuration,
                 on_changes=self._take_configuration,
                 on_confirmed=self._configuration.confirm,
+                is_needed=self._watches_configuration,
             ),
             follower.Following(
                 prefix=platform.replicas_prefix,
@@ -234,6 +243,7 @@
                 on_list=self._take_replicas,
                 on_changes=self._change_replicas,
                 on_confirmed=_ignore_time,
+                is_needed=self._allocates,
             ),
             follower.Following(
                 prefix=registration.PREFIX,
@@ -242,9 +252,38 @@
                 on_list=self._registration.take_list,
                 on_changes=self._registration.take_changes,
                 on_confirmed=_ignore_time,
+                is_needed=_is_always_needed,
             ),
         ]
 
+    def _allocates(self) -> bool:
+        """Return whether this instance allocates, or is next to."""
+        name = self._settings.instance
+        first = self._registration.rank_allocators()[:WATCHERS]
+        return name in first or self._requester.allocator == name
+
+    def _watches_configuration(self) -> bool:
+        """Return whether this instance asks the store, not its peers."""
+        return self._allocates() or self._needs_configuration()
+
+    def _needs_configuration(self) -> bool:
+        newer = self._newest_heard > self._known_version
+        return newer or self._configuration.age_s() > _HEARSAY_AGE_S
+
+    @property
+    def _known_version(self) -> int:
+        current = self._configuration.current
+        return 0 if current is None else current.version
+
+    def _read_knowledge(self) -> slotallocator.Knowledge:
+        return slotallocator.Knowledge(
+            self._known_version, self._configuration.own_age_s()
+        )
+
+    def _note_knowledge(self, version: int, confirmed_s: float) -> None:
+        if not self._configuration.hear(version, confirmed_s):
+            self._newest_heard = max(self._newest_heard, version)
+
     def _follow(self, following: follower.Following) -> None:
         prefix = following.prefix
 
@@ -291,6 +330,7 @@
                 continue
             if self._configuration.accept(read.ok, asked_s):
                 self._apply_limits(read.ok.limits)
+                self._allocator.tell_all()
                 self._log(
                     'configuration_accepted',
                     version=read.ok.version,
@@ -492,5 +532,9 @@
     )
 
 
+def _is_always_needed() -> bool:
+    return True
+
+
 def _ignore_time(asked_s: float) -> None:
     """Take no note of a confirmation."""
