Prove the routed path against stand-ins of the platform

Found by them and mended: requests were refused on an assumed holding time before any had ended (24 requests at two slots, some 503); an instance was ready before its list of replicas was read, and refused with no upstream.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -332,6 +332,13 @@
         self._server: asyncio.Server | None = None
         self._draining = False
 
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on, 0 before."""
+        if self._server is None:
+            return 0
+        return int(self._server.sockets[0].getsockname()[1])
+
     @property
     def is_idle(self) -> bool:
         """Return whether no connection has a request."""
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -119,8 +119,13 @@
         return hold_s * replica.pace.slow_by(now_s)
 
     def count_rate(self, share: float) -> float:
-        """Return how many requests a second the slots get through."""
-        usual_s = self.hold_s.read(_DEFAULT_HOLD_S)
+        """Return how many requests a second the slots get through.
+
+        It is infinite until one has ended: nobody is refused on a guess.
+        """
+        usual_s = self.hold_s.read(0)
+        if not usual_s:
+            return float('inf')
         rate = sum(
             replica.info.slots / max(replica.pace.hold_s.read(usual_s), 0.001)
             for replica in self.replicas.values()
@@ -136,6 +141,7 @@
         self.services: dict[str, Service] = {}
         self.holdings: dict[str, Holding] = {}
         self.share = 1.0
+        self.is_listed = False
         self._infos: abc.Sequence[ReplicaInfo] = ()
 
     def list_replicas(
@@ -145,6 +151,7 @@
         if infos is self._infos:
             return
         self._infos = infos
+        self.is_listed = self.is_listed or bool(infos)
         listed: dict[str, dict[str, ReplicaInfo]] = {}
         for info in infos:
             listed.setdefault(info.service, {})[info.name] = info
@@ -234,8 +241,11 @@
     book: Book, sender: str, wanted: slots.Wanted, now_s: float
 ) -> Refused | None:
     """Let a request wait, or refuse it where no slot will come in time."""
+    if not book.is_listed:
+        # A new allocator has not read the list yet; it takes milliseconds.
+        book.services.setdefault(wanted.service, Service())
     service = book.services.get(wanted.service)
-    if service is None or not service.replicas:
+    if service is None or (book.is_listed and not service.replicas):
         return Refused(sender, wanted.request_id, 'no_upstream', _LEAST_RETRY_S)
     if wanted.request_id in service.queue:
         return None
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -136,11 +136,15 @@
         """Stop on SIGTERM and SIGINT, read the settings anew on SIGHUP."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
+            loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(
             signal.SIGHUP, lambda: self.reload(read_settings())
         )
 
+    def request_stop(self) -> None:
+        """Begin a graceful stop; repeats do nothing."""
+        self._stop_requested.set()
+
     def reload(self, read: configuration.Read) -> None:
         """Take changed settings; those with problems change nothing."""
         if read.is_error():
@@ -196,7 +200,8 @@
             self._configuration.age_s()
             <= self._settings.revocation_s - _REVOCATION_MARGIN_S
         )
-        return known and fresh
+        listed = self._replicas.listing.is_known or not self._allocates()
+        return known and fresh and listed
 
     async def _drain(self) -> None:
         """Leave the fleet, end what runs, and close."""
@@ -216,12 +221,17 @@
             await self._clock.sleep(_IDLE_CHECK)
         cut = sum(not each.is_idle for each in self._entry.connections)
         self._log('instance_stopped', cut=cut)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once; repeats do nothing."""
         self._entry.stop()
         self._ready.stop()
         self._exposition.stop()
         await self._tasks.stop()
         if self._link is not None:
             await self._link.close()
+            self._link = None
         self._pool.close()
 
     def _list_followings(self) -> list[follower.Following]:
--- /dev/null
+++ b/tests/platformfleet.py
@@ -0,0 +1,247 @@
+"""Instances on the platform's stand-ins, inside a test."""
+
+import asyncio
+import contextlib
+import socket
+
+from lavenderledge import clock as clocks
+from lavenderledge.daemon import formats
+from lavenderledge.http1 import client, messages
+from lavenderledge.platform import __main__ as program
+from lavenderledge.proxy import instance, settings
+from tests import platformreplica, platformstore
+
+HOST = 'shop.example'
+KEY = 'key-of-dealer'
+LIMIT_S = 30
+
+LIMITS = {
+    'max_header_bytes': 4096,
+    'max_body_bytes': 4096,
+    'header_timeout_ms': 400,
+    'idle_timeout_ms': 2000,
+}
+
+
+def make_route(name, kind, **changes):
+    """Return a route of the operators' configuration, to ``/name/``."""
+    route = {
+        'name': name,
+        'hostname': HOST,
+        'path_prefix': f'/{name}/',
+        'route_type': kind,
+        'timeout_ms': 3000,
+        'slo_ms': 500,
+        'priority': 0,
+        'service': 'model',
+        'max_attempts': 2,
+        'public': False,
+        'resumable': False,
+        'itl_target_ms': 300,
+    }
+    return {**route, **changes}
+
+
+def make_configuration(version=1, **changes):
+    """Return a configuration with a route of each kind."""
+    configuration = {
+        'version': version,
+        'routes': [
+            make_route('safe', 'safe'),
+            make_route('once', 'unsafe', max_attempts=1),
+            make_route('stream', 'streaming', max_attempts=1),
+            make_route('stream/resumable', 'streaming', resumable=True),
+        ],
+        'services': [{'name': 'model', 'health_path': '/healthz'}],
+        'limits': LIMITS,
+        'tenants': [
+            {
+                'name': 'dealer',
+                'api_keys': [KEY],
+                'unit': 'tokens',
+                'uncached_tokens': 200,
+                'rate_per_s': 0,
+                'burst': 0,
+            },
+        ],
+    }
+    return {**configuration, **changes}
+
+
+def find_port():
+    with socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        return free.getsockname()[1]
+
+
+class Answer:
+    """What a caller got: a status of 0 stands for no answer."""
+
+    def __init__(self):
+        self.status = 0
+        self.fields = None
+        self.body = b''
+        self.ending = None
+        self.done = asyncio.get_running_loop().create_future()
+
+    def takes(self, head):
+        return True
+
+    def take_head(self, head):
+        self.status = head.status
+        self.fields = head.fields
+
+    def take_body(self, body):
+        self.body += body
+
+    def take_end(self, ending):
+        self.ending = ending
+        self.done.set_result(None)
+
+    @property
+    def is_whole(self):
+        return self.ending is messages.Ending.COMPLETE
+
+
+class Fleet:
+    """A store, replicas and instances, each on a loopback port."""
+
+    def __init__(self):
+        self.store = platformstore.Store()
+        self.replicas = {}
+        self.instances = {}
+        self.entries = {}
+        self.tasks = {}
+        self._store_listener = platformstore.build_listener(self.store.handle)
+        self._sent = 0
+
+    async def start(self, *, replicas=2, instances=1, **configuration):
+        await self._store_listener.listen('127.0.0.1', 0)
+        self.store.write('op/config', make_configuration(**configuration))
+        for number in range(replicas):
+            await self.add_replica(f'i-{number}')
+        for number in range(instances):
+            await self.add_instance(f'entry-{number}')
+
+    async def add_replica(self, name, service='model', slots=4, **options):
+        replica = platformreplica.Replica(name, **options)
+        await replica.start()
+        self.replicas[name] = replica
+        self.store.write(f'servers/{name}', replica.describe(service, slots))
+        return replica
+
+    async def add_instance(self, name, **changes):
+        while not await self._try_instance(name, changes):
+            await asyncio.sleep(0.01)
+
+    async def _try_instance(self, name, changes):
+        """Start an instance; False where a port was taken meanwhile."""
+        ports = [formats.Address('127.0.0.1', find_port()) for _ in range(4)]
+        chosen = settings.Settings(
+            instance=name,
+            availability_zone='a',
+            listen=ports[0],
+            ready_listen=ports[1],
+            metrics_listen=ports[2],
+            peer_listen=ports[3],
+            store=formats.Address('127.0.0.1', self._store_listener.port),
+            stop_grace_s=5,
+            revocation_ms=5000,
+            apply_ms=2000,
+            retry_ratio=0.2,
+            retry_window_s=10,
+            retry_slack=50,
+            log_level='info',
+        )._replace(**changes)
+        running = instance.Instance(
+            settings=chosen,
+            platform=program.PLATFORM,
+            clock=clocks.SuspendClock(),
+        )
+        self.instances[name] = running
+        self.entries[name] = ports
+        self.tasks[name] = asyncio.create_task(running.run())
+        await wait_until(lambda: running.is_ready or self.tasks[name].done())
+        return not self.tasks[name].done()
+
+    async def send(self, path, *, entry='entry-0', method=b'POST', **options):
+        """Send a request on a connection of its own; wait for its end."""
+        answer, _ = await self.begin(
+            path, entry=entry, method=method, **options
+        )
+        await asyncio.wait_for(answer.done, LIMIT_S)
+        return answer
+
+    async def begin(
+        self,
+        path,
+        *,
+        entry='entry-0',
+        method=b'POST',
+        key=KEY,
+        deadline_ms=3000,
+        body=b'',
+        request_id=None,
+        fields=(),
+    ):
+        self._sent += 1
+        request_id = request_id or f'r-{self._sent}'
+        sent = [
+            (b'Host', HOST.encode()),
+            (b'Attempt-Id', request_id.encode()),
+            (b'Deadline-Ms', b'%d' % deadline_ms),
+            *fields,
+        ]
+        if key is not None:
+            sent.append((b'Authorization', b'Bearer ' + key.encode()))
+        data = messages.write_request(method, path.encode(), sent, body)
+        return await self.begin_raw(data, entry=entry)
+
+    async def begin_raw(self, data, *, entry='entry-0'):
+        """Send bytes on a connection of their own."""
+        pool = client.Pool(
+            clock=clocks.SystemClock(), count=lambda *args, **labels: None
+        )
+        address = str(self.entries[entry][0])
+        opened = await pool.open(address, timeout_s=1, most_idle_s=0)
+        answer = Answer()
+        opened.ok.begin(data, answer)
+        return answer, opened.ok
+
+    async def close(self):
+        for running in self.instances.values():
+            running.request_stop()
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for running in self.instances.values():
+            await running.close()
+        self._store_listener.stop()
+        for replica in self.replicas.values():
+            replica.listener.stop()
+
+    def list_runs(self):
+        """Return the ids of all runs, in no order."""
+        return [
+            request_id
+            for replica in self.replicas.values()
+            for request_id in replica.runs
+        ]
+
+
+@contextlib.asynccontextmanager
+async def running(**options):
+    """Run a fleet for a test."""
+    fleet = Fleet()
+    try:
+        async with asyncio.timeout(LIMIT_S * 2):
+            await fleet.start(**options)
+            yield fleet
+    finally:
+        await fleet.close()
+
+
+async def wait_until(holds):
+    async with asyncio.timeout(LIMIT_S):
+        while not holds():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/platformreplica.py
@@ -0,0 +1,124 @@
+"""A stand-in of a replica: runs requests as a script says, and keeps count."""
+
+import asyncio
+import collections
+
+from tests import platformstore
+
+
+class Replica:
+    """One replica; ``script`` holds what it does with the next requests.
+
+    Words: ``ok``, ``full`` (not run), ``error`` (runs, 500), ``reset`` (runs
+    and breaks), ``early`` (breaks before it runs), ``hang``, ``cut`` (breaks
+    in the answer), ``unsigned``, ``twice`` (a second answer follows),
+    ``promise`` (runs and answers 503). Without words it does ``usual``.
+    """
+
+    def __init__(self, name, *, usual='ok', work_s=0.0, events=6):
+        self.name = name
+        self.usual = usual
+        self.work_s = work_s
+        self.events = events
+        self.script = collections.deque()
+        self.runs = []
+        self.seen = []
+        self.running = 0
+        self.most_running = 0
+        self.left = []
+        self.address = ''
+        self.listener = platformstore.build_listener(self.handle)
+
+    async def start(self):
+        await self.listener.listen('127.0.0.1', 0)
+        port = self.listener.port
+        self.address = f'127.0.0.1:{port}'
+
+    def describe(self, service='model', slots=4, **changes):
+        """Return the entry that it writes into the store."""
+        entry = {
+            'service': service,
+            'address': self.address,
+            'zone': 'a',
+            'version': 'v1',
+            'capacity': slots,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': 1,
+        }
+        return {**entry, **changes}
+
+    async def handle(self, request, reply):
+        self.seen.append(request)
+        fields = request.fields
+        expected = (fields.find(b'expect-instance') or b'').decode()
+        if expected != self.name:
+            reply.send(421, ((b'Instance-Id', self.name.encode()),), b'')
+            return
+        word = self.script.popleft() if self.script else self.usual
+        if word == 'full':
+            reply.send(503, ((b'Not-Executed', b'1'),), b'')
+            return
+        if word == 'early':
+            reply.abort()
+            return
+        request_id = fields.find(b'attempt-id').decode()
+        self.runs.append(request_id)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._run(word, request, reply, request_id)
+        except asyncio.CancelledError:
+            self.left.append(request_id)
+            raise
+        finally:
+            self.running -= 1
+
+    async def _run(self, word, request, reply, request_id):
+        own = [
+            (b'Attempt-Id', request_id.encode()),
+            (b'Response-Seal', f'seal-{self.name}'.encode()),
+            (b'Server-Load', b'1,0,4,100'),
+        ]
+        if word == 'hang':
+            await asyncio.Event().wait()
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
+        if word == 'reset':
+            reply.abort()
+        elif word == 'error':
+            reply.send(500, own, b'failed')
+        elif word == 'promise':
+            reply.send(503, own, b'')
+        elif word == 'unsigned':
+            reply.send(200, own[:1], b'no seal')
+        elif b'/stream' in request.target:
+            await self._stream(word, request, reply, own)
+        else:
+            self._answer(word, reply, own, request_id)
+
+    def _answer(self, word, reply, own, request_id):
+        body = f'{self.name} ran {request_id}'.encode()
+        if word == 'cut':
+            reply.start(200, own, length=len(body))
+            reply.write(body[:4])
+            reply.abort()
+            return
+        reply.send(200, own, body)
+        if word == 'twice':
+            reply.start(200, own, length=len(body))
+            reply.write(body)
+
+    async def _stream(self, word, request, reply, own):
+        last = int(request.fields.find(b'last-event-id') or b'0')
+        reply.start(200, own, length=None)
+        for number in range(last + 1, self.events + 1):
+            event = f'id: {number}\ndata: {number}\n\n'.encode()
+            if word == 'cut' and number == last + 3:
+                reply.write(event[:5])
+                await asyncio.sleep(0.02)
+                reply.abort()
+                return
+            reply.write(event)
+            await asyncio.sleep(0.005)
+        reply.finish()
--- /dev/null
+++ b/tests/platformstore.py
@@ -0,0 +1,194 @@
+"""A stand-in of the platform's key-value service, with switchable faults."""
+
+import asyncio
+import base64
+import itertools
+import json
+import urllib.parse
+
+from lavenderledge import clock as clocks
+from lavenderledge.http1 import server
+
+BOUNDS = server.Bounds(65536, 1 << 22, 5, 60)
+
+
+class Store:
+    """Keys with revisions and leases; ``mode`` switches faults on.
+
+    Modes: ``ok``, ``busy`` (503), ``silent`` (no answer), ``reset`` (the
+    connection breaks), ``lost`` (writes are done and not answered).
+    """
+
+    def __init__(self, clock=None):
+        self.clock = clock or clocks.SystemClock()
+        self.mode = 'ok'
+        self.revision = 1
+        self.keys = {}
+        self.log = []
+        self.leases = {}
+        self.first_kept = 0
+        self.calls = 0
+        self._ids = itertools.count(100)
+        self._changed = asyncio.Event()
+
+    async def handle(self, request, reply):
+        self.calls += 1
+        if self.mode == 'busy':
+            reply.send(503, (), b'')
+            return
+        if self.mode == 'reset':
+            reply.abort()
+            return
+        if self.mode == 'silent':
+            await asyncio.Event().wait()
+        path, _, query = request.target.decode().partition('?')
+        asked = dict(urllib.parse.parse_qsl(query))
+        self._expire()
+        name = path.removeprefix('/api/').partition('/')[0]
+        status, document = await self._answer(name, path, asked, request.body)
+        if self.mode == 'lost' and request.method != b'GET':
+            await asyncio.Event().wait()
+        reply.send(status, (), json.dumps(document).encode())
+
+    def write(self, key, document):
+        """Write as the operator or a replica does."""
+        content = document if isinstance(document, bytes) else None
+        if content is None:
+            content = json.dumps(document).encode()
+        self._put(key, content, 0)
+
+    def delete(self, key):
+        if self.keys.pop(key, None) is not None:
+            self._note({'key': key, 'deleted': True})
+
+    def forget_history(self):
+        """Drop what happened so far; watches from before get 410."""
+        self.first_kept = self.revision
+        self.log.clear()
+        self._wake()
+
+    def end_leases(self):
+        """Let all leases run out."""
+        for lease in tuple(self.leases):
+            self._end(lease)
+
+    async def _answer(self, name, path, asked, body):
+        if name == 'kv-range':
+            return 200, self._list(asked['path_prefix'], asked.get('after', ''))
+        if name == 'kv-watch':
+            return await self._watch(asked)
+        document = json.loads(body or b'{}')
+        number = path.rpartition('/')[2]
+        if name == 'kv-lease':
+            lease = next(self._ids)
+            ttl_s = document['ttl_ms'] / 1000
+            self.leases[lease] = (self.clock.read_monotonic() + ttl_s, ttl_s)
+            return 200, {'lease_id': lease, 'ttl_ms': document['ttl_ms']}
+        if name == 'kv-keep':
+            return self._keep(int(number))
+        if name == 'kv-lease-end':
+            self._end(int(number))
+            return 200, {}
+        return self._transact(document)
+
+    def _list(self, prefix, after):
+        found = [
+            self._show(key)
+            for key in sorted(self.keys)
+            if key.startswith(prefix) and key > after
+        ]
+        return {
+            'entries': found[:50],
+            'has_more': len(found) > 50,
+            'at': self.revision,
+        }
+
+    async def _watch(self, asked):
+        after = int(asked['after'])
+        end_s = self.clock.read_monotonic() + int(asked['wait_ms']) / 1000
+        while True:
+            if after < self.first_kept:
+                return 410, {}
+            events = [
+                event
+                for event in self.log
+                if event['revision'] > after
+                and event['key'].startswith(asked['path_prefix'])
+            ]
+            left_s = end_s - self.clock.read_monotonic()
+            if events or left_s <= 0:
+                return 200, {'events': events, 'at': self.revision}
+            changed = self._changed
+            await asyncio.wait(
+                (asyncio.ensure_future(changed.wait()),),
+                timeout=min(left_s, 0.05),
+            )
+
+    def _keep(self, lease):
+        if lease not in self.leases:
+            return 404, {}
+        _, ttl_s = self.leases[lease]
+        self.leases[lease] = (self.clock.read_monotonic() + ttl_s, ttl_s)
+        return 200, {'ttl_ms': ttl_s * 1000}
+
+    def _transact(self, document):
+        for expected in document['expected_revision']:
+            present = self.keys.get(expected['key'])
+            if (present[1] if present else 0) != expected['revision']:
+                return 412, {'entries': []}
+        for item in document['write']:
+            if item['key'].startswith(('op/', 'servers/')):
+                return 403, {}
+            lease = item.get('lease_id', 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            self._put(item['key'], base64.b64decode(item['data']), lease)
+        return 200, {'revision': self.revision}
+
+    def _put(self, key, content, lease):
+        self.revision += 1
+        self.keys[key] = (content, self.revision, lease)
+        self.log.append(self._show(key))
+        self._wake()
+
+    def _show(self, key):
+        content, revision, lease = self.keys[key]
+        return {
+            'key': key,
+            'data': base64.b64encode(content).decode(),
+            'revision': revision,
+            'created': revision,
+            'lease_id': lease,
+        }
+
+    def _note(self, event):
+        self.revision += 1
+        self.log.append({**event, 'revision': self.revision})
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _expire(self):
+        now_s = self.clock.read_monotonic()
+        for lease, (end_s, _) in tuple(self.leases.items()):
+            if end_s <= now_s:
+                self._end(lease)
+
+    def _end(self, lease):
+        self.leases.pop(lease, None)
+        for key, (_, _, held) in tuple(self.keys.items()):
+            if held == lease:
+                self.delete(key)
+
+
+def build_listener(handle, clock=None):
+    """Return a listener for a stand-in's handler."""
+    return server.Listener(
+        handle=handle,
+        clock=clock or clocks.SystemClock(),
+        bounds=BOUNDS,
+        note_fault=lambda status: None,
+        note_error=lambda error: None,
+    )
