Count the reading of a prompt once in expected first bytes

Change: only the reading of prompts queues at a replica; what a request waited for others' prompts is taken off before the line learns from it.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -199,6 +199,7 @@
                     each.replica,
                     each.tier,
                     0,
+                    0,
                     now_s,
                     float('inf'),
                 ),
--- a/lavenderledge/policy/pacing.py
+++ b/lavenderledge/policy/pacing.py
@@ -68,8 +68,17 @@
 
     def expect(self, prompt_tokens: int) -> float:
         """Return the seconds to the first byte, 0 without readings."""
+        base, slope = self._fit()
+        return base + slope * prompt_tokens / _THOUSAND
+
+    def expect_reading(self, prompt_tokens: int) -> float:
+        """Return the part of it in which the prompt is read."""
+        return self._fit()[1] * prompt_tokens / _THOUSAND
+
+    def _fit(self) -> tuple[float, float]:
+        """Return the base and the seconds for a thousand tokens."""
         if not self._weight:
-            return 0
+            return float(0), float(0)
         mean_tokens = self._tokens / self._weight
         mean_s = self._seconds / self._weight
         variance = self._squares / self._weight - mean_tokens**2
@@ -77,8 +86,7 @@
         if variance > _LEAST_VARIANCE:
             covariance = self._products / self._weight - mean_tokens * mean_s
             slope = max(0, covariance / variance)
-        base = max(0, mean_s - slope * mean_tokens)
-        return base + slope * prompt_tokens / _THOUSAND
+        return max(0, mean_s - slope * mean_tokens), slope
 
 
 class Pace:
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -27,6 +27,9 @@
 _DEFAULT_HOLD_S: typing.Final = 0.5
 # A full replica takes so much longer than an empty one.
 _FULL_FACTOR: typing.Final = 0.5
+# Of a time to a first byte so much at least was the request's own: how long
+# other prompts took before it is an estimate.
+_OWN_PART: typing.Final = 0.2
 # No request is looked at for lateness more often than this, seconds.
 _SORT_INTERVAL_S: typing.Final = 0.02
 _POINTS: typing.Final = 1 << 32
@@ -62,12 +65,16 @@
 
 
 class Holding(typing.NamedTuple):
-    """A slot that is taken; ``until_s`` is when it is free at the latest."""
+    """A slot that is taken; ``until_s`` is when it is free at the latest.
+
+    ``queued_s`` is how long other prompts were to be read before its own.
+    """
 
     sender: str
     replica: str
     tier: int
     prompt_tokens: int
+    queued_s: float
     since_s: float
     until_s: float
 
@@ -80,7 +87,11 @@
         self.info = info
         self.held = 0
         self.pace = pacing.Pace(cold_until_s=now_s + info.cold_s)
-        self.prefill_until_s = now_s
+        self.reading_until_s = now_s
+
+    def queued_s(self, now_s: float) -> float:
+        """Return the seconds until the prompts sent there have been read."""
+        return max(0, self.reading_until_s - now_s)
 
     def count_free(self, *, share: float) -> int:
         """Return how many slots may be granted here."""
@@ -108,9 +119,16 @@
             * replica.pace.factor
             * replica.pace.slow_by(now_s)
         )
-        if not prompt_tokens:
-            return own_s
-        return max(0, replica.prefill_until_s - now_s) + own_s
+        return replica.queued_s(now_s) + own_s
+
+    def note_reading(
+        self, replica: Replica, prompt_tokens: int, now_s: float
+    ) -> None:
+        """Count a prompt as being read; prompts are read one by one."""
+        reading_s = (
+            self.first_byte.expect_reading(prompt_tokens) * replica.pace.factor
+        )
+        replica.reading_until_s = now_s + replica.queued_s(now_s) + reading_s
 
     def expect_hold_s(self, replica: Replica, now_s: float) -> float:
         """Return the seconds for which a slot there is held."""
@@ -200,6 +218,7 @@
             replica = service.replicas.get(holding.replica)
             if replica is None:
                 continue
+            first_s = max(first_s - holding.queued_s, first_s * _OWN_PART)
             usual_s = service.first_byte.expect(holding.prompt_tokens)
             replica.pace.note_answer(
                 ratio=first_s / usual_s if usual_s else 0,
@@ -395,10 +414,8 @@
 ) -> None:
     wanted = waiting.wanted
     replica.pace.note_granted(now_s)
-    first_s = book.services[name].expect_first_s(
-        replica, wanted.prompt_tokens, now_s
-    )
-    replica.prefill_until_s = now_s + first_s
+    queued_s = replica.queued_s(now_s)
+    book.services[name].note_reading(replica, wanted.prompt_tokens, now_s)
     book.hold(
         waiting.request_id,
         Holding(
@@ -406,6 +423,7 @@
             replica.info.name,
             wanted.tier,
             wanted.prompt_tokens,
+            queued_s,
             now_s,
             float('inf'),
         ),
