--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -68,6 +68,7 @@
         self._skipping = False
         self._tainted = False
         self._bodiless = False
+        self._closes = False
 
     @property
     def is_open(self) -> bool:
@@ -166,6 +167,8 @@
             return
         head = messages.ResponseHead(status, self._fields, self._read_length())
         self._headed = True
+        # The parser forgets this when the message is complete.
+        self._closes = not self._parser.should_keep_alive()
         self._until_close = (
             head.length is None
             and self._fields.find(b'transfer-encoding') is None
@@ -192,7 +195,7 @@
         self._headed = False
 
     def _finish(self) -> None:
-        self._tainted = self._tainted or not self._parser.should_keep_alive()
+        self._tainted = self._tainted or self._closes
         self.idle_since_s = self._clock.read_monotonic()
         self._end(messages.Ending.COMPLETE)
 
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -204,6 +204,9 @@
     def on_headers_complete(self) -> None:
         """Refuse ambiguous framing before the body is read."""
         self._size = 0
+        # The parser forgets this when the message is complete.
+        if not self._parser.should_keep_alive():
+            self.closing = True
         if not is_framing_clear(self._fields):
             self._fault = messages.BAD_REQUEST
         elif self._fields.find(b'expect') and self._transport is not None:
@@ -243,7 +246,7 @@
         self._complete = False
         self.notify_writable = None
         self.since_s = self._clock.read_monotonic()
-        if self.closing or not self._parser.should_keep_alive():
+        if self.closing:
             self.close()
             return
         self._parser = httptools.HttpRequestParser(self)
@@ -283,8 +286,6 @@
             received_s=self._clock.read_monotonic(),
         )
         self._body = []
-        if self._parser.get_http_version() != '1.1':
-            self.closing = True
         self._task = asyncio.get_running_loop().create_task(
             self._handle(request, Reply(self))
         )
--- /dev/null
+++ b/tests/test_slotmessages.py
@@ -0,0 +1,229 @@
+"""Asking, granting and releasing slots while instances fail (a machine)."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lavenderledge.controllers import slotallocator, slotrequester
+from lavenderledge.peers import slots as messages
+from lavenderledge.policy import rendezvous, slots
+from tests import serving
+
+NAMES = ('a', 'b', 'c')
+SLOTS = 2
+INFOS = tuple(
+    slots.ReplicaInfo(f'i-{number}', 'model', f'h:{number}', 'z', SLOTS, 0)
+    for number in range(2)
+)
+AGES = st.sampled_from((0.2, 5.0))
+
+
+class Node:
+    """One instance's two sides, on a network that the machine controls."""
+
+    def __init__(self, name, incarnation, machine):
+        self.name = name
+        self.incarnation = incarnation
+        self.machine = machine
+        self.age_s = 0.2
+        self.known = []
+        self.running = {}
+        self.waiting = {}
+        self.requester = slotrequester.SlotRequester(
+            instance=name,
+            incarnation=incarnation,
+            clock=machine.clock,
+            send=self.send,
+            rank_allocators=lambda: machine.ranked,
+            note_allocator=lambda before, after: None,
+            note_knowledge=lambda version, confirmed_s: self.known.append(
+                confirmed_s
+            ),
+            read_age_s=lambda: self.age_s,
+        )
+        self.allocator = slotallocator.SlotAllocator(
+            instance=name,
+            clock=machine.clock,
+            send=self.send,
+            list_replicas=lambda: INFOS,
+            find_quota=lambda customer: None,
+            count_alive=lambda: len(machine.ranked),
+            read_knowledge=lambda: slotallocator.Knowledge(1, self.age_s),
+        )
+
+    def send(self, to, message):
+        self.machine.network.append((self.name, to, message))
+
+    def receive(self, message):
+        if isinstance(
+            message, messages.Ask | messages.Release | messages.Report
+        ):
+            self.allocator.receive(message)
+        else:
+            self.requester.receive(message)
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Messages are lost by links; nodes die, pause and return."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(self.loop)
+        self.clock = serving.ManualClock()
+        self.network = []
+        self.cut = set()
+        self.paused = set()
+        self.ranked = tuple(rendezvous.rank('slots', NAMES))
+        self.count = 0
+        self.nodes = {name: Node(name, 1, self) for name in NAMES}
+        self.settled = {}
+
+    def teardown(self):
+        for node in self.nodes.values():
+            for task in node.waiting.values():
+                task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        self.loop.close()
+
+    def turn(self):
+        """Deliver what is under way and let every node act."""
+        self.loop.run_until_complete(self.deliver())
+        for node in self.nodes.values():
+            for request_id, task in tuple(node.waiting.items()):
+                if task.done():
+                    node.waiting.pop(request_id)
+                    self.settle(node, request_id, task.result())
+
+    async def deliver(self):
+        for _ in range(6):
+            await asyncio.sleep(0)
+            passing, self.network = self.network, []
+            for sender, to, message in passing:
+                lost = frozenset((sender, to)) in self.cut
+                if lost or to in self.paused or sender in self.paused:
+                    continue
+                self.nodes[to].receive(message)
+
+    def settle(self, node, request_id, verdict):
+        assert request_id not in self.settled
+        self.settled[request_id] = verdict
+        if verdict.is_ok():
+            assert verdict.ok.address == f'h:{verdict.ok.replica[2:]}'
+            node.running[request_id] = verdict.ok.replica
+
+    @stateful.rule(name=st.sampled_from(NAMES), tier=st.integers(0, 2))
+    def ask(self, name, tier):
+        if name in self.paused:
+            return
+        self.count += 1
+        request_id = f'{name}-{self.count}'
+        wanted = messages.Wanted(
+            request_id, 'model', 'dealer', tier, 100, 10, 0.5, 4, 0
+        )
+        node = self.nodes[name]
+        node.waiting[request_id] = self.loop.create_task(
+            node.requester.acquire(wanted)
+        )
+        self.turn()
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def end(self, name):
+        node = self.nodes[name]
+        if name in self.paused or not node.running:
+            return
+        request_id = next(iter(node.running))
+        node.running.pop(request_id)
+        reading = messages.Reading(slotallocator.ANSWERED, 0.1, 0, 1, 0)
+        node.requester.release(request_id, reading=reading)
+        self.turn()
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def leave(self, name):
+        node = self.nodes[name]
+        if name not in self.paused and node.waiting:
+            node.waiting.pop(next(iter(node.waiting))).cancel()
+            self.turn()
+
+    @stateful.rule(seconds=st.floats(0.05, 1))
+    def pass_time(self, seconds):
+        left_s = seconds
+        while left_s > 0:
+            self.clock.now_s += 0.05
+            left_s -= 0.05
+            for name, node in self.nodes.items():
+                if name not in self.paused:
+                    node.allocator.tick()
+                    node.requester.tick()
+            self.turn()
+
+    @stateful.rule(pair=st.sampled_from((('a', 'b'), ('a', 'c'), ('b', 'c'))))
+    def cut_link(self, pair):
+        self.cut.symmetric_difference_update((frozenset(pair),))
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def pause(self, name):
+        if name in self.paused:
+            self.paused.discard(name)
+        elif not self.paused:
+            self.paused.add(name)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        old = self.nodes[name]
+        for task in old.waiting.values():
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.network = [each for each in self.network if each[0] != name]
+        self.paused.discard(name)
+        self.nodes[name] = Node(name, old.incarnation + 1, self)
+        self.turn()
+
+    @stateful.rule(name=st.sampled_from(NAMES), age_s=AGES)
+    def change_age(self, name, age_s):
+        self.nodes[name].age_s = age_s
+
+    @stateful.invariant()
+    def each_allocator_keeps_to_the_slots(self):
+        for node in self.nodes.values():
+            for service in node.allocator.book.services.values():
+                for replica in service.replicas.values():
+                    names = [
+                        each.replica
+                        for each in node.allocator.book.holdings.values()
+                    ]
+                    assert replica.held == names.count(replica.info.name)
+
+    @stateful.invariant()
+    def hearsay_is_never_younger_than_its_source(self):
+        for node in self.nodes.values():
+            least_s = min(each.age_s for each in self.nodes.values())
+            assert all(
+                confirmed_s <= self.clock.now_s for confirmed_s in node.known
+            )
+            node.known.clear()
+            assert least_s > 0
+
+    @stateful.rule()
+    def heal(self):
+        """With all links whole, every request is settled and slots freed."""
+        self.cut.clear()
+        self.paused.clear()
+        for _ in range(12):
+            self.pass_time(0.5)
+            for name in NAMES:
+                while self.nodes[name].running:
+                    self.end(name)
+        assert not any(node.waiting for node in self.nodes.values())
+        self.pass_time(1)
+        for node in self.nodes.values():
+            assert not node.allocator.book.holdings
+
+
+Machine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestSlotMessages = Machine.TestCase
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -242,9 +242,7 @@
 
     def end(self, now_s, request_id, first_s):
         holding = self.book.free(request_id)
-        self.book.note_answer(
-            holding, first_s=first_s, slowness=0, now_s=now_s
-        )
+        self.book.note_answer(holding, first_s=first_s, slowness=0, now_s=now_s)
 
     def count(self, tier):
         timely = [
