--- a/lavenderledge/proxy/core.py
+++ b/lavenderledge/proxy/core.py
@@ -33,24 +33,40 @@
         for problem in read.error:
             env.write_error(program=configuration.PROGRAM, message=str(problem))
         return status.ExitStatus.USAGE
-    logs.configure_logs(stream=env.stdout, level=read.ok.log_level)
+    clock = clocks.SuspendClock()
+    lines = logs.configure_bounded(
+        descriptor=env.stdout.fileno(), level=read.ok.log_level, clock=clock
+    )
+    running = _Start(read.ok, platform, clock)
     try:
-        asyncio.run(_run(read.ok, platform, read_settings))
+        asyncio.run(_run(running, read_settings, lines))
     except OSError as error:
         env.write_error(
             program=configuration.PROGRAM, message=f'cannot listen: {error}'
         )
         return status.ExitStatus.ERROR
+    finally:
+        lines.flush()
     return status.ExitStatus.SUCCESS
 
 
+class _Start(typing.NamedTuple):
+    settings: configuration.Settings
+    platform: instance.Platform
+    clock: clocks.Clock
+
+
 async def _run(
-    settings: configuration.Settings,
-    platform: instance.Platform,
+    start: _Start,
     read_settings: abc.Callable[[], configuration.Read],
-) -> typing.Any:
+    lines: logs.BoundedHandler,
+) -> None:
     running = instance.Instance(
-        settings=settings, platform=platform, clock=clocks.SuspendClock()
+        settings=start.settings, platform=start.platform, clock=start.clock
     )
     running.handle_signals(read_settings)
-    await running.run()
+    writing = asyncio.create_task(lines.run())
+    try:
+        await running.run()
+    finally:
+        writing.cancel()
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -23,7 +23,7 @@
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.peers import slots as slotmessages
 from lavenderledge.policy import retrybudget, routes
-from lavenderledge.proxy import calls, forwarding
+from lavenderledge.proxy import calls, exchange, forwarding
 from lavenderledge.proxy import settings as configuration
 from lavenderledge.registry import store as stores
 
@@ -114,14 +114,16 @@
             read_knowledge=self._read_knowledge,
         )
         self._forwarder = forwarding.Forwarder(
-            settings=_bound_forwarding(settings),
-            dialect=platform.dialect,
-            clock=clock,
-            configuration=self._configuration,
-            requester=self._requester,
-            pool=self._pool,
-            metrics=self._metrics,
-            count_instances=self._registration.count_alive,
+            settings=_bound_exchanges(settings),
+            parts=forwarding.Parts(
+                dialect=platform.dialect,
+                clock=clock,
+                configuration=self._configuration,
+                requester=self._requester,
+                pool=self._pool,
+                metrics=self._metrics,
+                count_instances=self._registration.count_alive,
+            ),
         )
         self._entry = self._build_listener(self._forwarder.serve)
         self._ready = self._build_listener(self._answer_ready)
@@ -161,7 +163,7 @@
             apply_ms=settings.apply_ms,
             log_level=settings.log_level,
         )
-        self._forwarder.change_settings(_bound_forwarding(self._settings))
+        self._forwarder.settings = _bound_exchanges(self._settings)
         logging.getLogger().setLevel(settings.log_level.upper())
         self._log('reloaded', log_level=settings.log_level)
 
@@ -420,16 +422,14 @@
         """Return the pair that the first instance has put into the store."""
         while True:
             listed = await self._store.list_keys(SECRET_KEY)
-            if listed.is_ok():
-                for change in listed.ok.changes:
-                    parsed = keys.parse_secret((change.content or b'').decode())
-                    if parsed.is_ok():
-                        return parsed.ok
-                await self._store.create(
-                    SECRET_KEY, keys.generate_pair().secret
-                )
-            else:
+            if listed.is_error():
                 await self._clock.sleep(_STARTUP_RETRY)
+                continue
+            for change in listed.ok.changes:
+                parsed = keys.parse_secret((change.content or b'').decode())
+                if parsed.is_ok():
+                    return parsed.ok
+            await self._store.create(SECRET_KEY, keys.generate_pair().secret)
 
     async def _sweep(self) -> None:
         while True:
@@ -528,10 +528,8 @@
         )
 
 
-def _bound_forwarding(
-    settings: configuration.Settings,
-) -> forwarding.Settings:
-    return forwarding.Settings(
+def _bound_exchanges(settings: configuration.Settings) -> exchange.Settings:
+    return exchange.Settings(
         most_key_age_s=settings.revocation_s - _REVOCATION_MARGIN_S,
         most_reject_age_s=settings.apply_s,
         budget=retrybudget.Budget(
--- /dev/null
+++ b/lavenderledge/proxy/trail.py
@@ -0,0 +1,83 @@
+"""What happened to one request, and the line that tells it."""
+
+import logging
+import typing
+
+from lavenderledge import logs
+
+_MILLISECONDS: typing.Final = 1000
+_LOGGER = logging.getLogger(__name__)
+
+
+class Ending(typing.NamedTuple):
+    """How a request ended; a status of 0 stands for no answer."""
+
+    status: int
+    outcome: str
+    reason: str
+
+
+class Trail:
+    """What happened to one request so far; times are the clock's seconds."""
+
+    def __init__(self, *, request_id: str, started_s: float) -> None:
+        """Nothing was sent yet."""
+        self.request_id = request_id
+        self.started_s = started_s
+        self.route = ''
+        self.service = ''
+        self.customer = ''
+        self.rank: int | None = None
+        self.version = 0
+        self.sends = 0
+        self.runs = 0
+        self.excluded: list[str] = []
+        self.replica = ''
+        self.last_failure = ''
+        self.granted_s: float | None = None
+        self.first_byte_s: float | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether some replica may have begun to work on it."""
+        return self.runs > 0
+
+    def exclude(self, failure: str) -> None:
+        """Note that the present replica failed or turned it away."""
+        self.excluded.append(self.replica)
+        self.last_failure = failure
+
+    def write(
+        self, ending: Ending, *, now_s: float, age_s: float, allocator: str
+    ) -> None:
+        """Log the request's line; ``age_s`` is the configuration's."""
+        failed = ending.outcome != 'answered'
+        logs.write_event(
+            _LOGGER,
+            'request',
+            level=logging.WARNING if failed else logging.INFO,
+            id=self.request_id,
+            route=self.route,
+            service=self.service,
+            customer=self.customer,
+            rank='' if self.rank is None else self.rank,
+            status=ending.status,
+            outcome=ending.outcome,
+            reason=ending.reason,
+            replica=self.replica,
+            sends=self.sends,
+            runs=self.runs,
+            excluded=','.join(self.excluded),
+            failure=self.last_failure,
+            waited_ms=self._count_ms(self.granted_s),
+            first_ms=self._count_ms(self.first_byte_s),
+            total_ms=self._count_ms(now_s),
+            version=self.version,
+            age_ms=round(min(age_s, 1e6) * _MILLISECONDS),
+            allocator=allocator,
+        )
+
+    def _count_ms(self, at_s: float | None) -> object:
+        if at_s is None:
+            return ''
+        return round((at_s - self.started_s) * _MILLISECONDS, 1)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, messages, server
+from lavenderledge.http1 import client, server
 from lavenderledge.proxy import events
 from tests import platformfleet, platformstore
 
