--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -13,7 +13,7 @@
 # Pause after the first failed call and the longest, seconds: many instances
 # lose the store at the same moment and share its bounded rate.
 _FIRST_PAUSE_S: typing.Final = 0.1
-_MOST_PAUSE_S: typing.Final = 0.6
+_MOST_PAUSE_S: typing.Final = 1.2
 # How often a follower that is not needed looks whether it is.
 _IDLE_CHECK: typing.Final = timing.seconds(0.05)
 
--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -17,7 +17,7 @@
 # cheap calls, three fit in.
 LEASE_S: typing.Final = 4.0
 _RENEW: typing.Final = datetime.timedelta(seconds=1.3)
-_RETRY: typing.Final = datetime.timedelta(milliseconds=400)
+_RETRY: typing.Final = datetime.timedelta(seconds=1)
 _ALLOCATOR_KEY: typing.Final = 'slots'
 
 
