Follow the store in a module of its own; incarnations from the store

Change: proxy/watching.py follows the store; the incarnation is the store's revision when the instance joins, which only grows. Links are told their peers when they open.

--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -25,7 +25,6 @@
     """One instance: where its peers reach it."""
 
     instance: str
-    incarnation: int
     address: str
 
 
@@ -134,10 +133,14 @@
         if self._leaving:
             names.discard(self._own.instance)
         self._ranked = tuple(rendezvous.rank(_ALLOCATOR_KEY, names))
+        self.tell_addresses()
+
+    def tell_addresses(self) -> None:
+        """Tell where the other instances are reached."""
         self._on_change(
             {
                 name: member.address
-                for name, member in entries.items()
+                for name, member in self._listing.entries.items()
                 if name != self._own.instance
             }
         )
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -74,7 +74,7 @@
         self,
         *,
         instance: str,
-        incarnation: int,
+        read_incarnation: abc.Callable[[], int],
         clock: clocks.Clock,
         send: Send,
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
@@ -89,7 +89,7 @@
         since the store itself confirmed the configuration here.
         """
         self._instance = instance
-        self._incarnation = incarnation
+        self._read_incarnation = read_incarnation
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
@@ -142,7 +142,7 @@
             self._allocator,
             messages.Release(
                 self._instance,
-                self._incarnation,
+                self._read_incarnation(),
                 request_id,
                 entry.replica,
                 refund,
@@ -215,7 +215,9 @@
             self._asked_s = now_s
         self._send(
             self._allocator,
-            messages.Ask(self._instance, self._incarnation, entry.renew(now_s)),
+            messages.Ask(
+                self._instance, self._read_incarnation(), entry.renew(now_s)
+            ),
         )
 
     def _report(self, now_s: float) -> None:
@@ -223,7 +225,7 @@
         self._sequence += 1
         report = messages.Report(
             self._instance,
-            self._incarnation,
+            self._read_incarnation(),
             self._sequence,
             now_s,
             min(self._read_age_s(), _MOST_AGE_S),
@@ -278,7 +280,7 @@
             grant.sender,
             messages.Release(
                 self._instance,
-                self._incarnation,
+                self._read_incarnation(),
                 grant.request_id,
                 grant.replica,
                 0,
--- a/lavenderledge/platform/__main__.py
+++ b/lavenderledge/platform/__main__.py
@@ -4,9 +4,9 @@
 
 from lavenderledge import environment
 from lavenderledge.platform import dialect, documents, store
-from lavenderledge.proxy import core, instance
+from lavenderledge.proxy import core, watching
 
-PLATFORM = instance.Platform(
+PLATFORM = watching.Platform(
     dialect=dialect.DIALECT,
     configuration_key=documents.CONFIGURATION_KEY,
     replicas_prefix=documents.REPLICAS_PREFIX,
--- a/lavenderledge/proxy/core.py
+++ b/lavenderledge/proxy/core.py
@@ -7,14 +7,14 @@
 from lavenderledge import clock as clocks
 from lavenderledge import environment, logs, status
 from lavenderledge.daemon import settings as daemonsettings
-from lavenderledge.proxy import instance
+from lavenderledge.proxy import instance, watching
 from lavenderledge.proxy import settings as configuration
 
 
 def main(
     args: abc.Sequence[str],
     env: environment.Environment,
-    platform: instance.Platform,
+    platform: watching.Platform,
 ) -> status.ExitStatus:
     """Run one instance until it is stopped and return its exit status."""
     parser = daemonsettings.build_parser(
@@ -52,7 +52,7 @@
 
 class _Start(typing.NamedTuple):
     settings: configuration.Settings
-    platform: instance.Platform
+    platform: watching.Platform
     clock: clocks.Clock
 
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -380,7 +380,7 @@
                 attempt.pieces,
                 attempt.slowness,
             )
-        line.exclude('silent' if outcome is None else outcome.value)
+        line.exclude(outcome.value if outcome else 'silent')
         if outcome is attempts.Result.FAILED:
             self._held = attempt.held
         self._repeat_or_end()
@@ -429,15 +429,14 @@
         if held and unsent and not _is_promise(held.status):
             self.log(Ending(held.status, 'failed', 'upstream_status'))
             self._relay.reply.send(*held)
-            return
-        if not self._trail.may_have_run:
+        elif self._trail.may_have_run:
+            late = reason == 'deadline'
+            status = messages.GATEWAY_TIMEOUT if late else messages.BAD_GATEWAY
+            self.refuse(status, reason, None)
+        else:
             self.refuse(
                 messages.UNAVAILABLE, reason, retry_after_s or _RETRY_UNKNOWN_S
             )
-        elif reason == 'deadline':
-            self.refuse(messages.GATEWAY_TIMEOUT, reason, None)
-        else:
-            self.refuse(messages.BAD_GATEWAY, reason, None)
 
 
 def _build_reading(outcome: int) -> slotmessages.Reading:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 import signal
 import typing
 from collections import abc
@@ -10,8 +9,6 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
-    beliefs,
-    follower,
     registration,
     slotallocator,
     slotrequester,
@@ -23,9 +20,8 @@
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.peers import slots as slotmessages
 from lavenderledge.policy import retrybudget, routes
-from lavenderledge.proxy import calls, exchange, forwarding
+from lavenderledge.proxy import exchange, forwarding, watching
 from lavenderledge.proxy import settings as configuration
-from lavenderledge.registry import store as stores
 
 SECRET_KEY: typing.Final = 'lavenderledge/peer-secret'
 
@@ -39,34 +35,10 @@
 # What is left of the grace period when running requests are cut, seconds.
 _CUT_MARGIN_S: typing.Final = 0.4
 _IDLE_CHECK: typing.Final = timing.seconds(0.05)
-# How many instances, the first in line, ask the store on behalf of all.
-WATCHERS: typing.Final = 3
-# An instance whose peers told it nothing fresher asks the store itself,
-# seconds: a configuration is to be in force within two.
-_HEARSAY_AGE_S: typing.Final = 1.8
-_CONFIGURATION_WAIT_S: typing.Final = 0.5
-_REPLICAS_WAIT_S: typing.Final = 5.0
-_REPLICAS_REST_S: typing.Final = 0.4
-_MEMBERS_WAIT_S: typing.Final = 10.0
-_MEMBERS_REST_S: typing.Final = 0.5
-_CONFIGURATION_REST_S: typing.Final = 0.05
 _START_BOUNDS: typing.Final = server.Bounds(16384, 4 << 20, 3.0, 15.0)
 _MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
 
-ReadConfiguration: typing.TypeAlias = abc.Callable[[bytes], typing.Any]
-
-
-class Platform(typing.NamedTuple):
-    """What the adapter of a platform gives: formats, names and a store."""
-
-    dialect: calls.Dialect
-    configuration_key: str
-    replicas_prefix: str
-    read_configuration: ReadConfiguration
-    read_replica: abc.Callable[[stores.Change], beliefs.ListedReplica | None]
-    open_store: abc.Callable[[str, client.Pool, clocks.Clock], stores.Store]
-
 
 class Instance:
     """One running instance."""
@@ -75,7 +47,7 @@
         self,
         *,
         settings: configuration.Settings,
-        platform: Platform,
+        platform: watching.Platform,
         clock: clocks.Clock,
     ) -> None:
         """Build everything; nothing runs yet."""
@@ -88,37 +60,47 @@
         self._store = platform.open_store(
             str(settings.store), self._pool, clock
         )
-        self._incarnation = int(clock.read_wall().timestamp() * _MILLISECONDS)
-        self._rng = random.Random(f'{settings.instance}{self._incarnation}')
-        self._configuration = beliefs.ConfigurationBelief(clock=clock)
-        self._replicas = beliefs.ReplicaBelief(clock=clock)
+        self._incarnation = 0
         self._link: link.PeerLink | None = None
         self._registration = self._build_registration()
+        self._watching = watching.Watching(
+            instance=settings.instance,
+            platform=platform,
+            store=self._store,
+            members=self._registration,
+            clock=clock,
+            metrics=self._metrics,
+            hooks=watching.Hooks(
+                on_configuration=self._apply,
+                on_gone=self._pool.drop,
+                is_allocator=self._is_allocator,
+            ),
+        )
         self._requester = slotrequester.SlotRequester(
             instance=settings.instance,
-            incarnation=self._incarnation,
+            read_incarnation=lambda: self._incarnation,
             clock=clock,
             send=self._send,
             rank_allocators=self._registration.rank_allocators,
             note_allocator=self._note_allocator,
-            note_knowledge=self._note_knowledge,
-            read_age_s=self._configuration.own_age_s,
+            note_knowledge=self._watching.note_knowledge,
+            read_age_s=self._watching.configuration.own_age_s,
         )
         self._allocator = slotallocator.SlotAllocator(
             instance=settings.instance,
             clock=clock,
             send=self._send,
-            list_replicas=self._replicas.list_usable,
-            find_quota=self._find_quota,
+            list_replicas=self._watching.list_replicas,
+            find_quota=self._watching.find_quota,
             count_alive=self._registration.count_alive,
-            read_knowledge=self._read_knowledge,
+            read_knowledge=self._watching.read_knowledge,
         )
         self._forwarder = forwarding.Forwarder(
             settings=_bound_exchanges(settings),
             parts=forwarding.Parts(
                 dialect=platform.dialect,
                 clock=clock,
-                configuration=self._configuration,
+                configuration=self._watching.configuration,
                 requester=self._requester,
                 pool=self._pool,
                 metrics=self._metrics,
@@ -129,8 +111,6 @@
         self._ready = self._build_listener(self._answer_ready)
         self._exposition = self._build_listener(self._answer_metrics)
         self._stop_requested = asyncio.Event()
-        self._store_lost: set[str] = set()
-        self._newest_heard = 0
 
     def handle_signals(
         self, read_settings: abc.Callable[[], configuration.Read]
@@ -177,11 +157,9 @@
         await self._listen(self._exposition, self._settings.metrics_listen)
         self._log(
             'instance_started',
-            incarnation=self._incarnation,
             listen=self._settings.listen,
         )
-        for following in self._list_followings():
-            self._follow(following)
+        self._watching.start(self._tasks)
         for name, loop in (
             ('join', self._join),
             ('requester', self._requester.run),
@@ -197,13 +175,9 @@
         """Return whether callers should be sent here."""
         if self._stop_requested.is_set():
             return False
-        known = self._configuration.current is not None
-        fresh = (
-            self._configuration.age_s()
-            <= self._settings.revocation_s - _REVOCATION_MARGIN_S
-        )
-        listed = self._replicas.listing.is_known or not self._allocates()
-        return known and fresh and listed
+        age_s = self._watching.configuration.age_s()
+        fresh = age_s <= self._settings.revocation_s - _REVOCATION_MARGIN_S
+        return fresh and self._watching.is_known
 
     async def _drain(self) -> None:
         """Leave the fleet, end what runs, and close."""
@@ -236,168 +210,6 @@
             self._link = None
         self._pool.close()
 
-    def _list_followings(self) -> list[follower.Following]:
-        platform = self._platform
-        return [
-            follower.Following(
-                prefix=platform.configuration_key,
-                wait_s=_CONFIGURATION_WAIT_S,
-                rest_s=_CONFIGURATION_REST_S,
-                on_list=self._take_configuration,
-                on_changes=self._take_configuration,
-                on_confirmed=self._configuration.confirm,
-                is_needed=self._watches_configuration,
-            ),
-            follower.Following(
-                prefix=platform.replicas_prefix,
-                wait_s=_REPLICAS_WAIT_S,
-                rest_s=_REPLICAS_REST_S,
-                on_list=self._take_replicas,
-                on_changes=self._change_replicas,
-                on_confirmed=_ignore_time,
-                is_needed=self._allocates,
-            ),
-            follower.Following(
-                prefix=registration.PREFIX,
-                wait_s=_MEMBERS_WAIT_S,
-                rest_s=_MEMBERS_REST_S,
-                on_list=self._registration.take_list,
-                on_changes=self._registration.take_changes,
-                on_confirmed=_ignore_time,
-                is_needed=_is_always_needed,
-            ),
-        ]
-
-    def _allocates(self) -> bool:
-        """Return whether this instance allocates, or is next to."""
-        name = self._settings.instance
-        first = self._registration.rank_allocators()[:WATCHERS]
-        return name in first or self._requester.allocator == name
-
-    def _watches_configuration(self) -> bool:
-        """Return whether this instance asks the store, not its peers."""
-        return self._allocates() or self._needs_configuration()
-
-    def _needs_configuration(self) -> bool:
-        newer = self._newest_heard > self._known_version
-        return newer or self._configuration.age_s() > _HEARSAY_AGE_S
-
-    @property
-    def _known_version(self) -> int:
-        current = self._configuration.current
-        return 0 if current is None else current.version
-
-    def _read_knowledge(self) -> slotallocator.Knowledge:
-        return slotallocator.Knowledge(
-            self._known_version, self._configuration.own_age_s()
-        )
-
-    def _note_knowledge(self, version: int, confirmed_s: float) -> None:
-        if not self._configuration.hear(version, confirmed_s):
-            self._newest_heard = max(self._newest_heard, version)
-
-    def _follow(self, following: follower.Following) -> None:
-        prefix = following.prefix
-
-        def note_lost(failure: stores.StoreFailure) -> None:
-            self._replicas.listing.note_outage()
-            self._registration.note_outage()
-            if prefix not in self._store_lost:
-                self._store_lost.add(prefix)
-                self._log(
-                    'store_lost',
-                    prefix=prefix,
-                    fault=failure.fault,
-                    detail=failure.detail,
-                )
-
-        def note_regained() -> None:
-            self._replicas.listing.note_outage()
-            self._registration.note_outage()
-            self._store_lost.discard(prefix)
-            self._log('store_regained', prefix=prefix)
-
-        followed = follower.Follower(
-            following=following,
-            store=self._store,
-            clock=self._clock,
-            rng=self._rng,
-            on_lost=note_lost,
-            on_regained=note_regained,
-        )
-        self._tasks.keep_running(f'follow {prefix}', followed.run)
-
-    def _take_configuration(
-        self, changes: abc.Sequence[stores.Change], asked_s: float
-    ) -> None:
-        for change in changes:
-            if change.key != self._platform.configuration_key:
-                continue
-            if change.content is None:
-                continue
-            read = self._platform.read_configuration(change.content)
-            if read.is_error():
-                self._metrics.count('configurations_unreadable')
-                self._log('configuration_unreadable', detail=read.error.detail)
-                continue
-            if self._configuration.accept(read.ok, asked_s):
-                self._apply_limits(read.ok.limits)
-                self._allocator.tell_all()
-                self._log(
-                    'configuration_accepted',
-                    version=read.ok.version,
-                    revision=change.revision,
-                )
-
-    def _apply_limits(self, limits: routes.Limits) -> None:
-        self._entry.bounds = server.Bounds(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            header_timeout_s=limits.header_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
-        )
-
-    def _take_replicas(
-        self, changes: abc.Sequence[stores.Change], asked_s: float
-    ) -> None:
-        prefix = self._platform.replicas_prefix
-        listed = {
-            change.key.removeprefix(prefix): self._platform.read_replica(change)
-            for change in changes
-        }
-        self._replicas.listing.replace(
-            {name: each for name, each in listed.items() if each is not None}
-        )
-        self._log('replicas_listed', count=len(listed))
-
-    def _change_replicas(
-        self, changes: abc.Sequence[stores.Change], asked_s: float
-    ) -> None:
-        prefix = self._platform.replicas_prefix
-        before = self._replicas.list_usable()
-        self._replicas.listing.update(
-            {
-                change.key.removeprefix(prefix): self._platform.read_replica(
-                    change
-                )
-                for change in changes
-            }
-        )
-        after = self._replicas.list_usable()
-        if after is before:
-            return
-        known = {info.name: info.address for info in before}
-        usable = {info.name for info in after}
-        for name, address in known.items():
-            if name not in usable:
-                self._pool.drop(address)
-        self._log(
-            'replicas_changed',
-            gone=','.join(sorted(known.keys() - usable)),
-            new=','.join(sorted(usable - known.keys())),
-            usable=len(usable),
-        )
-
     async def _join(self) -> None:
         """Take the fleet's key, open the links and stay registered."""
         pair = await self._find_pair()
@@ -415,6 +227,8 @@
             self._stop_requested.set()
             return
         self._link = opened
+        self._registration.tell_addresses()
+        self._log('instance_joined', incarnation=self._incarnation)
         await self._registration.run()
         await asyncio.Event().wait()
 
@@ -425,6 +239,8 @@
             if listed.is_error():
                 await self._clock.sleep(_STARTUP_RETRY)
                 continue
+            # The store's revision only grows, which clocks do not promise.
+            self._incarnation = listed.ok.revision
             for change in listed.ok.changes:
                 parsed = keys.parse_secret((change.content or b'').decode())
                 if parsed.is_ok():
@@ -448,9 +264,7 @@
         settings = self._settings
         return registration.Registration(
             own=registration.Member(
-                settings.instance,
-                self._incarnation,
-                str(settings.peer_listen),
+                settings.instance, str(settings.peer_listen)
             ),
             store=self._store,
             clock=self._clock,
@@ -487,11 +301,19 @@
         body, _ = self._metrics.render(())
         reply.send(messages.OK, ((b'Content-Type', b'text/plain'),), body)
 
-    def _find_quota(self, customer: str) -> routes.Quota | None:
-        current = self._configuration.current
-        if current is None:
-            return None
-        return current.quotas.get(customer)
+    def _is_allocator(self) -> bool:
+        return self._requester.allocator == self._settings.instance
+
+    def _apply(self, accepted: routes.Configuration) -> None:
+        """Put a configuration into force that was just accepted."""
+        limits = accepted.limits
+        self._entry.bounds = server.Bounds(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        self._allocator.tell_all()
 
     def _update_links(self, addresses: abc.Mapping[str, str]) -> None:
         if self._link is not None:
@@ -542,7 +364,3 @@
 
 def _is_always_needed() -> bool:
     return True
-
-
-def _ignore_time(asked_s: float) -> None:
-    """Take no note of a confirmation."""
--- /dev/null
+++ b/lavenderledge/proxy/watching.py
@@ -0,0 +1,278 @@
+"""What an instance believes, kept true by the store and by its peers."""
+
+import logging
+import random
+import typing
+from collections import abc
+
+from lavenderledge import clock as clocks
+from lavenderledge import logs
+from lavenderledge.controllers import (
+    beliefs,
+    follower,
+    registration,
+    slotallocator,
+)
+from lavenderledge.daemon import metrics as meters
+from lavenderledge.daemon import tasks as background
+from lavenderledge.http1 import client
+from lavenderledge.policy import routes, slots
+from lavenderledge.proxy import calls
+from lavenderledge.registry import store as stores
+
+# How many instances, the first in line, ask the store on behalf of all.
+WATCHERS: typing.Final = 3
+# An instance whose peers told it nothing fresher asks the store itself,
+# seconds: a configuration is to be in force within two.
+_HEARSAY_AGE_S: typing.Final = 1.8
+# How long one watch of a prefix waits, and the pause after changes, which
+# gathers several into one call; seconds.
+_CONFIGURATION_WAIT_S: typing.Final = 0.5
+_CONFIGURATION_REST_S: typing.Final = 0.05
+_REPLICAS_WAIT_S: typing.Final = 5.0
+_REPLICAS_REST_S: typing.Final = 0.4
+_MEMBERS_WAIT_S: typing.Final = 10.0
+_MEMBERS_REST_S: typing.Final = 0.5
+_LOGGER = logging.getLogger(__name__)
+
+ReadConfiguration: typing.TypeAlias = abc.Callable[[bytes], typing.Any]
+
+
+class Platform(typing.NamedTuple):
+    """What the adapter of a platform gives: formats, names and a store."""
+
+    dialect: calls.Dialect
+    configuration_key: str
+    replicas_prefix: str
+    read_configuration: ReadConfiguration
+    read_replica: abc.Callable[[stores.Change], beliefs.ListedReplica | None]
+    open_store: abc.Callable[[str, client.Pool, clocks.Clock], stores.Store]
+
+
+class Hooks(typing.NamedTuple):
+    """Who is told of what, and who is asked."""
+
+    on_configuration: abc.Callable[[routes.Configuration], None]
+    on_gone: abc.Callable[[str], None]
+    is_allocator: abc.Callable[[], bool]
+
+
+class Watching:
+    """Follows configuration, replicas and instances.
+
+    The first instances in line ask the store on behalf of all; the others
+    hear from their allocator, and ask where that is not enough.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        platform: Platform,
+        store: stores.Store,
+        members: registration.Registration,
+        clock: clocks.Clock,
+        metrics: meters.Metrics,
+        hooks: Hooks,
+    ) -> None:
+        """Believe nothing yet; ``on_gone`` gets addresses of replicas."""
+        self.configuration = beliefs.ConfigurationBelief(clock=clock)
+        self.replicas = beliefs.ReplicaBelief(clock=clock)
+        self._instance = instance
+        self._platform = platform
+        self._store = store
+        self._members = members
+        self._clock = clock
+        self._metrics = metrics
+        self._hooks = hooks
+        self._rng = random.Random(instance)
+        self._lost: set[str] = set()
+        self._newest_heard = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether enough is known to serve callers."""
+        if self.configuration.current is None:
+            return False
+        return self.replicas.listing.is_known or not self._allocates()
+
+    def start(self, tasks: background.Tasks) -> None:
+        """Follow from now on."""
+        for following in self._list_followings():
+            followed = self._build_follower(following)
+            tasks.keep_running(f'follow {following.prefix}', followed.run)
+
+    def read_knowledge(self) -> slotallocator.Knowledge:
+        """Return how well the configuration is known here."""
+        return slotallocator.Knowledge(
+            self._known_version, self.configuration.own_age_s()
+        )
+
+    def note_knowledge(self, version: int, confirmed_s: float) -> None:
+        """Take an allocator's word on the configuration."""
+        if not self.configuration.hear(version, confirmed_s):
+            self._newest_heard = max(self._newest_heard, version)
+
+    def list_replicas(self) -> abc.Sequence[slots.ReplicaInfo]:
+        """Return the replicas that take new requests."""
+        return self.replicas.list_usable()
+
+    def find_quota(self, customer: str) -> routes.Quota | None:
+        """Return a customer's quota, None where there is none."""
+        current = self.configuration.current
+        return None if current is None else current.quotas.get(customer)
+
+    def _list_followings(self) -> list[follower.Following]:
+        platform = self._platform
+        return [
+            follower.Following(
+                prefix=platform.configuration_key,
+                wait_s=_CONFIGURATION_WAIT_S,
+                rest_s=_CONFIGURATION_REST_S,
+                on_list=self._take_configuration,
+                on_changes=self._take_configuration,
+                on_confirmed=self.configuration.confirm,
+                is_needed=self._watches_configuration,
+            ),
+            follower.Following(
+                prefix=platform.replicas_prefix,
+                wait_s=_REPLICAS_WAIT_S,
+                rest_s=_REPLICAS_REST_S,
+                on_list=self._take_replicas,
+                on_changes=self._change_replicas,
+                on_confirmed=_ignore_time,
+                is_needed=self._allocates,
+            ),
+            follower.Following(
+                prefix=registration.PREFIX,
+                wait_s=_MEMBERS_WAIT_S,
+                rest_s=_MEMBERS_REST_S,
+                on_list=self._members.take_list,
+                on_changes=self._members.take_changes,
+                on_confirmed=_ignore_time,
+                is_needed=_is_always_needed,
+            ),
+        ]
+
+    def _allocates(self) -> bool:
+        """Return whether this instance allocates, or is next to."""
+        first = self._members.rank_allocators()[:WATCHERS]
+        return self._instance in first or self._hooks.is_allocator()
+
+    def _watches_configuration(self) -> bool:
+        """Return whether this instance asks the store, not its peers."""
+        return self._allocates() or self._needs_configuration()
+
+    def _needs_configuration(self) -> bool:
+        newer = self._newest_heard > self._known_version
+        return newer or self.configuration.age_s() > _HEARSAY_AGE_S
+
+    @property
+    def _known_version(self) -> int:
+        current = self.configuration.current
+        return 0 if current is None else current.version
+
+    def _build_follower(
+        self, following: follower.Following
+    ) -> follower.Follower:
+        prefix = following.prefix
+
+        def note_lost(failure: stores.StoreFailure) -> None:
+            self.replicas.listing.note_outage()
+            self._members.note_outage()
+            if prefix not in self._lost:
+                self._lost.add(prefix)
+                self._log(
+                    'store_lost',
+                    prefix=prefix,
+                    fault=failure.fault,
+                    detail=failure.detail,
+                )
+
+        def note_regained() -> None:
+            self.replicas.listing.note_outage()
+            self._members.note_outage()
+            self._lost.discard(prefix)
+            self._log('store_regained', prefix=prefix)
+
+        return follower.Follower(
+            following=following,
+            store=self._store,
+            clock=self._clock,
+            rng=self._rng,
+            on_lost=note_lost,
+            on_regained=note_regained,
+        )
+
+    def _take_configuration(
+        self, changes: abc.Sequence[stores.Change], asked_s: float
+    ) -> None:
+        for change in changes:
+            if change.key != self._platform.configuration_key:
+                continue
+            if change.content is None:
+                continue
+            read = self._platform.read_configuration(change.content)
+            if read.is_error():
+                self._metrics.count('configurations_unreadable')
+                self._log('configuration_unreadable', detail=read.error.detail)
+                continue
+            if self.configuration.accept(read.ok, asked_s):
+                self._hooks.on_configuration(read.ok)
+                self._log(
+                    'configuration_accepted',
+                    version=read.ok.version,
+                    revision=change.revision,
+                )
+
+    def _take_replicas(
+        self, changes: abc.Sequence[stores.Change], asked_s: float
+    ) -> None:
+        prefix = self._platform.replicas_prefix
+        listed = {
+            change.key.removeprefix(prefix): self._platform.read_replica(change)
+            for change in changes
+        }
+        self.replicas.listing.replace(
+            {name: each for name, each in listed.items() if each is not None}
+        )
+        self._log('replicas_listed', count=len(listed))
+
+    def _change_replicas(
+        self, changes: abc.Sequence[stores.Change], asked_s: float
+    ) -> None:
+        prefix = self._platform.replicas_prefix
+        before = self.replicas.list_usable()
+        self.replicas.listing.update(
+            {
+                change.key.removeprefix(prefix): self._platform.read_replica(
+                    change
+                )
+                for change in changes
+            }
+        )
+        after = self.replicas.list_usable()
+        if after is before:
+            return
+        known = {info.name: info.address for info in before}
+        usable = {info.name for info in after}
+        for name, address in known.items():
+            if name not in usable:
+                self._hooks.on_gone(address)
+        self._log(
+            'replicas_changed',
+            gone=','.join(sorted(known.keys() - usable)),
+            new=','.join(sorted(usable - known.keys())),
+            usable=len(usable),
+        )
+
+    def _log(self, event: str, **fields: typing.Any) -> None:
+        logs.write_event(_LOGGER, event, instance=self._instance, **fields)
+
+
+def _ignore_time(asked_s: float) -> None:
+    """Take no note of a confirmation."""
+
+
+def _is_always_needed() -> bool:
+    return True
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -33,7 +33,7 @@
         self.waiting = {}
         self.requester = slotrequester.SlotRequester(
             instance=name,
-            incarnation=incarnation,
+            read_incarnation=lambda: incarnation,
             clock=machine.clock,
             send=self.send,
             rank_allocators=lambda: machine.ranked,
