--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -134,6 +134,16 @@
         self.listing: Listing[ListedReplica] = Listing(clock=clock)
         self._seen: abc.Mapping[str, ListedReplica] = {}
         self._usable: tuple[slots.ReplicaInfo, ...] = ()
+        self._clock = clock
+        self._confirmed_s = float('-inf')
+
+    def age_s(self) -> float:
+        """Return the seconds since the confirming answer was asked for."""
+        return self._clock.read_monotonic() - self._confirmed_s
+
+    def confirm(self, asked_s: float) -> None:
+        """Note that the list was right when the store was asked."""
+        self._confirmed_s = max(self._confirmed_s, asked_s)
 
     def list_usable(self) -> abc.Sequence[slots.ReplicaInfo]:
         """Return the replicas that take new requests.
@@ -147,10 +157,3 @@
                 each.info for each in entries.values() if each.is_ready
             )
         return self._usable
-
-    def find(self, name: str) -> slots.ReplicaInfo | None:
-        """Return a replica if new requests may go there now."""
-        listed = self.listing.entries.get(name)
-        if listed is None or not listed.is_ready:
-            return None
-        return listed.info
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -14,9 +14,9 @@
 # reports may be lost before.
 SILENCE_S: typing.Final = 2.0
 
-# An allocator that the store has not answered for so long gives its place to
-# one that it answers, seconds: a watch takes half a second.
-RESIGN_AGE_S: typing.Final = 1.6
+# Those whose requests wait hear from the allocator so often, seconds: twice
+# within the patience of their instances.
+BEAT_S: typing.Final = 0.09
 # Ages are told up to this, seconds.
 _MOST_AGE_S: typing.Final = 3600.0
 
@@ -30,10 +30,15 @@
 
 
 class Knowledge(typing.NamedTuple):
-    """How well an instance knows the configuration; the age in seconds."""
+    """How well an instance knows what the store holds.
+
+    ``age_s`` is that of the configuration ``version``; ``is_stale`` says that
+    its list of replicas may be out of date.
+    """
 
     version: int
     age_s: float
+    is_stale: bool
 
 
 class _Sender:
@@ -42,7 +47,6 @@
         self.sequence = -1
         self.heard_s = now_s
         self.stamp_s: float | None = None
-        self.age_s = float('inf')
 
 
 class SlotAllocator:
@@ -71,6 +75,7 @@
         self._buckets = tokenbuckets.TokenBuckets()
         self._senders: dict[str, _Sender] = {}
         self._due = False
+        self._beaten_s = float('-inf')
 
     def receive(
         self, message: messages.Ask | messages.Release | messages.Report
@@ -100,6 +105,9 @@
         self.book.free_lost(now_s)
         self._buckets.forget_idle(now_s)
         self._decide()
+        if now_s - self._beaten_s < BEAT_S:
+            return
+        self._beaten_s = now_s
         for name in slots.list_senders_waiting(self.book):
             self._beat(name)
 
@@ -184,7 +192,6 @@
         sender.sequence = report.sequence
         sender.heard_s = now_s
         sender.stamp_s = report.stamp_s
-        sender.age_s = report.age_s
         held = {each.request_id: each for each in report.held}
         waiting = set(report.waiting)
         for request_id, holding in tuple(self.book.holdings.items()):
@@ -221,17 +228,10 @@
                 None if sender is None else sender.stamp_s,
                 known.version,
                 min(known.age_s, _MOST_AGE_S),
-                self._is_resigning(known.age_s),
+                known.is_stale,
             ),
         )
 
-    def _is_resigning(self, age_s: float) -> bool:
-        """Return whether others reach the store and this one does not."""
-        return age_s > RESIGN_AGE_S and any(
-            sender.age_s < age_s - RESIGN_AGE_S / 2
-            for sender in self._senders.values()
-        )
-
     def _forget_silent(self, now_s: float) -> None:
         for name, sender in tuple(self._senders.items()):
             if now_s - sender.heard_s > SILENCE_S:
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -15,8 +15,8 @@
 # An allocator that has not answered for so long is passed over, seconds: a
 # few round trips and ticks, far less than any objective.
 PATIENCE_S: typing.Final = 0.2
-# Ages are told up to this, seconds.
-_MOST_AGE_S: typing.Final = 3600.0
+# Of the instances, so many first in line follow the store for the others.
+FOLLOWERS: typing.Final = 3
 
 Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
 
@@ -80,13 +80,11 @@
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
         note_allocator: abc.Callable[[str, str], None],
         note_knowledge: abc.Callable[[int, float], None],
-        read_age_s: abc.Callable[[], float],
     ) -> None:
         """Hold nothing yet; ``note_allocator`` is told of each change.
 
         ``note_knowledge`` gets the version that the allocator knows and the
-        time from which on it was confirmed; ``read_age_s`` gives the seconds
-        since the store itself confirmed the configuration here.
+        time from which on it was confirmed.
         """
         self._instance = instance
         self._read_incarnation = read_incarnation
@@ -95,14 +93,13 @@
         self._rank_allocators = rank_allocators
         self._note_allocator = note_allocator
         self._note_knowledge = note_knowledge
-        self._read_age_s = read_age_s
         self._entries: dict[str, _Entry] = {}
         self._allocator = instance
         self._asked_s: float | None = None
         self._reported_s = float('-inf')
         self._sequence = 0
         self._suspects: set[str] = set()
-        self._resigned: set[str] = set()
+        self._stale: set[str] = set()
 
     @property
     def allocator(self) -> str:
@@ -194,11 +191,10 @@
         """Ask whoever is first in line; tell a new one everything."""
         ranked = self._rank_allocators()
         self._suspects.intersection_update(ranked)
-        self._resigned.intersection_update(ranked)
-        avoided = self._suspects | self._resigned
-        first = next(
-            (name for name in ranked if name not in avoided), self._instance
-        )
+        self._stale.intersection_update(ranked)
+        first = self._find_first(ranked[:FOLLOWERS], avoid_stale=True)
+        first = first or self._find_first(ranked, avoid_stale=False)
+        first = first or self._instance
         if first == self._allocator:
             return
         self._note_allocator(self._allocator, first)
@@ -210,6 +206,19 @@
             if not entry.waiter.done():
                 self._ask(entry, now_s)
 
+    def _find_first(
+        self, ranked: abc.Sequence[str], *, avoid_stale: bool
+    ) -> str | None:
+        """Return the first that answers; one whose list may be old is only
+        asked where all who follow the store are so.
+        """
+        for name in ranked:
+            if name in self._suspects:
+                continue
+            if not avoid_stale or name not in self._stale:
+                return name
+        return None
+
     def _ask(self, entry: _Entry, now_s: float) -> None:
         if self._asked_s is None:
             self._asked_s = now_s
@@ -228,7 +237,6 @@
             self._read_incarnation(),
             self._sequence,
             now_s,
-            min(self._read_age_s(), _MOST_AGE_S),
             tuple(
                 messages.Held(
                     request_id,
@@ -248,14 +256,14 @@
         if self._asked_s is None:
             self._asked_s = now_s
         self._send(self._allocator, report)
-        for avoided in self._suspects | self._resigned:
+        for avoided in self._suspects | self._stale:
             self._send(avoided, report._replace(held=(), waiting=()))
 
     def _take_beat(self, beat: messages.Beat) -> None:
-        if beat.is_resigning:
-            self._resigned.add(beat.sender)
+        if beat.is_stale:
+            self._stale.add(beat.sender)
         else:
-            self._resigned.discard(beat.sender)
+            self._stale.discard(beat.sender)
         if beat.stamp_s is not None:
             self._note_knowledge(beat.version, beat.stamp_s - beat.age_s)
 
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -115,15 +115,13 @@
 class Report(typing.NamedTuple):
     """Everything that an instance holds and waits for; replaces the last.
 
-    ``stamp_s`` is the sender's clock. ``age_s`` tells how long ago the store
-    confirmed the configuration to the sender itself, not through a peer.
+    ``stamp_s`` is the sender's clock.
     """
 
     sender: bounds.Name
     incarnation: bounds.Count
     sequence: bounds.Count
     stamp_s: bounds.Finite
-    age_s: bounds.Span
     held: typing.Annotated[
         tuple[Held, ...], msgspec.Meta(max_length=_MOST_REQUESTS)
     ]
@@ -137,14 +135,15 @@
 
     ``stamp_s`` echoes the newest report, None where there was none. The
     allocator has the configuration ``version``, which the store confirmed
-    ``age_s`` before. One that ``is_resigning`` is cut off from the store.
+    ``age_s`` before. One that ``is_stale`` has not heard from the store of
+    late which replicas there are.
     """
 
     sender: bounds.Name
     stamp_s: bounds.Finite | None
     version: bounds.Count
     age_s: bounds.Span
-    is_resigning: bool
+    is_stale: bool
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/policy/pacing.py
+++ b/lavenderledge/policy/pacing.py
@@ -56,6 +56,7 @@
         self._squares = float(0)
         self._seconds = float(0)
         self._products = float(0)
+        self._line = (float(0), float(0))
 
     def note(self, prompt_tokens: int, seconds: float) -> None:
         """Take a reading, of a replica at the usual pace."""
@@ -65,20 +66,19 @@
         self._squares = self._squares * _FADE + thousands**2
         self._seconds = self._seconds * _FADE + seconds
         self._products = self._products * _FADE + thousands * seconds
+        self._line = self._fit()
 
     def expect(self, prompt_tokens: int) -> float:
         """Return the seconds to the first byte, 0 without readings."""
-        base, slope = self._fit()
+        base, slope = self._line
         return base + slope * prompt_tokens / _THOUSAND
 
     def expect_reading(self, prompt_tokens: int) -> float:
         """Return the part of it in which the prompt is read."""
-        return self._fit()[1] * prompt_tokens / _THOUSAND
+        return self._line[1] * prompt_tokens / _THOUSAND
 
     def _fit(self) -> tuple[float, float]:
         """Return the base and the seconds for a thousand tokens."""
-        if not self._weight:
-            return float(0), float(0)
         mean_tokens = self._tokens / self._weight
         mean_s = self._seconds / self._weight
         variance = self._squares / self._weight - mean_tokens**2
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -64,6 +64,10 @@
         """Return whether a request that waits was put among the late."""
         return self._places[waiting.request_id] != waiting.wanted.tier
 
+    def read_place(self, waiting: Waiting) -> float:
+        """Return the place of a request that waits, for ``count_before``."""
+        return self._places[waiting.request_id]
+
     def walk(self) -> abc.Iterator[Waiting]:
         """Yield the requests in order; those yielded may be moved."""
         for place in sorted(self._lines):
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -30,6 +30,8 @@
 # Of a time to a first byte so much at least was the request's own: how long
 # other prompts took before it is an estimate.
 _OWN_PART: typing.Final = 0.2
+# Of each line so many are looked at that no free replica suits.
+_LOOK_AHEAD: typing.Final = 6
 # No request is looked at for lateness more often than this, seconds.
 _SORT_INTERVAL_S: typing.Final = 0.02
 _POINTS: typing.Final = 1 << 32
@@ -310,12 +312,13 @@
         return []
     service.sorted_s = now_s
     refused: list[Refused] = []
+    fastest = _find_fastest(service)
     for waiting in service.queue.walk():
         found = None
         if waiting.expires_s <= now_s:
             found = _refuse(book, service, waiting)
         elif not service.queue.is_late(waiting) and _is_late(
-            service, waiting, now_s
+            service, waiting, now_s, fastest=fastest
         ):
             service.queue.demote(waiting)
             found = _refuse_hopeless(book, service, waiting, now_s, late=True)
@@ -325,19 +328,24 @@
     return refused
 
 
+def _find_fastest(service: Service) -> float:
+    """Return the least factor of the replicas' first bytes."""
+    return min(
+        (replica.pace.factor for replica in service.replicas.values()),
+        default=float(0),
+    )
+
+
 def _is_late(
-    service: Service, waiting: slotqueue.Waiting, now_s: float
+    service: Service,
+    waiting: slotqueue.Waiting,
+    now_s: float,
+    *,
+    fastest: float,
 ) -> bool:
     """Return whether no replica could begin to answer by the objective."""
-    fastest_s = min(
-        (
-            service.first_byte.expect(waiting.wanted.prompt_tokens)
-            * replica.pace.factor
-            for replica in service.replicas.values()
-        ),
-        default=float(0),
-    )
-    return now_s + fastest_s > waiting.due_s
+    first_s = service.first_byte.expect(waiting.wanted.prompt_tokens) * fastest
+    return now_s + first_s > waiting.due_s
 
 
 def _refuse_hopeless(
@@ -381,11 +389,16 @@
         and replica.pace.is_open(now_s)
     ]
     granted: list[Granted] = []
+    unplaced: dict[float, int] = {}
     for waiting in service.queue.walk():
         if not free:
             break
+        place = service.queue.read_place(waiting)
+        if unplaced.get(place, 0) >= _LOOK_AHEAD:
+            continue
         chosen = _choose(service, free, waiting, now_s)
         if chosen is None:
+            unplaced[place] = unplaced.get(place, 0) + 1
             continue
         service.queue.remove(waiting.request_id)
         _take(book, name, chosen, waiting, now_s)
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -84,7 +84,6 @@
             rank_allocators=self._registration.rank_allocators,
             note_allocator=self._note_allocator,
             note_knowledge=self._watching.note_knowledge,
-            read_age_s=self._watching.configuration.own_age_s,
         )
         self._allocator = slotallocator.SlotAllocator(
             instance=settings.instance,
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -12,6 +12,7 @@
     follower,
     registration,
     slotallocator,
+    slotrequester,
 )
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.daemon import tasks as background
@@ -20,8 +21,9 @@
 from lavenderledge.proxy import calls
 from lavenderledge.registry import store as stores
 
-# How many instances, the first in line, ask the store on behalf of all.
-WATCHERS: typing.Final = 3
+# A list of replicas that the store has not confirmed for so long may be out of
+# date, seconds: a confirmation comes at least every second.
+STALE_LIST_S: typing.Final = 1.6
 # An instance whose peers told it nothing fresher asks the store itself,
 # seconds: a configuration is to be in force within two.
 _HEARSAY_AGE_S: typing.Final = 1.8
@@ -29,7 +31,7 @@
 # gathers several into one call; seconds.
 _CONFIGURATION_WAIT_S: typing.Final = 0.5
 _CONFIGURATION_REST_S: typing.Final = 0.05
-_REPLICAS_WAIT_S: typing.Final = 5.0
+_REPLICAS_WAIT_S: typing.Final = 1.0
 _REPLICAS_REST_S: typing.Final = 0.4
 _MEMBERS_WAIT_S: typing.Final = 10.0
 _MEMBERS_REST_S: typing.Final = 0.5
@@ -105,7 +107,9 @@
     def read_knowledge(self) -> slotallocator.Knowledge:
         """Return how well the configuration is known here."""
         return slotallocator.Knowledge(
-            self._known_version, self.configuration.own_age_s()
+            self._known_version,
+            self.configuration.own_age_s(),
+            self.replicas.age_s() > STALE_LIST_S,
         )
 
     def note_knowledge(self, version: int, confirmed_s: float) -> None:
@@ -140,7 +144,7 @@
                 rest_s=_REPLICAS_REST_S,
                 on_list=self._take_replicas,
                 on_changes=self._change_replicas,
-                on_confirmed=_ignore_time,
+                on_confirmed=self.replicas.confirm,
                 is_needed=self._allocates,
             ),
             follower.Following(
@@ -156,7 +160,8 @@
 
     def _allocates(self) -> bool:
         """Return whether this instance allocates, or is next to."""
-        first = self._members.rank_allocators()[:WATCHERS]
+        first = self._members.rank_allocators()
+        first = first[: slotrequester.FOLLOWERS]
         return self._instance in first or self._hooks.is_allocator()
 
     def _watches_configuration(self) -> bool:
--- a/tests/peermessages.py
+++ b/tests/peermessages.py
@@ -12,13 +12,13 @@
 
 def draw_within(kind):
     """Return a strategy of a type's values within all bounds."""
+    if typing.get_origin(kind) in {types.UnionType, typing.Union}:
+        return strategies.one_of(*map(draw_within, typing.get_args(kind)))
     base, bounds = _split(kind)
     if hasattr(base, '_fields'):
         fields = typing.get_type_hints(base, include_extras=True)
         drawn = {name: draw_within(each) for name, each in fields.items()}
         return strategies.builds(base, **drawn)
-    if typing.get_origin(base) is types.UnionType:
-        return strategies.one_of(*map(draw_within, typing.get_args(base)))
     if typing.get_origin(base) is tuple:
         item = draw_within(typing.get_args(base)[0])
         return strategies.lists(item, max_size=3).map(tuple)
@@ -78,6 +78,8 @@
 
 
 def _split(kind):
+    if typing.get_origin(kind) in {types.UnionType, typing.Union}:
+        kind = typing.get_args(kind)[0]
     if typing.get_origin(kind) is typing.Annotated:
         base, bounds = typing.get_args(kind)
         return base, bounds
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -41,7 +41,6 @@
             note_knowledge=lambda version, confirmed_s: self.known.append(
                 confirmed_s
             ),
-            read_age_s=lambda: self.age_s,
         )
         self.allocator = slotallocator.SlotAllocator(
             instance=name,
@@ -50,7 +49,9 @@
             list_replicas=lambda: INFOS,
             find_quota=lambda customer: None,
             count_alive=lambda: len(machine.ranked),
-            read_knowledge=lambda: slotallocator.Knowledge(1, self.age_s),
+            read_knowledge=lambda: slotallocator.Knowledge(
+                1, self.age_s, self.age_s > 1
+            ),
         )
 
     def send(self, to, message):
@@ -159,6 +160,17 @@
                     node.allocator.tick()
                     node.requester.tick()
             self.turn()
+        for node in self.nodes.values():
+            if node.name not in self.paused:
+                node.requester.tick()
+                self.check_allocator(node.requester)
+        self.turn()
+
+    def check_allocator(self, requester):
+        """The stale are asked only where all who answer are stale."""
+        answering = set(self.ranked) - requester._suspects
+        if requester.allocator in requester._stale & answering:
+            assert answering <= requester._stale
 
     @stateful.rule(pair=st.sampled_from((('a', 'b'), ('a', 'c'), ('b', 'c'))))
     def cut_link(self, pair):
