--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -95,10 +95,10 @@
         """Return the seconds until the prompts sent there have been read."""
         return max(0, self.reading_until_s - now_s)
 
-    def count_free(self, *, share: float) -> int:
-        """Return how many slots may be granted here."""
+    def is_free(self, *, share: float, now_s: float) -> bool:
+        """Return whether a slot may be granted here."""
         most = max(1, math.floor(self.info.slots * share))
-        return most - self.held
+        return self.held < most and self.pace.is_open(now_s)
 
 
 class Service:
@@ -385,8 +385,7 @@
     free = [
         replica
         for replica in service.replicas.values()
-        if replica.count_free(share=book.share) > 0
-        and replica.pace.is_open(now_s)
+        if replica.is_free(share=book.share, now_s=now_s)
     ]
     granted: list[Granted] = []
     unplaced: dict[float, int] = {}
@@ -410,10 +409,7 @@
                 chosen.info.address,
             )
         )
-        if not (
-            chosen.count_free(share=book.share) > 0
-            and chosen.pace.is_open(now_s)
-        ):
+        if not chosen.is_free(share=book.share, now_s=now_s):
             free.remove(chosen)
     return granted
 
