--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
+SEEDS ?= 1 2 3
 
-.PHONY: help install format lint types unit test demo clean
+.PHONY: help install format lint types unit soak test demo clean
 
 help:
 	@echo 'make install  install the project and its tools into .venv'
 	@echo 'make demo     run a whole fleet on stand-ins and show what happens'
 	@echo 'make test     formatter, linter, types and every test'
 	@echo 'make format   rewrite the code in the house format'
+	@echo 'make soak     real daemons under random faults; SEEDS="4 5" picks them'
 	@echo 'make clean    remove .venv and caches'
 
 $(STAMP): pyproject.toml constraints.txt
@@ -29,6 +31,9 @@
 types: install
 	$(BIN)/mypy
 
+soak: install
+	$(BIN)/python -m tests.soak.run --seeds $(SEEDS) --seconds 20 --keep soak-failed
+
 unit: install
 	$(BIN)/python -m pytest --numprocesses 4 --dist worksteal
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/daemons.py
@@ -0,0 +1,79 @@
+"""Real daemons as processes; only those started here are signalled."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+
+from tests import platformfleet
+
+
+class Daemon:
+    """One instance's process, its addresses and its log."""
+
+    def __init__(self, name, directory, *, store):
+        self.name = name
+        self.ports = [platformfleet.find_port() for _ in range(4)]
+        self.paused = False
+        self.process = None
+        self._directory = directory
+        self._store = store
+        self._log = None
+        self.log_path = os.path.join(directory, f'{name}.log')
+
+    async def start(self):
+        path = os.path.join(self._directory, f'{self.name}.env')
+        names = ('LISTEN', 'READY_LISTEN', 'METRICS_LISTEN', 'PEER_LISTEN')
+        lines = [
+            f'LAVENDERLEDGE_{name}=127.0.0.1:{port}'
+            for name, port in zip(names, self.ports, strict=True)
+        ]
+        lines += [
+            f'LAVENDERLEDGE_INSTANCE={self.name}',
+            'LAVENDERLEDGE_AVAILABILITY_ZONE=a',
+            f'LAVENDERLEDGE_STORE={self._store}',
+            'LAVENDERLEDGE_STOP_GRACE_S=6',
+            'LAVENDERLEDGE_RETRY_SLACK=500',
+        ]
+        with open(path, 'w', encoding='utf-8') as file:
+            file.write('\n'.join(lines))
+        self._log = open(self.log_path, 'ab')
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'lavenderledge.platform',
+            env={**os.environ, 'LAVENDERLEDGE_NODE_FILE': path},
+            stdout=self._log,
+            stderr=self._log,
+        )
+        self.paused = False
+
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def pause(self):
+        self.paused = True
+        self.signal(signal.SIGSTOP)
+
+    def wake(self):
+        self.paused = False
+        self.signal(signal.SIGCONT)
+
+    async def end(self):
+        """Kill the process and wait for its end."""
+        if self.is_running:
+            self.wake()
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+        if self._log is not None:
+            self._log.close()
+
+
+def make_directory():
+    return tempfile.TemporaryDirectory(prefix='soak-')
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,65 @@
+"""The soak's checks fail where a promise is broken; a short seeded run."""
+
+import pytest
+
+from tests.soak import checks, run
+
+# Seeds that failed once, each with its cause.
+REGRESSIONS = ()
+
+
+def make_history(**changes):
+    told = [checks.Told('r1', '/once/x', 'k', 10, 200, True, b'i-0 ran r1')]
+    runs = [checks.Run('r1', 'i-0', 10.1)]
+    history = checks.History(told, runs, {}, {}, 2)
+    return history._replace(**changes)
+
+
+def find(history):
+    return list(checks.find_violations(history, drain_s=2, revoke_s=5))
+
+
+def test_nothing_is_found_where_all_is_kept():
+    assert find(make_history()) == []
+
+
+@pytest.mark.parametrize(
+    ('changes', 'words'),
+    [
+        ({'runs': [checks.Run('r1', 'i-0', 1)] * 2}, 'may run once'),
+        (
+            {'told': [checks.Told('r1', '/once/x', 'k', 1, 503, True, b'')]},
+            'told 503 and ran',
+        ),
+        (
+            {
+                'told': [
+                    checks.Told('r1', '/once/x', 'k', 1, 200, True, b'ran r2')
+                ]
+            },
+            'got the answer',
+        ),
+        (
+            {
+                'told': [
+                    checks.Told(
+                        'r1', '/stream/x', 'k', 1, 200, True, b'id: 1\n\n'
+                    )
+                ]
+            },
+            'not whole',
+        ),
+        ({'left': {'i-0': 7}}, 'leaves'),
+        ({'revoked': {'k': 4.9}}, 'taken away'),
+        ({'told': []}, 'nobody asked'),
+    ],
+)
+def test_each_check_finds_its_violation(changes, words):
+    found = find(make_history(**changes))
+    assert any(words in violation for violation in found)
+
+
+@pytest.mark.parametrize('seed', (1, *REGRESSIONS))
+async def test_a_short_soak_keeps_every_promise(seed):
+    found, summary = await run.play(seed, seconds=8, size=3)
+    assert not found, summary
