--- a/lavenderledge/cli/definition.py
+++ b/lavenderledge/cli/definition.py
@@ -220,6 +220,16 @@
     needs=('instance_list',),
     examples=('status', 'status --json'),
 )
+TRACE = Command(
+    ('trace',),
+    "tell one request's story from the logs of instances",
+    (
+        Argument('id', 'the id that the request carried', metavar='ID'),
+        Argument('logs', 'log files', metavar='FILE', nargs='+'),
+    ),
+    needs=(),
+    examples=('trace 9c41d07be2a35f68 entry-a.log entry-b.log',),
+)
 
 COMMANDS: typing.Final = (
     TABLE_SHOW,
@@ -230,4 +240,5 @@
     TABLE_HISTORY,
     TABLE_STATUS,
     STATUS,
+    TRACE,
 )
--- a/lavenderledge/core.py
+++ b/lavenderledge/core.py
@@ -15,6 +15,7 @@
     settings,
     statuscommand,
     tablecommands,
+    tracecommand,
 )
 from lavenderledge.registry import instancelist, keyvalue
 
@@ -32,6 +33,7 @@
     definition.TABLE_HISTORY: tablecommands.run_history,
     definition.TABLE_STATUS: tablecommands.run_status,
     definition.STATUS: statuscommand.run_status,
+    definition.TRACE: tracecommand.run_trace,
 }
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,11 +1,12 @@
 """Log lines: bounded, never blocking, failures kept before successes."""
 
 import asyncio
+import io
 import logging
 import os
 
 from lavenderledge import clock as clocks
-from lavenderledge import logs
+from lavenderledge import core, environment, logs, status
 
 
 def make_logger(descriptor):
@@ -74,3 +75,36 @@
     logs.write_event(logger, 'request', id=1)
     handler.flush()
     os.close(writing)
+
+
+def test_a_request_is_traced_over_the_logs_of_its_instances(tmp_path):
+    lines = {
+        'a.log': (
+            'time=1.000 level=info event=allocator_changed instance=a '
+            'before=a after=b\n'
+            'time=2.000 level=warning event=request id=r1 status=503 '
+            'outcome=refused reason=overloaded allocator=b\n'
+            'time=2.100 level=info event=request id=r2 allocator=b\n'
+        ),
+        'b.log': (
+            'time=1.500 level=info event=replicas_changed instance=b '
+            'gone="i-1" usable=2\n'
+            'not a line of ours\n'
+        ),
+        'c.log': 'time=1.600 level=info event=store_lost instance=c\n',
+    }
+    for name, text in lines.items():
+        (tmp_path / name).write_text(text)
+    paths = [str(tmp_path / name) for name in lines]
+    out = io.StringIO()
+    env = environment.Environment(
+        stdout=out, stderr=io.StringIO(), variables={}
+    )
+    ended = core.main(('trace', 'r1', *paths), env)
+    told = [
+        line.partition('event=')[2].split()[0]
+        for line in out.getvalue().splitlines()
+    ]
+    assert ended is status.ExitStatus.SUCCESS
+    assert told == ['allocator_changed', 'replicas_changed', 'request']
+    assert core.main(('trace', 'r9', *paths), env) is status.ExitStatus.ERROR
