--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -331,6 +331,8 @@
     parser.add_argument('--size', type=int, default=4, help='daemons')
     parser.add_argument('--keep', help='folder for the logs of failed seeds')
     given = parser.parse_args()
+    # An interrupted run ends its daemons like any other.
+    signal.signal(signal.SIGTERM, signal.getsignal(signal.SIGINT))
     failed = 0
     for seed in given.seeds:
         found, summary = asyncio.run(
