No flapping of allocators: fresh lists stay fresh, suspects rest, the strong allocate

A watch of 1 s and a rest of 0.4 s let the age of a quiet list reach 2.4 s, over the 1.6 s at which it counts as stale; three followers were left and returned to every second, and while they granted side by side first bytes took 0.6 to 1.1 s. Change: a watch of the replicas waits 0.5 s, stale is 1.8 s (test: fails with 1 s); who was passed over is asked again after 1 s at the earliest; instances with 0.7 of the strongest processor allocate before weaker ones.

--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -19,13 +19,16 @@
 _RENEW: typing.Final = datetime.timedelta(seconds=1.3)
 _RETRY: typing.Final = datetime.timedelta(seconds=1)
 _ALLOCATOR_KEY: typing.Final = 'slots'
+# An instance is strong with this part of the strongest one's processor.
+_STRONG_PART: typing.Final = 0.7
 
 
 class Member(typing.NamedTuple):
-    """One instance: where its peers reach it."""
+    """One instance: where its peers reach it, and its processor in cores."""
 
     instance: str
     address: str
+    processor: float = 1
 
 
 class Registration:
@@ -50,6 +53,11 @@
         self._seen: abc.Mapping[str, Member] | None = None
         self._leaving = False
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the list of instances was read."""
+        return self._listing.is_known
+
     def rank_allocators(self) -> abc.Sequence[str]:
         """Return the instances in the order in which they allocate."""
         self._refresh()
@@ -132,7 +140,9 @@
         names = set(entries)
         if self._leaving:
             names.discard(self._own.instance)
-        self._ranked = tuple(rendezvous.rank(_ALLOCATOR_KEY, names))
+        self._ranked = rank_members(
+            member for name, member in entries.items() if name in names
+        )
         self.tell_addresses()
 
     def tell_addresses(self) -> None:
@@ -146,6 +156,17 @@
         )
 
 
+def rank_members(members: abc.Iterable[Member]) -> tuple[str, ...]:
+    """Return who allocates, in order: by hash, the strong before the weak.
+
+    Allocating takes a part of a processor that grows with all requests.
+    """
+    processors = {each.instance: each.processor for each in members}
+    least = max(processors.values(), default=0) * _STRONG_PART
+    ranked = rendezvous.rank(_ALLOCATOR_KEY, processors)
+    return tuple(sorted(ranked, key=lambda name: processors[name] < least))
+
+
 def _read_member(change: stores.Change) -> Member | None:
     if change.content is None:
         return None
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -15,6 +15,9 @@
 # An allocator that has not answered for so long is passed over, seconds: a
 # few round trips and ticks, far less than any objective.
 PATIENCE_S: typing.Final = 0.2
+# One that was passed over is asked again once it has answered after so long,
+# seconds: each change of the allocator costs a report and new asks.
+SUSPECT_S: typing.Final = 1.0
 # Of the instances, so many first in line follow the store for the others.
 FOLLOWERS: typing.Final = 3
 
@@ -98,7 +101,7 @@
         self._asked_s: float | None = None
         self._reported_s = float('-inf')
         self._sequence = 0
-        self._suspects: set[str] = set()
+        self._suspects: dict[str, float] = {}
         self._stale: set[str] = set()
 
     @property
@@ -151,7 +154,9 @@
         self, message: messages.Grant | messages.Refusal | messages.Beat
     ) -> None:
         """Take an allocator's message."""
-        self._suspects.discard(message.sender)
+        now_s = self._clock.read_monotonic()
+        if self._suspects.get(message.sender, now_s + 1) <= now_s:
+            self._suspects.pop(message.sender)
         if isinstance(message, messages.Beat):
             self._take_beat(message)
         if message.sender == self._allocator:
@@ -184,13 +189,15 @@
         if self._asked_s is None or self._allocator == self._instance:
             return
         if now_s - self._asked_s > PATIENCE_S:
-            self._suspects.add(self._allocator)
+            self._suspects[self._allocator] = now_s + SUSPECT_S
             self._asked_s = None
 
     def _turn(self) -> None:
         """Ask whoever is first in line; tell a new one everything."""
         ranked = self._rank_allocators()
-        self._suspects.intersection_update(ranked)
+        for name in tuple(self._suspects):
+            if name not in ranked:
+                self._suspects.pop(name)
         self._stale.intersection_update(ranked)
         first = self._find_first(ranked[:FOLLOWERS], avoid_stale=True)
         first = first or self._find_first(ranked, avoid_stale=False)
@@ -256,7 +263,7 @@
         if self._asked_s is None:
             self._asked_s = now_s
         self._send(self._allocator, report)
-        for avoided in self._suspects | self._stale:
+        for avoided in self._suspects.keys() | self._stale:
             self._send(avoided, report._replace(held=(), waiting=()))
 
     def _take_beat(self, beat: messages.Beat) -> None:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -264,7 +264,9 @@
         settings = self._settings
         return registration.Registration(
             own=registration.Member(
-                settings.instance, str(settings.peer_listen)
+                settings.instance,
+                str(settings.peer_listen),
+                settings.processor_share * settings.processor_speed,
             ),
             store=self._store,
             clock=self._clock,
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -27,6 +27,8 @@
     metrics_listen: formats.Address
     peer_listen: formats.Address
     store: formats.Address
+    processor_share: float
+    processor_speed: float
     stop_grace_s: float
     revocation_ms: float
     apply_ms: float
@@ -99,6 +101,20 @@
         None,
         'the key-value service',
     ),
+    definition.declare(
+        '--processor-share',
+        'RATIO',
+        _parse_number,
+        '1',
+        'the part of a core that this instance may use',
+    ),
+    definition.declare(
+        '--processor-speed',
+        'RATIO',
+        _parse_number,
+        '1',
+        'how fast that core is; the strongest instances allocate',
+    ),
     definition.declare(
         '--stop-grace-s',
         'SECONDS',
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -22,8 +22,8 @@
 from lavenderledge.registry import store as stores
 
 # A list of replicas that the store has not confirmed for so long may be out of
-# date, seconds: a confirmation comes at least every second.
-STALE_LIST_S: typing.Final = 1.6
+# date, seconds. While all is well the age stays below two watches and a rest.
+STALE_LIST_S: typing.Final = 1.8
 # Nothing is granted by a list that is older while it is being read anew,
 # seconds: a watch fails within two, so that followers never wait for this.
 _OLD_LIST_S: typing.Final = 2.5
@@ -34,9 +34,9 @@
 # gathers several into one call; seconds.
 _CONFIGURATION_WAIT_S: typing.Final = 0.5
 _CONFIGURATION_REST_S: typing.Final = 0.05
-_REPLICAS_WAIT_S: typing.Final = 1.0
+_REPLICAS_WAIT_S: typing.Final = 0.5
 _REPLICAS_REST_S: typing.Final = 0.4
-_MEMBERS_WAIT_S: typing.Final = 10.0
+_MEMBERS_WAIT_S: typing.Final = 30.0
 _MEMBERS_REST_S: typing.Final = 0.5
 _LOGGER = logging.getLogger(__name__)
 
@@ -99,7 +99,8 @@
         """Return whether enough is known to serve callers."""
         if self.configuration.current is None:
             return False
-        return self.replicas.listing.is_known or not self._allocates()
+        listed = self.replicas.listing.is_known or not self._allocates()
+        return self._members.is_known and listed
 
     def start(self, tasks: background.Tasks) -> None:
         """Follow from now on."""
@@ -176,6 +177,8 @@
 
     def _allocates(self) -> bool:
         """Return whether this instance allocates, or is next to."""
+        if not self._members.is_known:
+            return False
         first = self._members.rank_allocators()
         first = first[: slotrequester.FOLLOWERS]
         return self._instance in first or self._hooks.is_allocator()
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -145,6 +145,8 @@
             metrics_listen=ports[2],
             peer_listen=ports[3],
             store=formats.Address('127.0.0.1', self._store_listener.port),
+            processor_share=1,
+            processor_speed=1,
             stop_grace_s=5,
             revocation_ms=5000,
             apply_ms=2000,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -172,7 +172,6 @@
         fleet.store.write('servers/i-0', leaving.describe(state='draining'))
         await asyncio.sleep(0.5)
         # All others fall silent, so that it grants by itself.
-        last._requester._suspects.update(ranked[:-1])
         last._registration.rank_allocators = lambda: ranked[-1:]
         last._requester._rank_allocators = lambda: ranked[-1:]
         answers = await asyncio.gather(
@@ -180,3 +179,19 @@
         )
     assert not leaving.runs
     assert {answer.status for answer in answers} == {200}
+
+
+async def test_followers_of_a_quiet_store_never_count_as_stale():
+    async with platformfleet.running(replicas=1, instances=2) as fleet:
+        await asyncio.sleep(0.5)
+        watching = [each._watching for each in fleet.instances.values()]
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 3
+        oldest_s = 0
+        while loop.time() < end_s:
+            for each in watching:
+                oldest_s = max(oldest_s, each.replicas.age_s())
+                assert not each.read_knowledge().is_stale
+            await asyncio.sleep(0.02)
+    # Some room is left for a slow answer of the store.
+    assert oldest_s < 1.5
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -6,7 +6,11 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from lavenderledge.controllers import slotallocator, slotrequester
+from lavenderledge.controllers import (
+    registration,
+    slotallocator,
+    slotrequester,
+)
 from lavenderledge.peers import slots as messages
 from lavenderledge.policy import rendezvous, slots
 from tests import serving
@@ -169,7 +173,7 @@
 
     def check_allocator(self, requester):
         """The stale are asked only where all who answer are stale."""
-        answering = set(self.ranked) - requester._suspects
+        answering = set(self.ranked) - requester._suspects.keys()
         if requester.allocator in requester._stale & answering:
             assert answering <= requester._stale
 
@@ -240,3 +244,14 @@
     max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestSlotMessages = Machine.TestCase
+
+
+def test_the_strong_allocate_before_the_weak():
+    members = [
+        registration.Member(f'entry-{number}', '', 0.5 if number % 2 else 2)
+        for number in range(9)
+    ]
+    ranked = registration.rank_members(members)
+    strong = [f'entry-{number}' for number in range(0, 9, 2)]
+    assert sorted(ranked[:5]) == strong
+    assert list(ranked[:5]) == rendezvous.rank('slots', strong)
