Bear short peaks of a customer as far as the operators' tolerance goes

Ruled out: counting the window itself; an allocator that starts knows nothing spent, and two whole windows would pass the bound.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -41,6 +41,18 @@
     is_stale: bool
 
 
+class Beliefs(typing.NamedTuple):
+    """What an allocator is told of the outside.
+
+    Nothing is granted while ``is_catching_up``.
+    """
+
+    list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
+    find_quota: FindQuota
+    read_knowledge: abc.Callable[[], Knowledge]
+    is_catching_up: abc.Callable[[], bool]
+
+
 class _Sender:
     def __init__(self, *, incarnation: int, now_s: float) -> None:
         self.incarnation = incarnation
@@ -58,23 +70,18 @@
         instance: str,
         clock: clocks.Clock,
         send: Send,
-        list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]],
-        find_quota: FindQuota,
+        beliefs: Beliefs,
         count_alive: abc.Callable[[], int],
-        read_knowledge: abc.Callable[[], Knowledge],
-        is_catching_up: abc.Callable[[], bool],
+        tolerance: tokenbuckets.Tolerance,
     ) -> None:
-        """Hold nothing yet; nothing is granted while ``is_catching_up``."""
+        """Hold nothing yet."""
         self.book = slots.Book()
         self._instance = instance
         self._clock = clock
         self._send = send
-        self._list_replicas = list_replicas
-        self._find_quota = find_quota
+        self._beliefs = beliefs
         self._count_alive = count_alive
-        self._read_knowledge = read_knowledge
-        self._is_catching_up = is_catching_up
-        self._buckets = tokenbuckets.TokenBuckets()
+        self._buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         self._senders: dict[str, _Sender] = {}
         self._due = False
         self._beaten_s = float('-inf')
@@ -87,7 +94,7 @@
         sender = self._find_sender(message.sender, message.incarnation, now_s)
         if sender is None:
             return
-        self.book.list_replicas(self._list_replicas(), now_s)
+        self.book.list_replicas(self._beliefs.list_replicas(), now_s)
         match message:
             case messages.Ask():
                 self._take_ask(message, now_s)
@@ -103,7 +110,7 @@
         self._forget_silent(now_s)
         if not self._senders:
             return
-        self.book.list_replicas(self._list_replicas(), now_s)
+        self.book.list_replicas(self._beliefs.list_replicas(), now_s)
         self.book.free_lost(now_s)
         self._buckets.forget_idle(now_s)
         self._decide()
@@ -156,7 +163,7 @@
             self._refuse(refused)
 
     def _charge(self, wanted: messages.Wanted, now_s: float) -> float:
-        quota = self._find_quota(wanted.customer)
+        quota = self._beliefs.find_quota(wanted.customer)
         if quota is None or not wanted.cost:
             return 0
         return self._buckets.take(
@@ -222,7 +229,7 @@
 
     def _beat(self, name: str) -> None:
         sender = self._senders.get(name)
-        known = self._read_knowledge()
+        known = self._beliefs.read_knowledge()
         self._send(
             name,
             messages.Beat(
@@ -261,7 +268,7 @@
 
     def _decide(self) -> None:
         self._due = False
-        if self._is_catching_up():
+        if self._beliefs.is_catching_up():
             return
         granted, refused = slots.decide(self.book, self._clock.read_monotonic())
         for each in granted:
--- a/lavenderledge/policy/tokenbuckets.py
+++ b/lavenderledge/policy/tokenbuckets.py
@@ -9,6 +9,34 @@
 _FORGET_S: typing.Final = 60.0
 
 
+# How many times a bucket may be filled within one window: at first, and once
+# more at a new allocator, which knows of nothing spent.
+_FILLINGS: typing.Final = 2.2
+
+
+class Tolerance(typing.NamedTuple):
+    """By how much the operators let a quota be passed.
+
+    In any window of ``window_s`` a customer may spend (rate x window + burst)
+    x (1 + ``overrun``) + ``slack``.
+    """
+
+    window_s: float
+    overrun: float
+    slack: float
+
+
+def count_capacity(quota: routes.Quota, tolerance: Tolerance) -> float:
+    """Return how much a full bucket holds.
+
+    It is as much as the tolerance allows when a bucket is filled twice in a
+    window, so that short peaks are not refused that the operators bear.
+    """
+    steady = quota.rate * tolerance.window_s
+    most = (steady + quota.burst) * (1 + tolerance.overrun) + tolerance.slack
+    return max(quota.burst, (most - steady) / _FILLINGS)
+
+
 class _Bucket:
     def __init__(self, level: float, now_s: float) -> None:
         self.level = level
@@ -18,8 +46,9 @@
 class TokenBuckets:
     """A bucket for each customer."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, tolerance: Tolerance) -> None:
         """Start with all buckets full."""
+        self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
@@ -39,7 +68,7 @@
         if quota.rate <= 0:
             return 0
         rate = quota.rate * share
-        burst = max(quota.burst, quota.rate) * share
+        burst = count_capacity(quota, self._tolerance) * share
         bucket = self._fill(customer, rate, burst, now_s)
         missing = min(cost, burst) - bucket.level
         if missing > 0:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -19,7 +19,7 @@
 from lavenderledge.peers import keys, link
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.peers import slots as slotmessages
-from lavenderledge.policy import retrybudget, routes
+from lavenderledge.policy import retrybudget, routes, tokenbuckets
 from lavenderledge.proxy import exchange, forwarding, watching
 from lavenderledge.proxy import settings as configuration
 
@@ -89,11 +89,18 @@
             instance=settings.instance,
             clock=clock,
             send=self._send,
-            list_replicas=self._watching.list_replicas,
-            find_quota=self._watching.find_quota,
+            beliefs=slotallocator.Beliefs(
+                list_replicas=self._watching.list_replicas,
+                find_quota=self._watching.find_quota,
+                read_knowledge=self._watching.read_knowledge,
+                is_catching_up=self._watching.is_catching_up,
+            ),
             count_alive=self._registration.count_alive,
-            read_knowledge=self._watching.read_knowledge,
-            is_catching_up=self._watching.is_catching_up,
+            tolerance=tokenbuckets.Tolerance(
+                settings.quota_window_s,
+                settings.quota_overrun,
+                settings.quota_slack,
+            ),
         )
         self._forwarder = forwarding.Forwarder(
             settings=_bound_exchanges(settings),
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -35,6 +35,9 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    quota_window_s: float
+    quota_overrun: float
+    quota_slack: float
     log_level: str
 
     @property
@@ -157,6 +160,27 @@
         '50',
         'repeats of a service that the fleet is allowed beyond the ratio',
     ),
+    definition.declare(
+        '--quota-window-s',
+        'SECONDS',
+        _parse_number,
+        '8',
+        'the window in which what customers spend is counted',
+    ),
+    definition.declare(
+        '--quota-overrun',
+        'RATIO',
+        _parse_number,
+        '0',
+        'the part by which a quota may be passed in a window',
+    ),
+    definition.declare(
+        '--quota-slack',
+        'COUNT',
+        _parse_number,
+        '0',
+        'what may be spent in a window beyond that',
+    ),
     definition.declare(
         '--log-level',
         'LEVEL',
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -153,6 +153,9 @@
             retry_ratio=0.2,
             retry_window_s=10,
             retry_slack=50,
+            quota_window_s=8,
+            quota_overrun=0,
+            quota_slack=0,
             log_level='info',
         )._replace(**changes)
         running = instance.Instance(
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -12,7 +12,7 @@
     slotrequester,
 )
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import rendezvous, slots
+from lavenderledge.policy import rendezvous, slots, tokenbuckets
 from tests import serving
 
 NAMES = ('a', 'b', 'c')
@@ -50,13 +50,16 @@
             instance=name,
             clock=machine.clock,
             send=self.send,
-            list_replicas=lambda: INFOS,
-            find_quota=lambda customer: None,
-            count_alive=lambda: len(machine.ranked),
-            read_knowledge=lambda: slotallocator.Knowledge(
-                1, self.age_s, self.age_s > 1
+            beliefs=slotallocator.Beliefs(
+                list_replicas=lambda: INFOS,
+                find_quota=lambda customer: None,
+                read_knowledge=lambda: slotallocator.Knowledge(
+                    1, self.age_s, self.age_s > 1
+                ),
+                is_catching_up=lambda: False,
             ),
-            is_catching_up=lambda: False,
+            count_alive=lambda: len(machine.ranked),
+            tolerance=tokenbuckets.Tolerance(8, 0, 0),
         )
 
     def send(self, to, message):
