--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -7,7 +7,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import routes, slots, tokenbuckets
+from lavenderledge.policy import routes, slotgrants, slots, tokenbuckets
 
 TICK: typing.Final = datetime.timedelta(milliseconds=50)
 # An instance that has not reported for so long is forgotten, seconds; three
@@ -111,13 +111,12 @@
         if not self._senders:
             return
         self.book.list_replicas(self._beliefs.list_replicas(), now_s)
-        self.book.free_lost(now_s)
         self._buckets.forget_idle(now_s)
         self._decide()
         if now_s - self._beaten_s < BEAT_S:
             return
         self._beaten_s = now_s
-        for name in slots.list_senders_waiting(self.book):
+        for name in slotgrants.list_senders_waiting(self.book):
             self._beat(name)
 
     def tell_all(self) -> None:
@@ -152,12 +151,12 @@
         retry_after_s = self._charge(wanted, now_s)
         if retry_after_s > 0:
             self._refuse(
-                slots.Refused(
+                slotgrants.Refused(
                     ask.sender, wanted.request_id, 'quota', retry_after_s
                 )
             )
             return
-        refused = slots.enqueue(self.book, ask.sender, wanted, now_s)
+        refused = slotgrants.enqueue(self.book, ask.sender, wanted, now_s)
         if refused is not None:
             self._buckets.give_back(wanted.customer, wanted.cost)
             self._refuse(refused)
@@ -217,7 +216,6 @@
                     0,
                     0,
                     now_s,
-                    float('inf'),
                 ),
                 service=each.service,
             )
@@ -270,7 +268,9 @@
         self._due = False
         if self._beliefs.is_catching_up():
             return
-        granted, refused = slots.decide(self.book, self._clock.read_monotonic())
+        granted, refused = slotgrants.decide(
+            self.book, self._clock.read_monotonic()
+        )
         for each in granted:
             self._send(
                 each.sender,
@@ -281,7 +281,7 @@
         for turned_away in refused:
             self._refuse(turned_away)
 
-    def _refuse(self, refused: slots.Refused) -> None:
+    def _refuse(self, refused: slotgrants.Refused) -> None:
         self._send(
             refused.sender,
             messages.Refusal(
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -15,7 +15,7 @@
 )
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.daemon import tasks as background
-from lavenderledge.http1 import client, messages, server
+from lavenderledge.http1 import client, listener, messages, server
 from lavenderledge.peers import keys, link
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.peers import slots as slotmessages
@@ -35,7 +35,13 @@
 # What is left of the grace period when running requests are cut, seconds.
 _CUT_MARGIN_S: typing.Final = 0.4
 _IDLE_CHECK: typing.Final = timing.seconds(0.05)
-_START_BOUNDS: typing.Final = server.Bounds(16384, 4 << 20, 3.0, 15.0)
+# In force until the first configuration brings its own.
+_START_BOUNDS: typing.Final = server.Bounds(
+    header_bytes=16384,
+    body_bytes=4 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 _MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
 
@@ -263,9 +269,9 @@
             await self._clock.sleep(_SWEEP)
 
     async def _listen(
-        self, listener: server.Listener, address: typing.Any
+        self, bound: listener.Listener, address: typing.Any
     ) -> None:
-        await listener.listen(address.host, address.port)
+        await bound.listen(address.host, address.port)
 
     def _build_registration(self) -> registration.Registration:
         settings = self._settings
@@ -280,8 +286,8 @@
             on_change=self._update_links,
         )
 
-    def _build_listener(self, handle: server.Handle) -> server.Listener:
-        return server.Listener(
+    def _build_listener(self, handle: server.Handle) -> listener.Listener:
+        return listener.Listener(
             handle=handle,
             clock=self._clock,
             bounds=_START_BOUNDS,
--- a/lavenderledge/proxy/trail.py
+++ b/lavenderledge/proxy/trail.py
@@ -6,6 +6,8 @@
 from lavenderledge import logs
 
 _MILLISECONDS: typing.Final = 1000
+# Ages are told up to this, seconds.
+_MOST_AGE_S: typing.Final = 1e6
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -73,7 +75,7 @@
             first_ms=self._count_ms(self.first_byte_s),
             total_ms=self._count_ms(now_s),
             version=self.version,
-            age_ms=round(min(age_s, 1e6) * _MILLISECONDS),
+            age_ms=round(min(age_s, _MOST_AGE_S) * _MILLISECONDS),
             allocator=allocator,
         )
 
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -7,7 +7,7 @@
 import urllib.parse
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import server
+from lavenderledge.http1 import listener, server
 
 BOUNDS = server.Bounds(65536, 1 << 22, 5, 60)
 
@@ -185,7 +185,7 @@
 
 def build_listener(handle, clock=None):
     """Return a listener for a stand-in's handler."""
-    return server.Listener(
+    return listener.Listener(
         handle=handle,
         clock=clock or clocks.SystemClock(),
         bounds=BOUNDS,
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, server
+from lavenderledge.http1 import client, listener, server
 from lavenderledge.proxy import events
 from tests import platformfleet, platformstore
 
@@ -22,7 +22,7 @@
     def __init__(self):
         self.requests = []
         self.faults = []
-        self.listener = server.Listener(
+        self.listener = listener.Listener(
             handle=self.handle,
             clock=clocks.SystemClock(),
             bounds=BOUNDS,
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import slots
+from lavenderledge.policy import slotgrants, slots
 
 SERVICE = 'model'
 PLAN, CHECK, NOTE = 16, 17, 18
@@ -46,21 +46,21 @@
 def teach(book, *, hold_s=0.5, first_s=0.1):
     """Let each replica have answered once."""
     for name in tuple(book.services[SERVICE].replicas):
-        holding = slots.Holding('e', name, PLAN, 2000, 0, -hold_s, 99)
+        holding = slots.Holding('e', name, PLAN, 2000, 0, -hold_s)
         book.hold('taught', holding, service=SERVICE)
         book.free('taught')
         book.note_answer(holding, first_s=first_s, slowness=0, now_s=0)
 
 
 def list_granted(book, now_s):
-    granted, _ = slots.decide(book, now_s)
+    granted, _ = slotgrants.decide(book, now_s)
     return [each.request_id for each in granted]
 
 
 def test_the_higher_rank_goes_first_whatever_came_first():
     book = make_book()
     for number, tier in enumerate((NOTE, CHECK, PLAN)):
-        slots.enqueue(book, 'e', make_wanted(str(number), tier), 0)
+        slotgrants.enqueue(book, 'e', make_wanted(str(number), tier), 0)
     order = []
     for step in range(3):
         granted = list_granted(book, step / 100)
@@ -71,11 +71,11 @@
 
 def test_a_late_request_goes_behind_the_fresh_of_the_next_rank_only():
     book = make_book()
-    slots.enqueue(book, 'e', make_wanted('holds'), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('holds'), 0)
     assert list_granted(book, 0) == ['holds']
-    slots.enqueue(book, 'e', make_wanted('late', objective_left_s=0.2), 0)
-    slots.enqueue(book, 'e', make_wanted('check', CHECK), 0)
-    slots.enqueue(book, 'e', make_wanted('note', NOTE), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('late', objective_left_s=0.2), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('check', CHECK), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('note', NOTE), 0)
     order = []
     for step in range(3):
         book.free('holds' if not order else order[-1])
@@ -88,8 +88,8 @@
     teach(book, hold_s=1)
     for number in range(3):
         wanted = make_wanted(f'w{number}', remaining_s=9)
-        assert slots.enqueue(book, 'e', wanted, 0) is None
-    refused = slots.enqueue(book, 'e', make_wanted('last'), 0)
+        assert slotgrants.enqueue(book, 'e', wanted, 0) is None
+    refused = slotgrants.enqueue(book, 'e', make_wanted('last'), 0)
     assert refused is not None
     # Three wait for one slot that is held for a second each.
     assert 3 <= refused.retry_after_s <= 3 * 1.4 + 0.01
@@ -99,18 +99,18 @@
     book = make_book(slots_count=2)
     teach(book, hold_s=10)
     wanted = make_wanted('first', remaining_s=0.5)
-    assert slots.enqueue(book, 'e', wanted, 0) is None
+    assert slotgrants.enqueue(book, 'e', wanted, 0) is None
     assert list_granted(book, 0) == ['first']
 
 
 def test_a_fresh_request_waits_for_a_replica_that_makes_it_timely():
     book = make_book(('fast', 'slow'))
     for name, first_s in (('fast', 0.1), ('slow', 0.7)) * 20:
-        holding = slots.Holding('e', name, PLAN, 2000, 0, -0.5, 99)
+        holding = slots.Holding('e', name, PLAN, 2000, 0, -0.5)
         book.note_answer(holding, first_s=first_s, slowness=0, now_s=0)
-    slots.enqueue(book, 'e', make_wanted('busy'), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('busy'), 0)
     assert list_granted(book, 0) == ['busy']
-    slots.enqueue(book, 'e', make_wanted('note', NOTE), 0)
+    slotgrants.enqueue(book, 'e', make_wanted('note', NOTE), 0)
     assert list_granted(book, 0.05) == []
     book.free('busy')
     assert list_granted(book, 0.1) == ['note']
@@ -119,10 +119,10 @@
 
 def test_a_failing_replica_is_tried_by_one_request_at_a_time():
     book = make_book(slots_count=4)
-    holding = slots.Holding('e', 'i-0', PLAN, 0, 0, 0, 99)
+    holding = slots.Holding('e', 'i-0', PLAN, 0, 0, 0)
     book.note_failure(holding, 0)
     for number in range(4):
-        slots.enqueue(book, 'e', make_wanted(str(number)), 0)
+        slotgrants.enqueue(book, 'e', make_wanted(str(number)), 0)
     assert list_granted(book, 0.1) == []
     assert len(list_granted(book, 0.3)) == 1
     assert list_granted(book, 0.35) == []
@@ -131,7 +131,7 @@
 def test_an_excluded_replica_is_never_granted():
     book = make_book(('i-0', 'i-1'), slots_count=3)
     wanted = make_wanted('x', excluded=('i-0',))
-    slots.enqueue(book, 'e', wanted, 0)
+    slotgrants.enqueue(book, 'e', wanted, 0)
     assert list_granted(book, 0) == ['x']
     assert book.holdings['x'].replica == 'i-1'
 
@@ -140,7 +140,7 @@
     book = make_book(slots_count=6)
     book.share = 0.5
     for number in range(6):
-        slots.enqueue(book, 'e', make_wanted(str(number)), 0)
+        slotgrants.enqueue(book, 'e', make_wanted(str(number)), 0)
     assert len(list_granted(book, 0)) == 3
 
 
@@ -160,10 +160,10 @@
     running = []
     for number, (tier, pause_s, ends) in enumerate(steps):
         now_s += pause_s
-        slots.enqueue(book, 'e', make_wanted(str(number), tier), now_s)
+        slotgrants.enqueue(book, 'e', make_wanted(str(number), tier), now_s)
         if ends and running:
             book.free(running.pop(0))
-        granted, refused = slots.decide(book, now_s)
+        granted, refused = slotgrants.decide(book, now_s)
         running += [each.request_id for each in granted]
         told = [each.request_id for each in (*granted, *refused)]
         assert len(told) == len(set(told))
@@ -180,7 +180,7 @@
     times slower; kinds as 31 : 13 : 29.
     """
 
-    def __init__(self, *, seed, decide=slots.decide):
+    def __init__(self, *, seed, decide=slotgrants.decide):
         self.rng = random.Random(seed)
         self.decide = decide
         self.book = slots.Book()
@@ -222,7 +222,7 @@
         tokens = int(self.rng.lognormvariate(7.6, 0.8))
         self.asked[request_id] = (now_s, tier)
         wanted = make_wanted(request_id, tier, tokens)
-        slots.enqueue(self.book, 'e', wanted, now_s)
+        slotgrants.enqueue(self.book, 'e', wanted, now_s)
 
     def tick(self, now_s):
         """Let time pass."""
@@ -264,7 +264,7 @@
                 due_s=now_s + 99,
             )
         )
-    return slots.decide(book, now_s)
+    return slotgrants.decide(book, now_s)
 
 
 @pytest.mark.parametrize('seed', range(4))
