Answer reporters whom the list of instances does not name yet

Change: a report carries the address at which its sender is answered; a watch of the instances waits 10 s, not 30. Ruled out: the link itself; the others kept links to each other.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -73,13 +73,15 @@
         beliefs: Beliefs,
         count_alive: abc.Callable[[], int],
         tolerance: tokenbuckets.Tolerance,
+        introduce: abc.Callable[[str, str], None],
     ) -> None:
-        """Hold nothing yet."""
+        """Hold nothing yet; ``introduce`` gets reporters' addresses."""
         self.book = slots.Book()
         self._instance = instance
         self._clock = clock
         self._send = send
         self._beliefs = beliefs
+        self._introduce = introduce
         self._count_alive = count_alive
         self._buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         self._senders: dict[str, _Sender] = {}
@@ -223,6 +225,7 @@
             for request_id in service.queue.list_of(report.sender):
                 if request_id not in waiting:
                     service.queue.remove(request_id)
+        self._introduce(report.sender, report.address)
         self._beat(report.sender)
 
     def _beat(self, name: str) -> None:
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -77,6 +77,7 @@
         self,
         *,
         instance: str,
+        address: str,
         read_incarnation: abc.Callable[[], int],
         clock: clocks.Clock,
         send: Send,
@@ -90,6 +91,7 @@
         time from which on it was confirmed.
         """
         self._instance = instance
+        self._address = address
         self._read_incarnation = read_incarnation
         self._clock = clock
         self._send = send
@@ -242,6 +244,7 @@
         report = messages.Report(
             self._instance,
             self._read_incarnation(),
+            self._address,
             self._sequence,
             now_s,
             tuple(
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -115,11 +115,13 @@
 class Report(typing.NamedTuple):
     """Everything that an instance holds and waits for; replaces the last.
 
-    ``stamp_s`` is the sender's clock.
+    ``stamp_s`` is the sender's clock, ``address`` where it is answered, which
+    the allocator may not know from the store yet.
     """
 
     sender: bounds.Name
     incarnation: bounds.Count
+    address: bounds.Name
     sequence: bounds.Count
     stamp_s: bounds.Finite
     held: typing.Annotated[
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -84,6 +84,7 @@
         )
         self._requester = slotrequester.SlotRequester(
             instance=settings.instance,
+            address=str(settings.peer_listen),
             read_incarnation=lambda: self._incarnation,
             clock=clock,
             send=self._send,
@@ -107,6 +108,7 @@
                 settings.quota_overrun,
                 settings.quota_slack,
             ),
+            introduce=self._introduce,
         )
         self._forwarder = forwarding.Forwarder(
             settings=_bound_exchanges(settings),
@@ -330,6 +332,10 @@
         )
         self._allocator.tell_all()
 
+    def _introduce(self, instance: str, address: str) -> None:
+        if self._link is not None:
+            self._link.connect(instance, address)
+
     def _update_links(self, addresses: abc.Mapping[str, str]) -> None:
         if self._link is not None:
             self._link.update(addresses)
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -36,7 +36,7 @@
 _CONFIGURATION_REST_S: typing.Final = 0.05
 _REPLICAS_WAIT_S: typing.Final = 0.5
 _REPLICAS_REST_S: typing.Final = 0.4
-_MEMBERS_WAIT_S: typing.Final = 30.0
+_MEMBERS_WAIT_S: typing.Final = 10.0
 _MEMBERS_REST_S: typing.Final = 0.5
 _LOGGER = logging.getLogger(__name__)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -78,3 +78,22 @@
         took_s = asyncio.get_running_loop().time() - begun_s
     assert answer.status == messages.OK
     assert took_s < 0.6
+
+
+async def test_a_newcomer_is_answered_by_who_has_not_heard_of_it():
+    async with platformfleet.running(replicas=2, instances=2) as fleet:
+        # Their watches of the instances have gone silent for good.
+        for each in fleet.instances.values():
+            each._registration._listing.update = lambda changes: None
+        await fleet.add_instance('entry-9')
+        newcomer = fleet.instances['entry-9']
+        known = fleet.instances['entry-0']._registration.rank_allocators()
+        await asyncio.sleep(1.5)
+        newcomer._requester._rank_allocators = lambda: known
+        newcomer._requester.tick()
+        await asyncio.sleep(2)
+        asked = newcomer._requester.allocator
+        answer = await fleet.send('/once/x', entry='entry-9')
+    assert 'entry-9' not in known
+    assert asked in known
+    assert answer.status == messages.OK
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -33,10 +33,12 @@
         self.machine = machine
         self.age_s = 0.2
         self.known = []
+        self.introduced = set()
         self.running = {}
         self.waiting = {}
         self.requester = slotrequester.SlotRequester(
             instance=name,
+            address=f'{name}:1',
             read_incarnation=lambda: incarnation,
             clock=machine.clock,
             send=self.send,
@@ -60,6 +62,9 @@
             ),
             count_alive=lambda: len(machine.ranked),
             tolerance=tokenbuckets.Tolerance(8, 0, 0),
+            introduce=lambda sender, address: self.introduced.add(
+                (sender, address)
+            ),
         )
 
     def send(self, to, message):
