Never send to a replica that was seen here to leave; the youngest list in an outage

Change: an entry remembers replicas that it saw leave and uses no grant of them; where all followers' lists are old, the youngest (to a second) grants.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -136,6 +136,15 @@
         self._usable: tuple[slots.ReplicaInfo, ...] = ()
         self._clock = clock
         self._confirmed_s = float('-inf')
+        self._left: set[str] = set()
+
+    def has_left(self, name: str) -> bool:
+        """Return whether a replica was seen here to leave.
+
+        Others may know less: no grant of theirs brings it back.
+        """
+        self.list_usable()
+        return name in self._left
 
     def age_s(self) -> float:
         """Return the seconds since the confirming answer was asked for."""
@@ -152,8 +161,11 @@
         """
         entries = self.listing.entries
         if entries is not self._seen:
+            known = {info.name for info in self._usable}
             self._seen = entries
             self._usable = tuple(
                 each.info for each in entries.values() if each.is_ready
             )
+            usable = {info.name for info in self._usable}
+            self._left = (self._left | known) - usable
         return self._usable
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -32,13 +32,13 @@
 class Knowledge(typing.NamedTuple):
     """How well an instance knows what the store holds.
 
-    ``age_s`` is that of the configuration ``version``; ``is_stale`` says that
-    its list of replicas may be out of date.
+    ``age_s`` is that of the configuration ``version``, ``list_age_s`` that of
+    the list of replicas.
     """
 
     version: int
     age_s: float
-    is_stale: bool
+    list_age_s: float
 
 
 class Beliefs(typing.NamedTuple):
@@ -238,7 +238,7 @@
                 None if sender is None else sender.stamp_s,
                 known.version,
                 min(known.age_s, _MOST_AGE_S),
-                known.is_stale,
+                min(known.list_age_s, _MOST_AGE_S),
             ),
         )
 
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -18,6 +18,12 @@
 # One that was passed over is asked again once it has answered after so long,
 # seconds: each change of the allocator costs a report and new asks.
 SUSPECT_S: typing.Final = 1.0
+# A list of replicas that the store has not confirmed for so long may be out of
+# date, seconds. While all is well the age stays below two watches and a rest.
+STALE_LIST_S: typing.Final = 1.8
+# Lists that were confirmed within this of each other count as of one age,
+# seconds, so that no allocator is left for a trifle.
+_LIST_STEP_S: typing.Final = 1.0
 # Of the instances, so many first in line follow the store for the others.
 FOLLOWERS: typing.Final = 3
 
@@ -104,7 +110,7 @@
         self._reported_s = float('-inf')
         self._sequence = 0
         self._suspects: dict[str, float] = {}
-        self._stale: set[str] = set()
+        self._listed_s: dict[str, float] = {}
 
     @property
     def allocator(self) -> str:
@@ -200,10 +206,7 @@
         for name in tuple(self._suspects):
             if name not in ranked:
                 self._suspects.pop(name)
-        self._stale.intersection_update(ranked)
-        first = self._find_first(ranked[:FOLLOWERS], avoid_stale=True)
-        first = first or self._find_first(ranked, avoid_stale=False)
-        first = first or self._instance
+        first = self._find_first(ranked)
         if first == self._allocator:
             return
         self._note_allocator(self._allocator, first)
@@ -215,18 +218,24 @@
             if not entry.waiter.done():
                 self._ask(entry, now_s)
 
-    def _find_first(
-        self, ranked: abc.Sequence[str], *, avoid_stale: bool
-    ) -> str | None:
-        """Return the first that answers; one whose list may be old is only
-        asked where all who follow the store are so.
+    def _find_first(self, ranked: abc.Sequence[str]) -> str:
+        """Return the first that answers and whose list is fresh.
+
+        Where no follower's is, as in an outage of the store, it is the one
+        whose list is the youngest.
         """
-        for name in ranked:
-            if name in self._suspects:
-                continue
-            if not avoid_stale or name not in self._stale:
-                return name
-        return None
+        answering = [name for name in ranked if name not in self._suspects]
+        followers = [name for name in ranked[:FOLLOWERS] if name in answering]
+        fresh = [name for name in followers if name not in self._listed_s]
+        if fresh:
+            return fresh[0]
+        if followers:
+            return max(followers, key=self._read_listed)
+        return answering[0] if answering else self._instance
+
+    def _read_listed(self, name: str) -> float:
+        """Return when a stale list was confirmed, in steps."""
+        return self._listed_s[name] // _LIST_STEP_S
 
     def _ask(self, entry: _Entry, now_s: float) -> None:
         if self._asked_s is None:
@@ -266,14 +275,17 @@
         if self._asked_s is None:
             self._asked_s = now_s
         self._send(self._allocator, report)
-        for avoided in self._suspects.keys() | self._stale:
+        for avoided in self._suspects.keys() | self._listed_s.keys():
+            if avoided == self._allocator:
+                continue
             self._send(avoided, report._replace(held=(), waiting=()))
 
     def _take_beat(self, beat: messages.Beat) -> None:
-        if beat.is_stale:
-            self._stale.add(beat.sender)
+        if beat.list_age_s > STALE_LIST_S:
+            now_s = self._clock.read_monotonic()
+            self._listed_s[beat.sender] = now_s - beat.list_age_s
         else:
-            self._stale.discard(beat.sender)
+            self._listed_s.pop(beat.sender, None)
         if beat.stamp_s is not None:
             self._note_knowledge(beat.version, beat.stamp_s - beat.age_s)
 
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -137,15 +137,14 @@
 
     ``stamp_s`` echoes the newest report, None where there was none. The
     allocator has the configuration ``version``, which the store confirmed
-    ``age_s`` before. One that ``is_stale`` has not heard from the store of
-    late which replicas there are.
+    ``age_s`` before, and a list of replicas confirmed ``list_age_s`` before.
     """
 
     sender: bounds.Name
     stamp_s: bounds.Finite | None
     version: bounds.Count
     age_s: bounds.Span
-    is_stale: bool
+    list_age_s: bounds.Span
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -65,6 +65,7 @@
     pool: client.Pool
     metrics: meters.Metrics
     settings: Settings
+    has_left: abc.Callable[[str], bool]
     may_repeat: abc.Callable[[str], bool]
     note_request: abc.Callable[[str], None]
 
@@ -299,6 +300,9 @@
             return False
         if not self._judge() or service != self._trail.service:
             return False
+        if self._tools.has_left(slot.replica):
+            self._trail.exclude('has_left')
+            return False
         if now_s - slot.granted_s > _GRANT_S:
             self._trail.last_failure = 'grant_lapsed'
             return False
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -22,6 +22,7 @@
     pool: client.Pool
     metrics: meters.Metrics
     count_instances: abc.Callable[[], int]
+    has_left: abc.Callable[[str], bool]
 
 
 class Forwarder:
@@ -53,6 +54,7 @@
                 pool=parts.pool,
                 metrics=parts.metrics,
                 settings=self.settings,
+                has_left=parts.has_left,
                 may_repeat=self._may_repeat,
                 note_request=self._note_request,
             ),
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -120,6 +120,7 @@
                 pool=self._pool,
                 metrics=self._metrics,
                 count_instances=self._registration.count_alive,
+                has_left=self._watching.replicas.has_left,
             ),
         )
         self._entry = self._build_listener(self._forwarder.serve)
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -21,9 +21,6 @@
 from lavenderledge.proxy import calls
 from lavenderledge.registry import store as stores
 
-# A list of replicas that the store has not confirmed for so long may be out of
-# date, seconds. While all is well the age stays below two watches and a rest.
-STALE_LIST_S: typing.Final = 1.8
 # Nothing is granted by a list that is older while it is being read anew,
 # seconds: a watch fails within two, so that followers never wait for this.
 _OLD_LIST_S: typing.Final = 2.5
@@ -115,7 +112,7 @@
         return slotallocator.Knowledge(
             self._known_version,
             self.configuration.own_age_s(),
-            self.replicas.age_s() > STALE_LIST_S,
+            self.replicas.age_s(),
         )
 
     def note_knowledge(self, version: int, confirmed_s: float) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -45,7 +45,6 @@
         # Their own fields are checked each.
         ('Ask', 'wanted'),
         ('Release', 'reading'),
-        ('Beat', 'is_stale'),
     }
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lavenderledge.controllers import slotrequester
 from lavenderledge.http1 import messages
 from tests import platformfleet
 
@@ -191,7 +192,28 @@
         while loop.time() < end_s:
             for each in watching:
                 oldest_s = max(oldest_s, each.replicas.age_s())
-                assert not each.read_knowledge().is_stale
+                age_s = each.read_knowledge().list_age_s
+                assert age_s <= slotrequester.STALE_LIST_S
             await asyncio.sleep(0.02)
     # Some room is left for a slow answer of the store.
     assert oldest_s < 1.5
+
+
+async def test_a_replica_seen_to_leave_is_not_used_by_anothers_grant():
+    async with platformfleet.running(replicas=2, instances=3) as fleet:
+        await asyncio.sleep(1)
+        allocator = fleet.instances['entry-0']._requester.allocator
+        others = [name for name in fleet.instances if name != allocator]
+        # The allocator hears nothing more of replicas, and does not know it.
+        blind = fleet.instances[allocator]._watching.replicas
+        blind.listing.update = lambda changes: None
+        blind.listing.replace = lambda listed: None
+        leaving = fleet.replicas['i-0']
+        fleet.store.write('servers/i-0', leaving.describe(state='draining'))
+        await asyncio.sleep(1.2)
+        answers = [
+            await fleet.send('/once/x', entry=others[number % 2])
+            for number in range(8)
+        ]
+    assert not leaving.runs
+    assert {answer.status for answer in answers} == {200}
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -56,7 +56,7 @@
                 list_replicas=lambda: INFOS,
                 find_quota=lambda customer: None,
                 read_knowledge=lambda: slotallocator.Knowledge(
-                    1, self.age_s, self.age_s > 1
+                    1, self.age_s, self.age_s
                 ),
                 is_catching_up=lambda: False,
             ),
@@ -182,8 +182,9 @@
     def check_allocator(self, requester):
         """The stale are asked only where all who answer are stale."""
         answering = set(self.ranked) - requester._suspects.keys()
-        if requester.allocator in requester._stale & answering:
-            assert answering <= requester._stale
+        followers = answering & set(self.ranked[: slotrequester.FOLLOWERS])
+        if requester.allocator in requester._listed_s.keys() & answering:
+            assert followers <= requester._listed_s.keys()
 
     @stateful.rule(pair=st.sampled_from((('a', 'b'), ('a', 'c'), ('b', 'c'))))
     def cut_link(self, pair):
