Believe in a replica's leaving only by a list that is not old; test beliefs

Cause: an instance that follows the store no more would for ever refuse grants of a replica that it once saw leave and that has returned under its name. Change: such a memory holds for 10 s of its list. Tests of versions, peers' words, lapses and returns. Conclusion: found by reading; the new test fails without the bound.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -10,6 +10,10 @@
 # be listed again, seconds: the store's users give two.
 RELIST_S: typing.Final = 2.2
 
+# What a list said is remembered for so long, seconds: beyond outages of the
+# store, in which nobody learns more.
+_MEMORY_S: typing.Final = 10.0
+
 _Entry = typing.TypeVar('_Entry')
 
 
@@ -141,10 +145,11 @@
     def has_left(self, name: str) -> bool:
         """Return whether a replica was seen here to leave.
 
-        Others may know less: no grant of theirs brings it back.
+        Others may know less: no grant of theirs brings it back. A list from
+        long ago says nothing, since a replica may return under its name.
         """
         self.list_usable()
-        return name in self._left
+        return name in self._left and self.age_s() < _MEMORY_S
 
     def age_s(self) -> float:
         """Return the seconds since the confirming answer was asked for."""
--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,80 @@
+"""What is believed of the store's content, with its age."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from lavenderledge.controllers import beliefs
+from lavenderledge.policy import routes, slots
+from tests import serving
+
+
+def make_listed(name, *, is_ready=True):
+    info = slots.ReplicaInfo(name, 'model', f'{name}:1', 'a', 4, 0)
+    return beliefs.ListedReplica(info, is_ready=is_ready)
+
+
+def list_names(belief):
+    return [info.name for info in belief.list_usable()]
+
+
+def make_configuration(version):
+    return routes.Configuration(
+        version, {}, {}, {}, False, routes.Limits(1, 1, 1, 1)
+    )
+
+
+@hypothesis.given(st.lists(st.tuples(st.integers(0, 9), st.floats(0, 2))))
+def test_versions_never_go_back(steps):
+    clock = serving.ManualClock()
+    belief = beliefs.ConfigurationBelief(clock=clock)
+    highest = -1
+    for version, pause_s in steps:
+        clock.now_s += pause_s
+        belief.accept(make_configuration(version), clock.now_s)
+        highest = max(highest, version)
+        assert belief.current.version == highest
+
+
+@hypothesis.given(st.lists(st.tuples(st.floats(0, 9), st.integers(1, 3))))
+def test_a_peers_word_never_makes_a_belief_younger_than_it_is(words):
+    clock = serving.ManualClock()
+    belief = beliefs.ConfigurationBelief(clock=clock)
+    belief.accept(make_configuration(2), clock.now_s)
+    confirmed = [clock.now_s]
+    for age_s, version in words:
+        clock.now_s += 1
+        belief.hear(version, clock.now_s - age_s)
+        if version == 2:
+            confirmed.append(clock.now_s - age_s)
+        assert belief.age_s() >= clock.now_s - max(confirmed) - 1e-6
+
+
+def test_lapses_count_only_once_the_store_is_back_for_a_while():
+    clock = serving.ManualClock()
+    belief = beliefs.ReplicaBelief(clock=clock)
+    belief.listing.replace({name: make_listed(name) for name in 'ab'})
+    belief.listing.note_outage()
+    belief.listing.update({'a': None, 'b': None})
+    assert list_names(belief) == ['a', 'b']
+    clock.now_s += 1
+    belief.listing.update({'b': make_listed('b')})
+    clock.now_s += beliefs.RELIST_S
+    assert list_names(belief) == ['b']
+    belief.listing.update({'b': None})
+    assert list_names(belief) == []
+
+
+def test_a_replica_that_left_may_return_and_old_lists_say_nothing():
+    clock = serving.ManualClock()
+    belief = beliefs.ReplicaBelief(clock=clock)
+    belief.confirm(clock.now_s)
+    belief.listing.replace({'a': make_listed('a')})
+    assert not belief.has_left('a')
+    belief.listing.update({'a': make_listed('a', is_ready=False)})
+    assert belief.has_left('a')
+    belief.listing.update({'a': make_listed('a')})
+    assert not belief.has_left('a')
+    belief.listing.update({'a': None})
+    assert belief.has_left('a')
+    clock.now_s += 11
+    assert not belief.has_left('a')
