Stay with an allocator whose old list is about as young as any

Cause: read in the diff: ages in whole steps may differ by a trifle of transit, so that askers would change allocators through an outage; names that left the fleet were reported to for ever. Change: who is asked stays while its list is within 1 s of the youngest; names that are not ranked are forgotten.

--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -23,7 +23,7 @@
 STALE_LIST_S: typing.Final = 1.8
 # Lists that were confirmed within this of each other count as of one age,
 # seconds, so that no allocator is left for a trifle.
-_LIST_STEP_S: typing.Final = 1.0
+_LIKE_S: typing.Final = 1.0
 # Of the instances, so many first in line follow the store for the others.
 FOLLOWERS: typing.Final = 3
 
@@ -203,9 +203,9 @@
     def _turn(self) -> None:
         """Ask whoever is first in line; tell a new one everything."""
         ranked = self._rank_allocators()
-        for name in tuple(self._suspects):
-            if name not in ranked:
-                self._suspects.pop(name)
+        for told in (self._suspects, self._listed_s):
+            for name in told.keys() - set(ranked):
+                told.pop(name)
         first = self._find_first(ranked)
         if first == self._allocator:
             return
@@ -230,12 +230,14 @@
         if fresh:
             return fresh[0]
         if followers:
-            return max(followers, key=self._read_listed)
+            return self._find_youngest(followers)
         return answering[0] if answering else self._instance
 
-    def _read_listed(self, name: str) -> float:
-        """Return when a stale list was confirmed, in steps."""
-        return self._listed_s[name] // _LIST_STEP_S
+    def _find_youngest(self, followers: abc.Sequence[str]) -> str:
+        """Return whose stale list is about the youngest; who is asked stays."""
+        least_s = max(self._listed_s[name] for name in followers) - _LIKE_S
+        young = [name for name in followers if self._listed_s[name] >= least_s]
+        return self._allocator if self._allocator in young else young[0]
 
     def _ask(self, entry: _Entry, now_s: float) -> None:
         if self._asked_s is None:
