--- a/lavenderledge/logs.py
+++ b/lavenderledge/logs.py
@@ -108,11 +108,17 @@
         if self.dropped > self._told and len(self._lines) < MOST_LINES / 2:
             count = self.dropped - self._told
             self._told = self.dropped
-            write_event(
-                logging.getLogger(__name__),
-                'lines_dropped',
-                level=logging.WARNING,
-                count=count,
+            # Told whatever level the loggers have.
+            self.emit(
+                logging.makeLogRecord(
+                    {
+                        'name': __name__,
+                        'levelno': logging.WARNING,
+                        'levelname': logging.getLevelName(logging.WARNING),
+                        'msg': 'lines_dropped',
+                        'fields': {'count': count},
+                    }
+                )
             )
 
 
--- a/lavenderledge/standins/store.py
+++ b/lavenderledge/standins/store.py
@@ -222,7 +222,7 @@
 
     def _read(self, request: protocol.RangeRequest) -> protocol.RangeResponse:
         keys = self._sort(
-            self._select(request['key'], request.get('range_end', b'')),
+            self._select_asked(request),
             request,
         )
         limit = request.get('limit', 0) or len(keys)
@@ -271,7 +271,7 @@
     def _remove(
         self, request: protocol.DeleteRequest
     ) -> protocol.DeleteResponse:
-        keys = self._select(request['key'], request.get('range_end', b''))
+        keys = self._select_asked(request)
         self._drop(keys)
         return {'header': self._header_after(), 'deleted': len(keys)}
 
@@ -321,6 +321,9 @@
         if wanted:
             opened.notify({'header': self.header, 'events': wanted})
 
+    def _select_asked(self, request: protocol.Document) -> list[bytes]:
+        return self._select(request['key'], request.get('range_end', b''))
+
     def _select(self, key: bytes, end: bytes) -> list[bytes]:
         if not end:
             return [key] if key in self._pairs else []
