--- a/lavenderledge/standins/store.py
+++ b/lavenderledge/standins/store.py
@@ -321,7 +321,9 @@
         if wanted:
             opened.notify({'header': self.header, 'events': wanted})
 
-    def _select_asked(self, request: protocol.Document) -> list[bytes]:
+    def _select_asked(
+        self, request: protocol.RangeRequest | protocol.DeleteRequest
+    ) -> list[bytes]:
         return self._select(request['key'], request.get('range_end', b''))
 
     def _select(self, key: bytes, end: bytes) -> list[bytes]:
