A replica that said that it leaves does not lapse in an outage

Cause: after a cut, an instance took every deletion that it read in its first answers for a lapse of the store's leases and used those replicas for 2.2 s more, also where the same answer told that the replica was draining before its entry went. Ruled out: the choice of the youngest stale list; all lists were fresh then. Change: changes are taken in order; the end of an entry that was last seen leaving is final.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -24,6 +24,14 @@
     is_ready: bool
 
 
+def _is_leaving(listed: ListedReplica) -> bool:
+    return not listed.is_ready
+
+
+def _is_staying(entry: object) -> bool:
+    return False
+
+
 class ConfigurationBelief:
     """The newest configuration, and when it was last confirmed.
 
@@ -84,10 +92,16 @@
     anything is new.
     """
 
-    def __init__(self, *, clock: clocks.Clock) -> None:
-        """Know nothing."""
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        is_leaving: abc.Callable[[_Entry], bool] = _is_staying,
+    ) -> None:
+        """Know nothing; an entry that ``is_leaving`` ends for good."""
         self.is_known = False
         self._clock = clock
+        self._is_leaving = is_leaving
         self._entries: abc.Mapping[str, _Entry] = {}
         self._missing: set[str] = set()
         self._lapse_until_s = float('-inf')
@@ -112,17 +126,20 @@
         """Take a whole list."""
         self.is_known = True
         gone = self.entries.keys() - listed.keys()
-        self.update({**dict.fromkeys(gone), **listed})
+        self.update([*dict.fromkeys(gone).items(), *listed.items()])
 
-    def update(self, changes: abc.Mapping[str, _Entry | None]) -> None:
-        """Take changed entries; None stands for one that is gone."""
+    def update(self, changes: abc.Iterable[tuple[str, _Entry | None]]) -> None:
+        """Take changed entries in order; None stands for one that is gone."""
         changed = dict(self.entries)
         lapsing = self._clock.read_monotonic() < self._lapse_until_s
-        for name, entry in changes.items():
-            if entry is None and lapsing and name in changed:
+        for name, entry in changes:
+            before = changed.get(name)
+            lapses = before is not None and not self._is_leaving(before)
+            if entry is None and lapsing and lapses:
                 self._missing.add(name)
             elif entry is None:
                 changed.pop(name, None)
+                self._missing.discard(name)
             else:
                 self._missing.discard(name)
                 changed[name] = entry
@@ -135,7 +152,9 @@
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         """Know nothing."""
-        self.listing: Listing[ListedReplica] = Listing(clock=clock)
+        self.listing: Listing[ListedReplica] = Listing(
+            clock=clock, is_leaving=_is_leaving
+        )
         self._seen: abc.Mapping[str, ListedReplica] = {}
         self._usable: tuple[slots.ReplicaInfo, ...] = ()
         self._clock = clock
--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -90,10 +90,8 @@
     ) -> None:
         """Take instances that came, changed or went."""
         self._listing.update(
-            {
-                change.key.removeprefix(PREFIX): _read_member(change)
-                for change in changes
-            }
+            (change.key.removeprefix(PREFIX), _read_member(change))
+            for change in changes
         )
         self._refresh()
 
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -263,12 +263,11 @@
         prefix = self._platform.replicas_prefix
         before = self.replicas.list_usable()
         self.replicas.listing.update(
-            {
-                change.key.removeprefix(prefix): self._platform.read_replica(
-                    change
-                )
-                for change in changes
-            }
+            (
+                change.key.removeprefix(prefix),
+                self._platform.read_replica(change),
+            )
+            for change in changes
         )
         after = self.replicas.list_usable()
         if after is before:
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -54,27 +54,41 @@
     belief = beliefs.ReplicaBelief(clock=clock)
     belief.listing.replace({name: make_listed(name) for name in 'ab'})
     belief.listing.note_outage()
-    belief.listing.update({'a': None, 'b': None})
+    belief.listing.update({'a': None, 'b': None}.items())
     assert list_names(belief) == ['a', 'b']
     clock.now_s += 1
-    belief.listing.update({'b': make_listed('b')})
+    belief.listing.update({'b': make_listed('b')}.items())
     clock.now_s += beliefs.RELIST_S
     assert list_names(belief) == ['b']
-    belief.listing.update({'b': None})
+    belief.listing.update({'b': None}.items())
     assert list_names(belief) == []
 
 
+def test_who_said_that_it_leaves_does_not_lapse():
+    clock = serving.ManualClock()
+    belief = beliefs.ReplicaBelief(clock=clock)
+    belief.listing.replace({name: make_listed(name) for name in 'abc'})
+    belief.listing.note_outage()
+    leaving = make_listed('a', is_ready=False)
+    belief.listing.update([('a', leaving), ('a', None), ('b', None)])
+    assert list_names(belief) == ['b', 'c']
+    belief.listing.update([('c', None)])
+    belief.listing.update([('c', make_listed('c', is_ready=False))])
+    belief.listing.update([('c', None)])
+    assert list_names(belief) == ['b']
+
+
 def test_a_replica_that_left_may_return_and_old_lists_say_nothing():
     clock = serving.ManualClock()
     belief = beliefs.ReplicaBelief(clock=clock)
     belief.confirm(clock.now_s)
     belief.listing.replace({'a': make_listed('a')})
     assert not belief.has_left('a')
-    belief.listing.update({'a': make_listed('a', is_ready=False)})
+    belief.listing.update({'a': make_listed('a', is_ready=False)}.items())
     assert belief.has_left('a')
-    belief.listing.update({'a': make_listed('a')})
+    belief.listing.update({'a': make_listed('a')}.items())
     assert not belief.has_left('a')
-    belief.listing.update({'a': None})
+    belief.listing.update({'a': None}.items())
     assert belief.has_left('a')
     clock.now_s += 11
     assert not belief.has_left('a')
