Few replicas that lapse while an instance is cut off have ended

Cause: the watch tells a key's newest state only, so that an instance which returned from a cut saw i-7e10a70706 gone and not that it had said so; it took that for a lapse in an outage of the store and granted the replica for 2.2 s more. Ruled out: stale lists; the order of changes (revision 155 came once, as gone). Change: of a service's replicas up to half that lapse are believed to be gone; where more lapse they stay in use, and the allocator says that its list is as old as the outage, so that others whose list is confirmed are asked.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -1,5 +1,6 @@
 """What an instance believes of the outside, with its version and age."""
 
+import collections
 import typing
 from collections import abc
 
@@ -10,10 +11,18 @@
 # be listed again, seconds: the store's users give two.
 RELIST_S: typing.Final = 2.2
 
+# Failures that are apart by less than this and the time to be listed again are
+# of one outage, seconds: a call and the longest pause between two.
+_SAME_OUTAGE_S: typing.Final = 3.0
+
 # What a list said is remembered for so long, seconds: beyond outages of the
 # store, in which nobody learns more.
 _MEMORY_S: typing.Final = 10.0
 
+# Of a service's replicas, at most this part ends while an instance is cut
+# off; when the store forgets leases it is all that did not renew in time.
+_FEW: typing.Final = 0.5
+
 _Entry = typing.TypeVar('_Entry')
 
 
@@ -104,6 +113,7 @@
         self._is_leaving = is_leaving
         self._entries: abc.Mapping[str, _Entry] = {}
         self._missing: set[str] = set()
+        self._outage_s = float('-inf')
         self._lapse_until_s = float('-inf')
 
     @property
@@ -118,9 +128,22 @@
             self._missing.clear()
         return self._entries
 
+    @property
+    def missing(self) -> abc.Set[str]:
+        """Return the names that lapsed and may still be listed again."""
+        return frozenset(self._missing)
+
+    @property
+    def outage_s(self) -> float:
+        """Return when the newest outage was noted, on the clock."""
+        return self._outage_s
+
     def note_outage(self) -> None:
         """Take lapses of the next seconds for the store's, not for ends."""
-        self._lapse_until_s = self._clock.read_monotonic() + RELIST_S
+        now_s = self._clock.read_monotonic()
+        if now_s - self._lapse_until_s > _SAME_OUTAGE_S:
+            self._outage_s = now_s
+        self._lapse_until_s = now_s + RELIST_S
 
     def replace(self, listed: abc.Mapping[str, _Entry]) -> None:
         """Take a whole list."""
@@ -131,6 +154,7 @@
     def update(self, changes: abc.Iterable[tuple[str, _Entry | None]]) -> None:
         """Take changed entries in order; None stands for one that is gone."""
         changed = dict(self.entries)
+        missing = self.missing
         lapsing = self._clock.read_monotonic() < self._lapse_until_s
         for name, entry in changes:
             before = changed.get(name)
@@ -143,7 +167,7 @@
             else:
                 self._missing.discard(name)
                 changed[name] = entry
-        if changed != self._entries:
+        if changed != self._entries or missing != self._missing:
             self._entries = changed
 
 
@@ -174,6 +198,18 @@
         """Return the seconds since the confirming answer was asked for."""
         return self._clock.read_monotonic() - self._confirmed_s
 
+    def doubtful_age_s(self) -> float:
+        """Return the age that others should reckon with, seconds.
+
+        A list with replicas that lapsed and are still used was last right
+        before the outage.
+        """
+        names = {info.name for info in self.list_usable()}
+        if self.listing.missing.isdisjoint(names):
+            return self.age_s()
+        since_s = min(self._confirmed_s, self.listing.outage_s)
+        return self._clock.read_monotonic() - since_s
+
     def confirm(self, asked_s: float) -> None:
         """Note that the list was right when the store was asked."""
         self._confirmed_s = max(self._confirmed_s, asked_s)
@@ -187,9 +223,28 @@
         if entries is not self._seen:
             known = {info.name for info in self._usable}
             self._seen = entries
-            self._usable = tuple(
-                each.info for each in entries.values() if each.is_ready
-            )
+            self._usable = _select_usable(entries, self.listing.missing)
             usable = {info.name for info in self._usable}
             self._left = (self._left | known) - usable
         return self._usable
+
+
+def _select_usable(
+    entries: abc.Mapping[str, ListedReplica], missing: abc.Set[str]
+) -> tuple[slots.ReplicaInfo, ...]:
+    """Return the ready replicas that are there.
+
+    An outage of the service that holds the list makes many lapse at once.
+    Where it is few of a kind, they ended while this instance was cut off.
+    """
+    ready = [each.info for each in entries.values() if each.is_ready]
+    all_of = collections.Counter(info.service for info in ready)
+    lapsed = collections.Counter(
+        info.service for info in ready if info.name in missing
+    )
+    return tuple(
+        info
+        for info in ready
+        if info.name not in missing
+        or lapsed[info.service] > all_of[info.service] * _FEW
+    )
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -112,7 +112,7 @@
         return slotallocator.Knowledge(
             self._known_version,
             self.configuration.own_age_s(),
-            self.replicas.age_s(),
+            self.replicas.doubtful_age_s(),
         )
 
     def note_knowledge(self, version: int, confirmed_s: float) -> None:
