--- a/lavenderledge/capacity/allocating.py
+++ b/lavenderledge/capacity/allocating.py
@@ -8,6 +8,16 @@
 from lavenderledge.controllers import allocator
 from lavenderledge.peers import messages
 
+# Calls of a measurement, by how long each takes.
+_FEW: typing.Final = 200
+_BURST: typing.Final = 400
+_MANY: typing.Final = 2000
+# A request's number stands in the last digits of its id.
+_DIGITS: typing.Final = 12
+_HEXADECIMAL: typing.Final = 16
+# More grants than any allocator sends.
+_SEEN: typing.Final = 4_611_686_018_427_387_904
+
 _DEPTHS: typing.Final = (0, 100, 1000)
 _RUNNING: typing.Final = (0, 5, 20, 100)
 _SIZES: typing.Final = (3, 9, 28, 100, 400)
@@ -49,7 +59,9 @@
     def make_report(self, readings: int = 0) -> messages.Report:
         """Return the next report."""
         running = [
-            samples.make_running(int(each[-12:], 16), self.names[0])
+            samples.make_running(
+                int(each[-_DIGITS:], _HEXADECIMAL), self.names[0]
+            )
             for each in self.granted
         ]
         self.clock.now_s += _STEP_S
@@ -59,7 +71,7 @@
             pool=samples.POOL,
             sequence=next(self._sequences),
             stamp_s=self.clock.now_s,
-            grant_seen=2**62,
+            grant_seen=_SEEN,
             waiting=tuple(self.waiting.values()),
             running=(*running, *self._running),
             readings=tuple(map(samples.make_reading, self.names[:readings])),
@@ -90,7 +102,9 @@
         if self.granted:
             oldest = self.granted.pop(0)
             self.allocator.receive(
-                messages.Release(_SENDER, 1, samples.POOL, oldest, 235)
+                messages.Release(
+                    _SENDER, 1, samples.POOL, oldest, samples.OUTPUT_TOKENS
+                )
             )
             self.allocator.tick()
 
@@ -151,7 +165,7 @@
         points[depth] = figures.measure_time(
             f'ask, grant, release: {depth} waiting',
             world.cycle,
-            count=200,
+            count=_FEW,
             prepare=world.report,
         )
     return figures.add_slope('ask, grant, release by waiting', 'us', points)
@@ -190,7 +204,7 @@
         ticks[size] = figures.measure_time(
             f'idle tick: {size} replicas',
             functools.partial(_tick, world),
-            count=200,
+            count=_FEW,
             prepare=world.report,
         )
         world.ask_until(1)
@@ -229,15 +243,15 @@
     busy = World(replicas=_USUAL_SIZE)
     return [
         figures.measure_memory(
-            'memory of a waiting request', full.ask_until, count=2000
+            'memory of a waiting request', full.ask_until, count=_MANY
         ),
         figures.measure_memory(
-            'memory of a running request', busy.run_fixed, count=2000
+            'memory of a running request', busy.run_fixed, count=_MANY
         ),
         figures.measure_memory(
             'memory of a replica',
             lambda count: World(replicas=count),
-            count=400,
+            count=_BURST,
         ),
         figures.measure_memory(
             'memory of a pool without replicas', _make_pools, count=100
--- a/lavenderledge/capacity/asking.py
+++ b/lavenderledge/capacity/asking.py
@@ -9,6 +9,11 @@
 from lavenderledge.controllers import admission
 from lavenderledge.peers import messages
 
+_REPLICAS: typing.Final = 28
+_REPORTS: typing.Final = 200
+# The clock moves on by this between calls, seconds.
+_STEP_S: typing.Final = 1e-6
+
 _HELD: typing.Final = (0, 5, 20, 100)
 _REQUESTS: typing.Final = 500
 _TOKENS: typing.Final = 10_000
@@ -49,7 +54,7 @@
                 pool=samples.POOL,
                 sequence=number,
                 request_id=ask.request_id,
-                replica=f'calculator-{number % 28}',
+                replica=f'calculator-{number % _REPLICAS}',
                 address='10.1.2.3:8000',
                 stamp_s=self.clock.now_s,
             )
@@ -87,7 +92,7 @@
             reporter.admission.note_tokens(await reporter.start(), 1)
         reporter.report(1)
         points[held] = figures.measure_time(
-            f'report: {held} held', reporter.report, count=200
+            f'report: {held} held', reporter.report, count=_REPORTS
         )
     found.extend(figures.add_slope('report by held', 'us', points))
     found.append(
@@ -110,7 +115,7 @@
 
 def _note(asker: Asker, request_id: str, count: int) -> None:
     for done in range(count):
-        asker.clock.now_s += 1e-6
+        asker.clock.now_s += _STEP_S
         asker.admission.note_tokens(request_id, done)
 
 
--- a/lavenderledge/capacity/committing.py
+++ b/lavenderledge/capacity/committing.py
@@ -11,7 +11,9 @@
 
 _STEP_S: typing.Final = 0.0005
 _COUNTED_S: typing.Final = 10.0
-_VALUE: typing.Final = b'x' * 220
+# A table row as it is stored.
+_VALUE_BYTES: typing.Final = 220
+_VALUE: typing.Final = b'x' * _VALUE_BYTES
 # Transactions a second at one instance: 14 keyed requests a second, each
 # created and answered, and multiples of that.
 RATES: typing.Final = (28, 280, 1400, 10_200)
--- a/lavenderledge/capacity/gossiping.py
+++ b/lavenderledge/capacity/gossiping.py
@@ -4,7 +4,11 @@
 import typing
 from collections import abc
 
-from lavenderledge.capacity import figures, network as networks
+from lavenderledge.capacity import figures
+from lavenderledge.capacity import network as networks
+
+# The last of so many parts begins at the 95th percentile.
+_TWENTIETHS: typing.Final = 20
 
 SIZES: typing.Final = (9, 30, 100, 370)
 COLD_SIZES: typing.Final = (30, 100, 370)
@@ -140,4 +144,4 @@
 def _find_percentile(times: abc.Sequence[float]) -> float:
     if len(times) < 2:
         return times[0]
-    return statistics.quantiles(times, n=20, method='inclusive')[-1]
+    return statistics.quantiles(times, n=_TWENTIETHS, method='inclusive')[-1]
--- a/lavenderledge/capacity/idling.py
+++ b/lavenderledge/capacity/idling.py
@@ -9,6 +9,8 @@
 from lavenderledge.load import usage
 from lavenderledge.peers import keys, link, messages
 
+_POLL_S: typing.Final = 0.01
+
 _LINKS: typing.Final = 50
 _SETTLE_S: typing.Final = 2
 _COUNTED_S: typing.Final = 8
@@ -105,7 +107,7 @@
             sender.connect(name, address)
             sender.send(name, messages.Preempt('sender', 'calculator', ''))
         while len(arrived) < wanted:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(_POLL_S)
     grown = usage.read_process(os.getpid()).resident_bytes - resident
     return watch.elapsed_us / _LINKS, grown / _LINKS
 
--- a/lavenderledge/capacity/linking.py
+++ b/lavenderledge/capacity/linking.py
@@ -21,10 +21,10 @@
         kinds.update(benchmark.list_samples(size))
     kinds['Release'] = messages.Release(
         'entry-0',
-        1796356800000,
+        samples.INCARNATION,
         samples.POOL,
         samples.make_ask(1).request_id,
-        235,
+        samples.OUTPUT_TOKENS,
     )
     found = []
     for name, message in kinds.items():
@@ -43,11 +43,11 @@
         ]
         report = messages.Report(
             sender='entry-0',
-            incarnation=1796356800000,
+            incarnation=samples.INCARNATION,
             pool=samples.POOL,
             sequence=100,
-            stamp_s=12345.678,
-            grant_seen=99,
+            stamp_s=samples.STAMP_S,
+            grant_seen=1,
             waiting=(),
             running=tuple(
                 samples.make_running(number, replicas[number % len(replicas)])
--- a/lavenderledge/capacity/manual.py
+++ b/lavenderledge/capacity/manual.py
@@ -4,7 +4,9 @@
 import datetime
 import typing
 
-START: typing.Final = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+START: typing.Final = datetime.datetime.fromisoformat(
+    '2026-01-01T00:00:00+00:00'
+)
 
 
 class ManualClock:
--- a/lavenderledge/capacity/network.py
+++ b/lavenderledge/capacity/network.py
@@ -11,12 +11,12 @@
 import typing
 from collections import abc
 
-from lavenderledge.capacity import manual
+from lavenderledge.capacity import manual, samples
 from lavenderledge.controllers import membership, table
 from lavenderledge.peers import codec, messages
-from lavenderledge.registry import operations
 from lavenderledge.policy import gossip
 from lavenderledge.policy import table as tables
+from lavenderledge.registry import operations
 
 LATENCY_S: typing.Final = 0.005
 
@@ -42,7 +42,7 @@
     def __init__(self, *, network: 'Network', number: int) -> None:
         """Start without having heard of anybody."""
         self.name = f'lavenderledge-{number}'
-        self.address = f'10.1.{number // 250}.{number % 250}:7400'
+        self.address = f'{samples.make_address(number)}:7400'
         self.region = number % 2
         self.running = True
         self.interval_s = float(1)
@@ -93,7 +93,7 @@
 
     def _make_member(self) -> messages.Member:
         return messages.Member(
-            self.name, 1796356800000, 0, False, 'addis-a', self.address, 0
+            self.name, samples.INCARNATION, 0, False, 'addis-a', self.address, 0
         )
 
     def _plan(self, members: int) -> gossip.Plan:
--- a/lavenderledge/capacity/relaying.py
+++ b/lavenderledge/capacity/relaying.py
@@ -11,9 +11,9 @@
 from lavenderledge.capacity import figures
 from lavenderledge.load import fleet as fleets
 from lavenderledge.load import replay, targets, traces, workloads
-from lavenderledge.standins import batch
 
-_SPEED: typing.Final = batch.Speed(0.03, 64, 1_000_000, 256)
+_TOKEN_GAP_S: typing.Final = 0.03
+_SPEED: typing.Final = workloads.make_roomy_speed(_TOKEN_GAP_S)
 _ENGINES: typing.Final = 8
 _RATE: typing.Final = 10
 _SECONDS: typing.Final = 12
--- a/lavenderledge/capacity/samples.py
+++ b/lavenderledge/capacity/samples.py
@@ -7,6 +7,9 @@
 
 POOL: typing.Final = 'calculator'
 FOREVER_S: typing.Final = 1e6
+INCARNATION: typing.Final = 1_796_356_800_000
+STAMP_S: typing.Final = 12345.678
+OUTPUT_TOKENS: typing.Final = 235
 
 _BLOCKS: typing.Final = 8
 _PREFIXES: typing.Final = 12
@@ -24,7 +27,7 @@
         tier=1,
         weight=1.5,
         prompt_tokens=1200,
-        output_tokens=235,
+        output_tokens=OUTPUT_TOKENS,
         prefix=tuple(
             (first + block + 1) * _HASH % _HASH_RANGE
             for block in range(_BLOCKS)
@@ -36,6 +39,11 @@
     )
 
 
+def make_address(number: int) -> str:
+    """Return the address of the machine of that number."""
+    return f'10.1.{number // 250}.{number % 250}'
+
+
 def make_running(number: int, replica: str) -> messages.Running:
     """Return a request that is halfway through its answer."""
     ask = make_ask(number)
--- a/lavenderledge/capacity/tables.py
+++ b/lavenderledge/capacity/tables.py
@@ -6,10 +6,15 @@
 
 import msgspec
 
-from lavenderledge.capacity import figures, manual
+from lavenderledge.capacity import figures, manual, samples
 from lavenderledge.controllers import directory, tablecopy
-from lavenderledge.registry import instancelist
 from lavenderledge.policy import table, tablecheck
+from lavenderledge.registry import instancelist
+
+# A row of the table as the users have them.
+_RATE: typing.Final = 50.0
+_CONCURRENCY: typing.Final = 200
+_FIRST_PORT: typing.Final = 8000
 
 CUSTOMERS: typing.Final = 500
 KINDS: typing.Final = ('plan', 'check', 'note')
@@ -69,11 +74,11 @@
             pool=f'model-{number % POOLS:02d}',
             kind=kind,
             tier=tier,
-            rate=50.0,
+            rate=_RATE,
             burst=100,
-            concurrency=200,
+            concurrency=_CONCURRENCY,
             timeout_s=60.0,
-            output_tokens=235,
+            output_tokens=samples.OUTPUT_TOKENS,
             repeatable=True,
         )
         for number in range(CUSTOMERS)
@@ -203,14 +208,14 @@
         'addressType': 'IPv4',
         'endpoints': [
             {
-                'addresses': [f'10.1.{number // 250}.{number % 250}'],
+                'addresses': [samples.make_address(number)],
                 'conditions': conditions,
                 'targetRef': {'kind': 'Pod', 'name': name},
                 'zone': 'addis-a',
             }
         ],
         'ports': [
-            {'name': port, 'port': 8000 + place}
+            {'name': port, 'port': _FIRST_PORT + place}
             for place, port in enumerate(ports)
         ],
     }
--- a/lavenderledge/cli/definition.py
+++ b/lavenderledge/cli/definition.py
@@ -5,6 +5,9 @@
 
 from lavenderledge.daemon import formats
 
+# How many edits a history shows that fit one screen.
+_SHOWN_EDITS = 20
+
 PROGRAM = 'lavenderledge'
 DESCRIPTION = 'Shows and edits the table, and shows the instances.'
 ENDING = """\
@@ -195,7 +198,7 @@
             'most edits to list; the default is 20',
             metavar='COUNT',
             parse=formats.parse_count,
-            default=20,
+            default=_SHOWN_EDITS,
         ),
     ),
     examples=('table history --limit 5',),
--- a/lavenderledge/cli/editcommands.py
+++ b/lavenderledge/cli/editcommands.py
@@ -20,6 +20,9 @@
     tableplan,
 )
 
+# Digits that tell edits of one second apart.
+_ID_DIGITS = 12
+
 _MAX_SUMMARY = 200
 
 
@@ -160,7 +163,7 @@
 
 def _make_id(given: context.Context) -> str:
     time = given.clock.read_wall().strftime('%Y%m%dT%H%M%SZ')
-    return f'{time}-{uuid.uuid4().hex[:12]}'
+    return f'{time}-{uuid.uuid4().hex[:_ID_DIGITS]}'
 
 
 async def _tell(
--- a/lavenderledge/cli/fleet.py
+++ b/lavenderledge/cli/fleet.py
@@ -16,7 +16,8 @@
 ADMIN_PORT = 'admin'
 MAX_PARALLEL = 16
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
-WAIT_PAUSE = datetime.timedelta(milliseconds=200)
+_WAIT_PAUSE_MS = 200
+WAIT_PAUSE = datetime.timedelta(milliseconds=_WAIT_PAUSE_MS)
 
 
 class Standing(typing.NamedTuple):
--- a/lavenderledge/cli/reporting.py
+++ b/lavenderledge/cli/reporting.py
@@ -5,8 +5,8 @@
 from lavenderledge import environment, status
 from lavenderledge.cli import definition
 from lavenderledge.controllers import edit, pasttable
-from lavenderledge.registry import operations
 from lavenderledge.policy import problems, spreadsheet, tablemerge
+from lavenderledge.registry import operations
 
 
 class Report(typing.NamedTuple):
--- a/lavenderledge/cli/tablecommands.py
+++ b/lavenderledge/cli/tablecommands.py
@@ -7,9 +7,9 @@
 from lavenderledge import status
 from lavenderledge.cli import context, fleet, output, reporting
 from lavenderledge.controllers import edit, pasttable, table
-from lavenderledge.registry import operations
 from lavenderledge.policy import history, spreadsheet
 from lavenderledge.policy import table as tables
+from lavenderledge.registry import operations
 
 _STANDING_COLUMNS = ('instance', 'zone', 'revision', 'table')
 _HISTORY_COLUMNS = ('revision', 'time', 'author', 'edit', 'summary')
--- a/lavenderledge/controllers/admission.py
+++ b/lavenderledge/controllers/admission.py
@@ -16,8 +16,10 @@
 
 REPORT_INTERVAL: typing.Final = datetime.timedelta(seconds=1)
 GRANT_TTL: typing.Final = datetime.timedelta(seconds=2)
-TICK: typing.Final = datetime.timedelta(milliseconds=50)
-IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=200)
+_TICK_MS: typing.Final = 50
+TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
+_IDLE_TICK_MS: typing.Final = 200
+IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=_IDLE_TICK_MS)
 
 _REPORT_INTERVAL_S: typing.Final = REPORT_INTERVAL.total_seconds()
 _GRANT_TTL_S: typing.Final = GRANT_TTL.total_seconds()
--- a/lavenderledge/controllers/allocator.py
+++ b/lavenderledge/controllers/allocator.py
@@ -11,15 +11,19 @@
     allocation,
     intake,
     placement,
-    pool as pools,
     prefix,
     replicas,
     requests,
     table,
 )
+from lavenderledge.policy import (
+    pool as pools,
+)
 
-TICK: typing.Final = datetime.timedelta(milliseconds=50)
-IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=250)
+_TICK_MS: typing.Final = 50
+TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
+_IDLE_TICK_MS: typing.Final = 250
+IDLE_TICK: typing.Final = datetime.timedelta(milliseconds=_IDLE_TICK_MS)
 POLICIES: typing.Final = placement.POLICIES
 
 ReplicaInfo: typing.TypeAlias = replicas.ReplicaInfo
--- a/lavenderledge/controllers/directory.py
+++ b/lavenderledge/controllers/directory.py
@@ -7,8 +7,8 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
 from lavenderledge.controllers import membership
-from lavenderledge.registry import instancelist
 from lavenderledge.policy import replicas
+from lavenderledge.registry import instancelist
 
 INSTANCE_KIND = 'instance'
 
--- a/lavenderledge/controllers/edit.py
+++ b/lavenderledge/controllers/edit.py
@@ -16,7 +16,6 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.controllers import table as controller
-from lavenderledge.registry import keyvalue, operations
 from lavenderledge.policy import (
     history,
     problems,
@@ -24,10 +23,12 @@
     tablecheck,
     tablemerge,
 )
+from lavenderledge.registry import keyvalue, operations
 
 HISTORY_PREFIX = 'lavenderledge/history/'
 MAX_TRIES = 1000
-MIN_PAUSE = datetime.timedelta(milliseconds=50)
+_MIN_PAUSE_MS = 50
+MIN_PAUSE = datetime.timedelta(milliseconds=_MIN_PAUSE_MS)
 MAX_PAUSE = datetime.timedelta(seconds=1)
 
 
--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -5,7 +5,6 @@
 import typing
 from collections import abc
 
-
 from lavenderledge import clock as clocks
 from lavenderledge import timing
 from lavenderledge.registry import store as stores
@@ -15,7 +14,8 @@
 _FIRST_PAUSE_S: typing.Final = 0.1
 _MOST_PAUSE_S: typing.Final = 1.2
 # How often a follower that is not needed looks whether it is.
-_IDLE_CHECK: typing.Final = timing.seconds(0.05)
+_IDLE_CHECK_S: typing.Final = 0.05
+_IDLE_CHECK: typing.Final = timing.seconds(_IDLE_CHECK_S)
 
 
 class Following(typing.NamedTuple):
--- a/lavenderledge/controllers/load.py
+++ b/lavenderledge/controllers/load.py
@@ -6,7 +6,6 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import timing
-
 from lavenderledge.policy import prefix, replicas
 from lavenderledge.upstreams import observation
 
--- a/lavenderledge/controllers/pasttable.py
+++ b/lavenderledge/controllers/pasttable.py
@@ -7,8 +7,8 @@
 import expression
 
 from lavenderledge.controllers import edit, table
-from lavenderledge.registry import keyvalue, operations
 from lavenderledge.policy import history, tablemerge
+from lavenderledge.registry import keyvalue, operations
 
 MAX_EDITS = 200
 
--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -16,7 +16,8 @@
 # An instance that can't renew is gone after this long, seconds; renewals are
 # cheap calls, three fit in.
 LEASE_S: typing.Final = 4.0
-_RENEW: typing.Final = datetime.timedelta(seconds=1.3)
+_RENEW_S: typing.Final = 1.3
+_RENEW: typing.Final = datetime.timedelta(seconds=_RENEW_S)
 _RETRY: typing.Final = datetime.timedelta(seconds=1)
 _ALLOCATOR_KEY: typing.Final = 'slots'
 # An instance is strong with this part of the strongest one's processor.
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -9,7 +9,8 @@
 from lavenderledge.peers import slots as messages
 from lavenderledge.policy import routes, slotgrants, slots, tokenbuckets
 
-TICK: typing.Final = datetime.timedelta(milliseconds=50)
+_TICK_MS: typing.Final = 50
+TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
 # An instance that has not reported for so long is forgotten, seconds; three
 # reports may be lost before.
 SILENCE_S: typing.Final = 2.0
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -10,7 +10,8 @@
 from lavenderledge import clock as clocks
 from lavenderledge.peers import slots as messages
 
-TICK: typing.Final = datetime.timedelta(milliseconds=50)
+_TICK_MS: typing.Final = 50
+TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
 REPORT_S: typing.Final = 0.5
 # An allocator that has not answered for so long is passed over, seconds: a
 # few round trips and ticks, far less than any objective.
--- a/lavenderledge/controllers/table.py
+++ b/lavenderledge/controllers/table.py
@@ -10,8 +10,8 @@
 from lavenderledge import logs
 from lavenderledge.controllers import tablecopy
 from lavenderledge.peers import messages
-from lavenderledge.registry import changes, operations
 from lavenderledge.policy import problems, table, tablecheck
+from lavenderledge.registry import changes, operations
 
 TABLE_KEY = 'lavenderledge/table'
 PEER_REQUEST_PERIOD = datetime.timedelta(seconds=1)
--- a/lavenderledge/controllers/tablefeed.py
+++ b/lavenderledge/controllers/tablefeed.py
@@ -14,10 +14,14 @@
 from lavenderledge.registry import keyvalue, operations, watches
 
 MIN_POLL_PERIOD = datetime.timedelta(seconds=10)
-POLL_PERIOD_PER_INSTANCE = datetime.timedelta(milliseconds=250)
+_POLL_PERIOD_PER_INSTANCE_MS = 250
+POLL_PERIOD_PER_INSTANCE = datetime.timedelta(
+    milliseconds=_POLL_PERIOD_PER_INSTANCE_MS
+)
 WATCH_IDLE_TIMEOUT = datetime.timedelta(seconds=60)
 WATCHER_CHECK_PERIOD = datetime.timedelta(seconds=2)
-MIN_BACKOFF = datetime.timedelta(milliseconds=500)
+_MIN_BACKOFF_MS = 500
+MIN_BACKOFF = datetime.timedelta(milliseconds=_MIN_BACKOFF_MS)
 MAX_BACKOFF = datetime.timedelta(seconds=10)
 
 _JITTER: typing.Final = 0.5
--- a/lavenderledge/daemon/admin.py
+++ b/lavenderledge/daemon/admin.py
@@ -1,5 +1,6 @@
 """The admin interface: liveness, readiness, status and metrics."""
 
+import http
 import typing
 from collections import abc
 
@@ -60,7 +61,7 @@
         health = read_health()
         return responses.JSONResponse(
             {'ready': health.ready, 'reasons': health.reasons},
-            status_code=200 if health.ready else _UNAVAILABLE,
+            status_code=http.HTTPStatus.OK if health.ready else _UNAVAILABLE,
         )
 
     return tell_ready
--- a/lavenderledge/daemon/callers.py
+++ b/lavenderledge/daemon/callers.py
@@ -16,7 +16,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-SEND_TIMEOUT = datetime.timedelta(seconds=30)
+_SEND_TIMEOUT_S = 30
+SEND_TIMEOUT = datetime.timedelta(seconds=_SEND_TIMEOUT_S)
 
 _BODY_TIMEOUT_S = 30.0
 _MOST_READERS = 256
--- a/lavenderledge/daemon/controllers.py
+++ b/lavenderledge/daemon/controllers.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from lavenderledge import clock as clocks
+from lavenderledge import outcomes
 from lavenderledge.controllers import (
     admission,
     allocator,
@@ -19,11 +20,10 @@
 from lavenderledge.daemon import settings as configuration
 from lavenderledge.daemon import tasks as background
 from lavenderledge.filters import exchange
-from lavenderledge import outcomes
 from lavenderledge.peers import link, messages
-from lavenderledge.registry import groupcommit, instancelist, keyvalue
 from lavenderledge.policy import rendezvous
 from lavenderledge.policy import table as tables
+from lavenderledge.registry import groupcommit, instancelist, keyvalue
 from lavenderledge.upstreams import observation
 
 TABLE_WATCHERS = 2
--- a/lavenderledge/filters/limit.py
+++ b/lavenderledge/filters/limit.py
@@ -8,7 +8,6 @@
 from lavenderledge import outcomes
 from lavenderledge.filters import exchange
 
-
 _RESERVE = 2
 
 
--- a/lavenderledge/filters/reading.py
+++ b/lavenderledge/filters/reading.py
@@ -1,5 +1,6 @@
 """Handlers for responses that were created before: read, resume, cancel."""
 
+import http
 import typing
 from collections import abc
 from urllib import parse
@@ -76,7 +77,11 @@
         )
         if await stream.cancel():
             return expression.Ok(
-                exchange.Answer(200, relay.JSON_HEADERS, b'{"cancelled":true}')
+                exchange.Answer(
+                    http.HTTPStatus.OK,
+                    relay.JSON_HEADERS,
+                    b'{"cancelled":true}',
+                )
             )
         return current.refuse(
             outcomes.Reason.UPSTREAM_LOST, 'the engine did not confirm'
--- a/lavenderledge/load/chart.py
+++ b/lavenderledge/load/chart.py
@@ -6,6 +6,9 @@
 
 from lavenderledge.load import report
 
+# Keeps a length of zero from dividing.
+_TINY = 1e-9
+
 _WIDTH_PX = 760
 _LABEL_PX = 180
 _BAR_PX = 18
@@ -29,7 +32,7 @@
         parts.append(_render_text(_GAP_PX, top + _BAR_PX, bars.name))
         top += _BAR_PX + _GAP_PX // 2
         for place, (label, size) in enumerate(bars.sizes.items()):
-            most = max(*bars.sizes.values(), 1e-9)
+            most = max(*bars.sizes.values(), _TINY)
             parts.append(_render_bar(top, place, label, size, most))
             top += _BAR_PX
         top += _GAP_PX
--- a/lavenderledge/load/client.py
+++ b/lavenderledge/load/client.py
@@ -10,7 +10,7 @@
 
 _PATIENCE_S = 10
 _OK = 200
-_CHUNK_BYTES = 1 << 16
+_CHUNK_BYTES = 65_536
 
 
 class Answer(typing.NamedTuple):
--- a/lavenderledge/load/core.py
+++ b/lavenderledge/load/core.py
@@ -14,6 +14,8 @@
     overhead,
     report,
     scenarios,
+)
+from lavenderledge.load import (
     settings as configuration,
 )
 from lavenderledge.standins import programs
--- a/lavenderledge/load/fairness.py
+++ b/lavenderledge/load/fairness.py
@@ -4,7 +4,11 @@
 
 from lavenderledge.load import (
     capacity as capacities,
+)
+from lavenderledge.load import (
     fleet as fleets,
+)
+from lavenderledge.load import (
     replay,
     report,
     scenarios,
@@ -15,9 +19,14 @@
 )
 from lavenderledge.policy import table
 
+# Keeps an answer of one event from dividing by zero.
+_TINY_S = 1e-9
+
 _WEIGHTS: typing.Final = {'heavy': 3.0, 'light': 1.0}
 _KIND = 'check'
-_BACKLOG = traces.Window(2, 12)
+_BACKLOG_FROM_S = 2
+_BACKLOG_UNTIL_S = 12
+_BACKLOG = traces.Window(_BACKLOG_FROM_S, _BACKLOG_UNTIL_S)
 _TOLERANCE = 0.1
 _TIMEOUT_S = 60.0
 _PAUSE_S = 1.0
@@ -54,7 +63,7 @@
     """
     if record.first_token_s is None or record.finished_s is None:
         return 0
-    length_s = max(record.finished_s - record.first_token_s, 1e-9)
+    length_s = max(record.finished_s - record.first_token_s, _TINY_S)
     overlap_s = min(record.finished_s, window.end_s) - max(
         record.first_token_s, window.start_s
     )
--- a/lavenderledge/load/overhead.py
+++ b/lavenderledge/load/overhead.py
@@ -6,7 +6,11 @@
 
 from lavenderledge.load import (
     capacity as capacities,
+)
+from lavenderledge.load import (
     fleet as fleets,
+)
+from lavenderledge.load import (
     replay,
     report,
     scenarios,
@@ -16,9 +20,13 @@
     workloads,
 )
 from lavenderledge.policy import rendezvous
-from lavenderledge.standins import batch
 
-_QUICK = batch.Speed(0.005, 64, 1_000_000, 256)
+# Percentiles that are shown.
+_MEDIAN = 50
+_SLOWEST = 99
+
+_QUICK_GAP_S = 0.005
+_QUICK = workloads.make_roomy_speed(_QUICK_GAP_S)
 _THIRD = 1 / 3
 # Loads, as parts of the fleet's capacity, and numbers of idle instances.
 _LOADS = (_THIRD, 2 / 3, 4 / 3)
@@ -141,8 +149,8 @@
     return {
         'requests': len(answers),
         'whole': sum(1 for answer in answers if answer.whole),
-        'first token p50, ms': first.read_ms(50),
-        'first token p99, ms': first.read_ms(99),
+        'first token p50, ms': first.read_ms(_MEDIAN),
+        'first token p99, ms': first.read_ms(_SLOWEST),
     }
 
 
--- a/lavenderledge/load/scenarios.py
+++ b/lavenderledge/load/scenarios.py
@@ -7,15 +7,21 @@
 from lavenderledge import clock as clocks
 from lavenderledge.load import (
     capacity as capacities,
+)
+from lavenderledge.load import (
     fleet as fleets,
+)
+from lavenderledge.load import (
     replay,
     report,
     requestlines,
-    settings as configuration,
     summary,
     targets,
     traces,
 )
+from lavenderledge.load import (
+    settings as configuration,
+)
 
 Progress: typing.TypeAlias = abc.Callable[[str], object]
 
--- a/lavenderledge/load/summary.py
+++ b/lavenderledge/load/summary.py
@@ -8,6 +8,10 @@
 from lavenderledge.load import client, replay, traces, truth, workloads
 from lavenderledge.load import fleet as fleets
 
+# Percentiles that are shown.
+_GAP_PERCENTILE = 95
+_LATE_PERCENTILE = 99
+
 FIRST_TOKEN_TARGET_S: typing.Final = 0.76
 
 _MOST_US = 600_000_000
@@ -139,7 +143,7 @@
             label = f'p{percentile}, ms'
             measures[f'{name} first token {label}'] = first.read_ms(percentile)
             measures[f'{name} whole answer {label}'] = whole.read_ms(percentile)
-        measures[f'{name} token gap p95, ms'] = gaps.read_ms(95)
+        measures[f'{name} token gap p95, ms'] = gaps.read_ms(_GAP_PERCENTILE)
 
 
 def count_first_s(answer: client.Answer) -> float:
@@ -198,7 +202,7 @@
         for name, cores in used.programs.items()
         if name.startswith('entry-')
     ]
-    measures['tool late p99, ms'] = late.read_ms(99)
+    measures['tool late p99, ms'] = late.read_ms(_LATE_PERCENTILE)
     measures['tool, cores'] = used.programs[fleets.TOOL_NAME]
     measures['instances, cores'] = sum(entries)
     measures['busiest instance, cores'] = max(entries, default=0)
--- a/lavenderledge/load/usage.py
+++ b/lavenderledge/load/usage.py
@@ -5,6 +5,12 @@
 import typing
 from collections import abc
 
+# Keeps an interval of zero from dividing.
+_TINY_S = 1e-9
+# Fields of /proc/PID/stat after the command, counted from zero.
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _KIB = 1024
 _IDLE_FIELDS = (3, 4)
@@ -50,9 +56,9 @@
 
     def read(self, now_s: float) -> Usage:
         """Return what the time since the beginning cost."""
-        elapsed_s = max(now_s - self._began_s, 1e-9)
+        elapsed_s = max(now_s - self._began_s, _TINY_S)
         machine = read_machine()
-        total_s = max(machine.total_s - self._machine.total_s, 1e-9)
+        total_s = max(machine.total_s - self._machine.total_s, _TINY_S)
         found = self._read_processes()
         return Usage(
             elapsed_s=elapsed_s,
@@ -85,7 +91,7 @@
     """Return one process's time and memory; raises ``OSError`` if gone."""
     directory = pathlib.Path('/proc') / str(pid)
     fields = (directory / 'stat').read_text().rpartition(')')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
     status = (directory / 'status').read_text()
     resident = next(
         int(line.split()[1])
--- a/lavenderledge/load/workloads.py
+++ b/lavenderledge/load/workloads.py
@@ -91,6 +91,11 @@
         )
 
 
+def make_roomy_speed(token_gap_s: float) -> batch.Speed:
+    """Return a speed that is bound by the gaps between tokens alone."""
+    return batch.Speed(token_gap_s, 64, 1_000_000, 256)
+
+
 _FAST = Engine(batch.Speed(0.02, 6, 8000, _MOST_RUNNING))
 _MIDDLE = Engine(batch.Speed(0.03, 5, 5000, _MOST_RUNNING))
 _SLOW = Engine(batch.Speed(0.045, 4, 3000, _MOST_RUNNING))
--- a/lavenderledge/logs.py
+++ b/lavenderledge/logs.py
@@ -19,7 +19,10 @@
 MOST_LINES: typing.Final = 3000
 # Of these, so many are kept for lines above the level of information.
 _KEPT_FOR_FAILURES: typing.Final = 500
-FLUSH_INTERVAL: typing.Final = datetime.timedelta(milliseconds=200)
+_FLUSH_INTERVAL_MS: typing.Final = 200
+FLUSH_INTERVAL: typing.Final = datetime.timedelta(
+    milliseconds=_FLUSH_INTERVAL_MS
+)
 _WRITE_LINES: typing.Final = 100
 
 
--- a/lavenderledge/peers/bounds.py
+++ b/lavenderledge/peers/bounds.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-Name: typing.TypeAlias = typing.Annotated[str, msgspec.Meta(max_length=256)]
+_MOST_CHARACTERS: typing.Final = 256
+
+Name: typing.TypeAlias = typing.Annotated[
+    str, msgspec.Meta(max_length=_MOST_CHARACTERS)
+]
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=1, le=4)]
 Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0)]
 Finite: typing.TypeAlias = typing.Annotated[
--- a/lavenderledge/peers/link.py
+++ b/lavenderledge/peers/link.py
@@ -24,7 +24,8 @@
 _MAX_BATCH = 64
 _FLUSH_INTERVAL_S = 0.01
 _SWEEP_INTERVAL = datetime.timedelta(seconds=5)
-_CLOSE_LINGER = datetime.timedelta(milliseconds=200)
+_CLOSE_LINGER_MS = 200
+_CLOSE_LINGER = datetime.timedelta(milliseconds=_CLOSE_LINGER_MS)
 _LOGGER = logging.getLogger(__name__)
 
 
--- a/lavenderledge/policy/allocation.py
+++ b/lavenderledge/policy/allocation.py
@@ -6,12 +6,16 @@
 from lavenderledge import outcomes
 from lavenderledge.policy import (
     cancellation,
-    options as rounds,
     placement,
-    pool as pools,
     replicas,
     requests,
 )
+from lavenderledge.policy import (
+    options as rounds,
+)
+from lavenderledge.policy import (
+    pool as pools,
+)
 
 # Flows of a tier that are looked at before lower tiers have their turn.
 _LOOK_AHEAD: typing.Final = 8
--- a/lavenderledge/policy/cancellation.py
+++ b/lavenderledge/policy/cancellation.py
@@ -5,11 +5,15 @@
 
 from lavenderledge.policy import (
     options as rounds,
+)
+from lavenderledge.policy import (
     placement,
-    pool as pools,
     preemption,
     requests,
 )
+from lavenderledge.policy import (
+    pool as pools,
+)
 
 # The most requests that are told to end for one tier in one round.
 _MOST_VICTIMS: typing.Final = 16
--- a/lavenderledge/policy/gossip.py
+++ b/lavenderledge/policy/gossip.py
@@ -13,7 +13,8 @@
 from lavenderledge.peers import messages
 
 SMALL_FLEET = 9
-_RING_SIZE = 2**64
+_RING_BITS = 64
+_RING_SIZE = 2**_RING_BITS
 _MIN_INTERVAL_S = 0.5
 _SMALL_TIMEOUT = datetime.timedelta(seconds=3)
 _SMALL_SAMPLE = 3
--- a/lavenderledge/policy/options.py
+++ b/lavenderledge/policy/options.py
@@ -6,10 +6,12 @@
 from lavenderledge.policy import (
     digests,
     placement,
-    pool as pools,
     replicas,
     requests,
 )
+from lavenderledge.policy import (
+    pool as pools,
+)
 
 _TOKENS_PER_BLOCK: typing.Final = digests.BLOCK_CHARS // 4
 
--- a/lavenderledge/policy/pool.py
+++ b/lavenderledge/policy/pool.py
@@ -6,7 +6,11 @@
 
 from lavenderledge.policy import (
     book as books,
+)
+from lavenderledge.policy import (
     intake as intakes,
+)
+from lavenderledge.policy import (
     limits,
     placement,
     prefix,
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -9,7 +9,8 @@
 # Route tiers beyond this count as the lowest.
 ROUTE_TIERS: typing.Final = 16
 
-_POINTS: typing.Final = 1 << 32
+_POINT_BITS: typing.Final = 32
+_POINTS: typing.Final = 1 << _POINT_BITS
 
 
 @enum.unique
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -24,7 +24,8 @@
 _LOOK_AHEAD: typing.Final = 6
 # No request is looked at for lateness more often than this, seconds.
 _SORT_INTERVAL_S: typing.Final = 0.02
-_POINTS: typing.Final = 1 << 32
+_POINT_BITS: typing.Final = 32
+_POINTS: typing.Final = 1 << _POINT_BITS
 
 
 class Granted(typing.NamedTuple):
--- a/lavenderledge/policy/tablecheck.py
+++ b/lavenderledge/policy/tablecheck.py
@@ -23,15 +23,20 @@
     most: float
 
 
+# Figures beyond these are taken for typing errors.
+_LEAST: typing.Final = 0.001
+_MOST: typing.Final = 1_000_000
+_DAY_S: typing.Final = 86_400
+
 RANGES: typing.Final[abc.Mapping[str, Range]] = {
     'tier': Range(1, 4),
-    'weight': Range(0.001, 1_000_000),
-    'rate': Range(0.001, 1_000_000),
-    'burst': Range(1, 1_000_000),
-    'concurrency': Range(1, 1_000_000),
-    'queue': Range(0, 1_000_000),
-    'timeout_s': Range(0.1, 86_400),
-    'output_tokens': Range(1, 1_000_000),
+    'weight': Range(_LEAST, _MOST),
+    'rate': Range(_LEAST, _MOST),
+    'burst': Range(1, _MOST),
+    'concurrency': Range(1, _MOST),
+    'queue': Range(0, _MOST),
+    'timeout_s': Range(0.1, _DAY_S),
+    'output_tokens': Range(1, _MOST),
 }
 
 
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -10,7 +10,7 @@
 
 # Plain answers up to this size are held until they are whole, so that one
 # that breaks off can still be repeated, bytes.
-_HELD_LIMIT_BYTES: typing.Final = 1 << 18
+_HELD_LIMIT_BYTES: typing.Final = 262_144
 _SUCCESS_CLASS: typing.Final = 2
 
 
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -6,7 +6,7 @@
 _END: typing.Final = re.compile(rb'\r?\n\r?\n')
 _ID: typing.Final = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 # Of a partial event no more than this is kept, bytes.
-_PARTIAL_LIMIT_BYTES: typing.Final = 1 << 20
+_PARTIAL_LIMIT_BYTES: typing.Final = 1_048_576
 
 
 class EventSplitter:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -29,18 +29,24 @@
 # request still has to reach its replica, and a watch may lag by a second.
 _REVOCATION_MARGIN_S: typing.Final = 1.0
 _SWEEP: typing.Final = timing.seconds(0.5)
-_STARTUP_RETRY: typing.Final = timing.seconds(0.2)
+_STARTUP_RETRY_S: typing.Final = 0.2
+_STARTUP_RETRY: typing.Final = timing.seconds(_STARTUP_RETRY_S)
 # The balancer asks every second and takes an instance out after two misses.
 _NOTICE_S: typing.Final = 3.0
 # What is left of the grace period when running requests are cut, seconds.
 _CUT_MARGIN_S: typing.Final = 0.4
-_IDLE_CHECK: typing.Final = timing.seconds(0.05)
-# In force until the first configuration brings its own.
+_IDLE_CHECK_S: typing.Final = 0.05
+_IDLE_CHECK: typing.Final = timing.seconds(_IDLE_CHECK_S)
+# In force until the first configuration brings its own; bytes and seconds.
+_START_HEADER_BYTES: typing.Final = 16_384
+_START_BODY_BYTES: typing.Final = 4_194_304
+_START_HEADER_S: typing.Final = 3.0
+_START_IDLE_S: typing.Final = 15.0
 _START_BOUNDS: typing.Final = server.Bounds(
-    header_bytes=16384,
-    body_bytes=4 << 20,
-    header_timeout_s=3.0,
-    idle_timeout_s=15.0,
+    header_bytes=_START_HEADER_BYTES,
+    body_bytes=_START_BODY_BYTES,
+    header_timeout_s=_START_HEADER_S,
+    idle_timeout_s=_START_IDLE_S,
 )
 _MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
--- a/lavenderledge/registry/gateway.py
+++ b/lavenderledge/registry/gateway.py
@@ -12,7 +12,6 @@
 
 from lavenderledge.registry import changes, operations, shapes
 
-
 Shape = typing.TypeVar('Shape')
 Json: typing.TypeAlias = dict[str, object]
 
--- a/lavenderledge/standins/admin.py
+++ b/lavenderledge/standins/admin.py
@@ -6,6 +6,7 @@
 
 import collections
 import functools
+import http
 import typing
 from collections import abc
 
@@ -108,6 +109,12 @@
     )
 
 
+def reply_health(body: object, *, is_well: bool) -> responses.Response:
+    """Return a JSON answer with the status of a health check."""
+    well, ill = http.HTTPStatus.OK, http.HTTPStatus.SERVICE_UNAVAILABLE
+    return reply(body, well if is_well else ill)
+
+
 async def read_object(request: requests.Request) -> dict[str, typing.Any]:
     """Return a request's JSON object; raises ``msgspec.MsgspecError``."""
     return msgspec.json.decode(await request.body(), type=dict[str, typing.Any])
--- a/lavenderledge/standins/engineapp.py
+++ b/lavenderledge/standins/engineapp.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import http
 import typing
 from collections import abc
 
@@ -29,11 +30,23 @@
     message: str
 
 
-_UNKNOWN = EngineError(404, 'response_not_found', 'no such response')
-_OVERLOADED = EngineError(503, 'overloaded', 'no new requests are taken')
-_KNOWN = EngineError(409, 'duplicate_request_id', 'request_id is in use')
-_FENCED = EngineError(409, 'stale_fencing', 'the fencing number is old')
-_NO_MODEL = EngineError(404, 'model_not_found', 'no such model')
+_UNKNOWN = EngineError(
+    http.HTTPStatus.NOT_FOUND, 'response_not_found', 'no such response'
+)
+_OVERLOADED = EngineError(
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    'overloaded',
+    'no new requests are taken',
+)
+_KNOWN = EngineError(
+    http.HTTPStatus.CONFLICT, 'duplicate_request_id', 'request_id is in use'
+)
+_FENCED = EngineError(
+    http.HTTPStatus.CONFLICT, 'stale_fencing', 'the fencing number is old'
+)
+_NO_MODEL = EngineError(
+    http.HTTPStatus.NOT_FOUND, 'model_not_found', 'no such model'
+)
 
 
 def build_app(served: engine.Engine) -> types.ASGIApp:
@@ -138,7 +151,7 @@
         'model': served.settings.model,
         'replica': served.settings.replica,
     }
-    return admin.reply(body, 503 if served.panel.switches.unhealthy else 200)
+    return admin.reply_health(body, is_well=not served.panel.switches.unhealthy)
 
 
 async def _take_order(
@@ -164,7 +177,9 @@
 
 
 def _refuse_malformed(message: str) -> responses.Response:
-    return _refuse(EngineError(400, 'invalid_request', message))
+    return _refuse(
+        EngineError(http.HTTPStatus.BAD_REQUEST, 'invalid_request', message)
+    )
 
 
 def _refuse(error: EngineError) -> responses.Response:
--- a/lavenderledge/standins/plain.py
+++ b/lavenderledge/standins/plain.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 import hashlib
+import http
 import typing
 
 from starlette import applications, requests, responses, routing, types
@@ -75,7 +76,9 @@
         if self.panel.take('close_before'):
             return connection.drop
         if self.panel.switches.refuse:
-            refusal = admin.reply({'error': 'refused'}, 503)
+            refusal = admin.reply(
+                {'error': 'refused'}, http.HTTPStatus.SERVICE_UNAVAILABLE
+            )
             refusal.headers['Retry-After'] = '1'
             return refusal
         run = self._record(request)
@@ -88,7 +91,9 @@
         if self.panel.take('close_after'):
             return connection.drop
         if self.panel.switches.fail:
-            return admin.reply({'error': 'failed'}, 500)
+            return admin.reply(
+                {'error': 'failed'}, http.HTTPStatus.INTERNAL_SERVER_ERROR
+            )
         return admin.reply(self._build_echo(run, body))
 
     def _record(self, request: requests.Request) -> Run:
@@ -141,4 +146,4 @@
 async def _show_health(
     service: Plain, request: requests.Request
 ) -> responses.Response:
-    return admin.reply({}, 503 if service.panel.switches.unhealthy else 200)
+    return admin.reply_health({}, is_well=not service.panel.switches.unhealthy)
--- a/lavenderledge/standins/refusals.py
+++ b/lavenderledge/standins/refusals.py
@@ -2,6 +2,9 @@
 
 import typing
 
+# The status code of gRPC for a service that is unavailable.
+_UNAVAILABLE_CODE = 14
+
 
 class StoreError(typing.NamedTuple):
     """A request that the store refuses; ``code`` is a gRPC status."""
@@ -19,4 +22,4 @@
 LEASE_UNKNOWN = StoreError(5, 'etcdserver: requested lease not found')
 LEASE_EXISTS = StoreError(9, 'etcdserver: lease already exists')
 MALFORMED = StoreError(3, 'malformed request')
-UNAVAILABLE = StoreError(14, 'etcdserver: no leader')
+UNAVAILABLE = StoreError(_UNAVAILABLE_CODE, 'etcdserver: no leader')
--- a/lavenderledge/upstreams/connection.py
+++ b/lavenderledge/upstreams/connection.py
@@ -7,7 +7,7 @@
 import aiohttp
 import expression
 
-_READ_BUFFER_BYTES = 1 << 20
+_READ_BUFFER_BYTES = 1_048_576
 
 BeforeFirstByte = abc.Callable[[], bool]
 
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -1,6 +1,7 @@
 """Responses of a model engine: create, read with resume, cancel."""
 
 import enum
+import http
 import typing
 from collections import abc
 
@@ -16,7 +17,7 @@
 _JSON_HEADERS = {'Content-Type': 'application/json', **_ACCEPT_STREAM}
 _RESUME_PAUSE_S = 0.5
 _NOT_FOUND = 404
-_CHUNK_LIMIT_BYTES = 1 << 22
+_CHUNK_LIMIT_BYTES = 4_194_304
 
 
 class Refused(typing.NamedTuple):
@@ -160,7 +161,7 @@
     async def _accept(
         self, response: aiohttp.ClientResponse
     ) -> 'expression.Result[None, CreateFailure]':
-        if response.status == 200:
+        if response.status == http.HTTPStatus.OK:
             self._response = response
             return expression.Ok(None)
         try:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -103,7 +103,7 @@
 
         async def is_full():
             found = await running.read_json('entry-0', '/status')
-            return found['waiting'] >= 1
+            return found['waiting'] + found['running'] >= 4
 
         await processes.wait_for(is_full)
         plans = await asyncio.gather(
