A replica closes for longer with each try that fails

Cause: a grant to a replica that had failed closed it again before the answer came, so that a failure within that time counted as one of those that were already on their way; the pause stayed at 0.2 s whatever failed. Change: the failure of the one request that tries the replica counts. Before: closed 0.2, 0.2, 0.2, 0.2 s; after: 0.2, 0.4, 0.8, 1.6 s (test).

--- a/lavenderledge/policy/pacing.py
+++ b/lavenderledge/policy/pacing.py
@@ -100,6 +100,7 @@
         self._word = 1.0
         self._word_at_s = float('-inf')
         self._failures = 0
+        self._is_tried = False
         self._closed_until_s = float('-inf')
 
     def is_open(self, now_s: float) -> bool:
@@ -109,6 +110,7 @@
     def note_granted(self, now_s: float) -> None:
         """Let one request try a replica that failed, and no more for now."""
         if self._failures:
+            self._is_tried = True
             self._closed_until_s = now_s + self._closed_s()
 
     def note_answer(
@@ -128,11 +130,20 @@
             self._word_at_s = now_s
 
     def note_failure(self, now_s: float) -> None:
-        """Close for longer with each failure in a row."""
-        if self.is_open(now_s) or not self._failures:
+        """Close for longer with each try that fails.
+
+        Requests that were on their way at the first failure say nothing new.
+        """
+        if self._is_tried or self.is_open(now_s):
+            self._is_tried = False
             self._failures = min(self._failures + 1, _MOST_DOUBLINGS)
         self._closed_until_s = now_s + self._closed_s()
 
+    @property
+    def failures(self) -> int:
+        """Return how many requests failed in a row, up to a bound."""
+        return self._failures
+
     @property
     def factor(self) -> float:
         """Return the first byte's time against the service's usual."""
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import slotgrants, slots
+from lavenderledge.policy import pacing, slotgrants, slots
 
 SERVICE = 'model'
 PLAN, CHECK, NOTE = 16, 17, 18
@@ -128,6 +128,24 @@
     assert list_granted(book, 0.35) == []
 
 
+def test_each_try_that_fails_closes_a_replica_for_longer():
+    pace = pacing.Pace(cold_until_s=0)
+    now_s = 0
+    closed = []
+    for _ in range(4):
+        # Those that were on their way say nothing new.
+        for _ in range(3):
+            pace.note_failure(now_s)
+        closed_s = 0
+        while not pace.is_open(now_s + closed_s):
+            closed_s += 0.05
+        closed.append(round(closed_s, 1))
+        now_s += closed_s
+        pace.note_granted(now_s)
+        now_s += 0.02
+    assert closed == [0.2, 0.4, 0.8, 1.6]
+
+
 def test_an_excluded_replica_is_never_granted():
     book = make_book(('i-0', 'i-1'), slots_count=3)
     wanted = make_wanted('x', excluded=('i-0',))
