Histograms, a schema of events, and what is told of replicas

Cause: the page for on-call named one histogram, events had no list that a test compares, nobody was told that a replica fails, and no figure said what logs cost. Change: histograms of waiting, whole answers, runs, store calls, peers' round trips and how late the process runs; logevents.SCHEMA, compared with the code, with a played instance at debug level and with docs/OPERATIONS.md; a search for keys and the fleet's secret in lines and metrics; upstream_lost and upstream_regained; the allocator's decisions at debug level. The stand-in of the store tells of each key the newest state only, as the platform does.

--- a/lavenderledge/capacity/core.py
+++ b/lavenderledge/capacity/core.py
@@ -19,6 +19,7 @@
     gossiping,
     idling,
     linking,
+    logline,
     relaying,
     tables,
 )
@@ -55,6 +56,7 @@
     'table': tables.measure_table,
     'list': tables.measure_list,
     'claims': committing.measure,
+    'log': logline.measure,
     'relay': relaying.measure,
     'membership': gossiping.measure,
     'cold-start': gossiping.measure_cold_start,
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import datetime
+import logging
 import typing
 from collections import abc
 
 from lavenderledge import clock as clocks
+from lavenderledge import logs
 from lavenderledge.peers import slots as messages
 from lavenderledge.policy import routes, slotgrants, slots, tokenbuckets
 
@@ -21,6 +23,12 @@
 # Ages are told up to this, seconds.
 _MOST_AGE_S: typing.Final = 3600.0
 
+# A replica that failed so many requests in a row is told as lost: a single one
+# may fail for a reason of its own.
+_LOST_FAILURES: typing.Final = 2
+_MILLISECONDS: typing.Final = 1000
+_LOGGER = logging.getLogger(__name__)
+
 # Outcomes of a reading, as they go between instances.
 ANSWERED: typing.Final = 0
 REFUSED: typing.Final = 1
@@ -185,6 +193,15 @@
         reading = release.reading
         if holding is None or reading is None:
             return
+        replica = self.book.find_replica(holding.replica)
+        before = replica.pace.failures if replica else 0
+        self._learn(holding, reading, now_s)
+        if replica is not None:
+            self._tell_failing(replica, before)
+
+    def _learn(
+        self, holding: slots.Holding, reading: messages.Reading, now_s: float
+    ) -> None:
         if reading.outcome == ANSWERED:
             self.book.note_answer(
                 holding,
@@ -195,6 +212,15 @@
         else:
             self.book.note_failure(holding, now_s)
 
+    def _tell_failing(self, replica: slots.Replica, before: int) -> None:
+        """Log that a replica began to fail requests, or answers again."""
+        failures = replica.pace.failures
+        name = replica.info.name
+        if before < _LOST_FAILURES <= failures:
+            self._log('upstream_lost', replica=name, failures=failures)
+        elif before >= _LOST_FAILURES and not failures:
+            self._log('upstream_regained', replica=name)
+
     def _take_report(
         self, sender: _Sender, report: messages.Report, now_s: float
     ) -> None:
@@ -276,6 +302,12 @@
             self.book, self._clock.read_monotonic()
         )
         for each in granted:
+            self._log_decision(
+                'slot_granted',
+                id=each.request_id,
+                sender=each.sender,
+                replica=each.replica,
+            )
             self._send(
                 each.sender,
                 messages.Grant(
@@ -286,6 +318,13 @@
             self._refuse(turned_away)
 
     def _refuse(self, refused: slotgrants.Refused) -> None:
+        self._log_decision(
+            'slot_refused',
+            id=refused.request_id,
+            sender=refused.sender,
+            reason=refused.reason,
+            retry_after_ms=round(refused.retry_after_s * _MILLISECONDS),
+        )
         self._send(
             refused.sender,
             messages.Refusal(
@@ -295,3 +334,23 @@
                 refused.retry_after_s,
             ),
         )
+
+    def _log_decision(self, event: str, **fields: object) -> None:
+        """Tell a decision with what it rested on, when debugging."""
+        if not _LOGGER.isEnabledFor(logging.DEBUG):
+            return
+        list_age_s = self._beliefs.read_knowledge().list_age_s
+        self._log(
+            event,
+            level=logging.DEBUG,
+            **fields,
+            share=round(self.book.share, 2),
+            list_age_ms=round(min(list_age_s, _MOST_AGE_S) * _MILLISECONDS),
+        )
+
+    def _log(
+        self, event: str, *, level: int = logging.INFO, **fields: object
+    ) -> None:
+        logs.write_event(
+            _LOGGER, event, level=level, instance=self._instance, **fields
+        )
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -49,6 +49,20 @@
 Verdict: typing.TypeAlias = expression.Result[Slot, Denial]
 
 
+class Notes(typing.NamedTuple):
+    """Who is told what the requester meets.
+
+    ``allocator_changed`` gets the former and the new allocator,
+    ``knowledge_heard`` the version that the allocator knows and the time from
+    which on it was confirmed, ``report_echoed`` the seconds from a report to
+    its first echo.
+    """
+
+    allocator_changed: abc.Callable[[str, str], None]
+    knowledge_heard: abc.Callable[[int, float], None]
+    report_echoed: abc.Callable[[float], None]
+
+
 class _Entry:
     def __init__(
         self,
@@ -89,22 +103,17 @@
         clock: clocks.Clock,
         send: Send,
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
-        note_allocator: abc.Callable[[str, str], None],
-        note_knowledge: abc.Callable[[int, float], None],
+        notes: Notes,
     ) -> None:
-        """Hold nothing yet; ``note_allocator`` is told of each change.
-
-        ``note_knowledge`` gets the version that the allocator knows and the
-        time from which on it was confirmed.
-        """
+        """Hold nothing yet."""
         self._instance = instance
         self._address = address
         self._read_incarnation = read_incarnation
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
-        self._note_allocator = note_allocator
-        self._note_knowledge = note_knowledge
+        self._notes = notes
+        self._echoed_s = float('-inf')
         self._entries: dict[str, _Entry] = {}
         self._allocator = instance
         self._asked_s: float | None = None
@@ -210,7 +219,7 @@
         first = self._find_first(ranked)
         if first == self._allocator:
             return
-        self._note_allocator(self._allocator, first)
+        self._notes.allocator_changed(self._allocator, first)
         self._allocator = first
         self._asked_s = None
         now_s = self._clock.read_monotonic()
@@ -289,8 +298,13 @@
             self._listed_s[beat.sender] = now_s - beat.list_age_s
         else:
             self._listed_s.pop(beat.sender, None)
-        if beat.stamp_s is not None:
-            self._note_knowledge(beat.version, beat.stamp_s - beat.age_s)
+        if beat.stamp_s is None:
+            return
+        self._notes.knowledge_heard(beat.version, beat.stamp_s - beat.age_s)
+        if beat.stamp_s > self._echoed_s:
+            self._echoed_s = beat.stamp_s
+            now_s = self._clock.read_monotonic()
+            self._notes.report_echoed(now_s - beat.stamp_s)
 
     def _take_grant(self, grant: messages.Grant) -> None:
         entry = self._entries.get(grant.request_id)
--- a/lavenderledge/daemon/callers.py
+++ b/lavenderledge/daemon/callers.py
@@ -216,7 +216,7 @@
         tier = 0 if current.row is None else current.row.tier
         waited_s = self._clock.read_monotonic() - current.call.received_s
         self._metrics.count('answers', status=answer.status, tier=tier)
-        self._metrics.observe_first_byte(waited_s, tier=tier)
+        self._metrics.observe('first_byte', waited_s, tier=tier)
 
     def _note_refusal(
         self, current: exchange.Exchange, refusal: outcomes.Refusal
--- a/lavenderledge/daemon/metrics.py
+++ b/lavenderledge/daemon/metrics.py
@@ -1,5 +1,6 @@
 """The metrics that an instance exposes."""
 
+import types
 import typing
 from collections import abc
 
@@ -12,22 +13,34 @@
     '_Collector', aioprometheus.Counter, aioprometheus.Gauge
 )
 
-_FIRST_BYTE_BUCKETS_S = (
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.76, 1.0, 2.5, 5.0, 10.0, 30.0,
+# Bounds of the buckets, seconds: objectives of the users' routes are among
+# them, and the network's round trips.
+_BUCKETS_S = (
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.76, 1.0, 2.5,
+    5.0, 10.0, 30.0,
 )  # fmt: skip
 
+_HISTOGRAMS: typing.Final = types.MappingProxyType(
+    {
+        'first_byte': 'Time from a request to the first byte of its answer',
+        'waiting': 'Time that a request waited for a slot of a replica',
+        'whole_answer': 'Time from a request to the end of its answer',
+        'upstream_first_byte': 'Time from sending to the first byte of a run',
+        'store_call': 'Time of a call to the store that does not wait',
+        'peer_round_trip': 'Time from a report to the answer that echoes it',
+        'loop_delay': 'Time by which the process ran late: all it relays waits',
+    }
+)
+
 
 class Metrics:
-    """Counters and gauges by name, made at their first use."""
+    """Counters, gauges and histograms by name, made at their first use."""
 
     def __init__(self) -> None:
         """Start with a registry of its own."""
         self._registry = aioprometheus.Registry()
         self._collectors: dict[str, typing.Any] = {}
-        self._waits = self._build_histogram(
-            'first_byte_seconds',
-            'Time from a request to the first byte of its answer',
-        )
+        self._histograms: dict[str, aioprometheus.Histogram] = {}
 
     def count(self, name: str, **labels: object) -> None:
         """Add one to the counter of this name."""
@@ -43,9 +56,16 @@
         gauge = self._find(aioprometheus.Gauge, name)
         gauge.set(_write_labels(labels), amount)
 
-    def observe_first_byte(self, seconds: float, *, tier: int) -> None:
-        """Record how long a caller waited for the first byte."""
-        self._waits.observe({'tier': str(tier)}, seconds)
+    def observe(self, name: str, seconds: float, **labels: object) -> None:
+        """Record a time in the histogram of this name.
+
+        Raises KeyError where no such histogram is described.
+        """
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._build_histogram(name)
+            self._histograms[name] = histogram
+        histogram.observe(_write_labels(labels), seconds)
 
     def render(
         self, accepts: abc.Sequence[str]
@@ -65,12 +85,12 @@
             self._collectors[name] = collector
         return collector
 
-    def _build_histogram(self, name: str, text: str) -> aioprometheus.Histogram:
+    def _build_histogram(self, name: str) -> aioprometheus.Histogram:
         return aioprometheus.Histogram(
-            f'{PREFIX}{name}',
-            text,
+            f'{PREFIX}{name}_seconds',
+            _HISTOGRAMS[name],
             registry=self._registry,
-            buckets=(*_FIRST_BYTE_BUCKETS_S, float('inf')),
+            buckets=(*_BUCKETS_S, float('inf')),
         )
 
 
--- /dev/null
+++ b/lavenderledge/logevents.py
@@ -0,0 +1,60 @@
+"""The events of routed instances' logs, and the fields of each.
+
+Every line also has ``time``, ``level`` and ``event``.
+"""
+
+import types
+import typing
+from collections import abc
+
+REQUEST: typing.Final = 'request'
+
+
+def _list_fields(names: str) -> frozenset[str]:
+    return frozenset(names.split())
+
+
+SCHEMA: typing.Final[abc.Mapping[str, frozenset[str]]] = types.MappingProxyType(
+    {
+        # Requests. Ages and times in milliseconds; the age is that of the
+        # configuration ``version`` by which the request was judged.
+        REQUEST: _list_fields(
+            'id route service customer rank status outcome reason replica '
+            'sends runs excluded failure waited_ms first_ms total_ms version '
+            'age_ms allocator'
+        ),
+        # The allocator's decisions, at the level of debugging.
+        'slot_granted': _list_fields(
+            'instance id sender replica share list_age_ms'
+        ),
+        'slot_refused': _list_fields(
+            'instance id sender reason retry_after_ms share list_age_ms'
+        ),
+        # What is believed.
+        'configuration_accepted': _list_fields('instance version revision'),
+        'configuration_unreadable': _list_fields('instance detail'),
+        'replicas_listed': _list_fields('instance count'),
+        'replicas_changed': _list_fields('instance gone new usable'),
+        # What an instance depends on.
+        'store_lost': _list_fields('instance prefix fault detail'),
+        'store_regained': _list_fields('instance prefix'),
+        'allocator_changed': _list_fields('instance before after'),
+        'upstream_lost': _list_fields('instance replica failures'),
+        'upstream_regained': _list_fields('instance replica'),
+        'peer_address_invalid': _list_fields('instance address error'),
+        'peer_handler_failed': _list_fields('kind exception'),
+        'peer_key_unknown': _list_fields('address'),
+        # The life of the process.
+        'instance_started': _list_fields('instance listen'),
+        'instance_joined': _list_fields('instance incarnation'),
+        'link_failed': _list_fields('instance detail'),
+        'reloaded': _list_fields('instance log_level'),
+        'reload_failed': _list_fields('instance problems'),
+        'stop_requested': _list_fields('instance connections'),
+        'instance_stopped': _list_fields('instance cut'),
+        'lines_dropped': _list_fields('count'),
+        'handler_failed': _list_fields('exception'),
+        'loop_failed': _list_fields('loop exception'),
+        'detached_failed': _list_fields('error'),
+    }
+)
--- a/lavenderledge/logs.py
+++ b/lavenderledge/logs.py
@@ -71,6 +71,11 @@
         self._told = 0
         os.set_blocking(descriptor, False)
 
+    @property
+    def has_lines(self) -> bool:
+        """Return whether lines still wait for the reader."""
+        return bool(self._rest or self._lines)
+
     def emit(self, record: logging.LogRecord) -> None:
         """Keep a record's line, or count it as dropped."""
         most = MOST_LINES
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -154,11 +154,18 @@
         holding = self.holdings.pop(request_id, None)
         if holding is None:
             return None
+        replica = self.find_replica(holding.replica)
+        if replica is not None:
+            replica.held -= 1
+        return holding
+
+    def find_replica(self, name: str) -> Replica | None:
+        """Return a replica by its name, None where it is not listed."""
         for service in self.services.values():
-            replica = service.replicas.get(holding.replica)
+            replica = service.replicas.get(name)
             if replica is not None:
-                replica.held -= 1
-        return holding
+                return replica
+        return None
 
     def note_answer(
         self,
@@ -188,10 +195,9 @@
 
     def note_failure(self, holding: Holding, now_s: float) -> None:
         """Learn from a request that its replica failed or turned away."""
-        for service in self.services.values():
-            replica = service.replicas.get(holding.replica)
-            if replica is not None:
-                replica.pace.note_failure(now_s)
+        replica = self.find_replica(holding.replica)
+        if replica is not None:
+            replica.pace.note_failure(now_s)
 
     def _relist(
         self, service: Service, infos: dict[str, ReplicaInfo], now_s: float
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -108,7 +108,7 @@
             return
         self._prepare()
         while not self.is_answered:
-            verdict = await self._tools.requester.acquire(self._build_wanted())
+            verdict = await self._acquire()
             if verdict.is_error():
                 self._take_denial(verdict.error)
                 return
@@ -117,12 +117,18 @@
     def log(self, ending: Ending) -> None:
         """Write the request's line and count it."""
         tools = self._tools
+        now_s = tools.clock.read_monotonic()
         tools.metrics.count(
             'requests', outcome=ending.outcome, reason=ending.reason
         )
+        tools.metrics.observe(
+            'whole_answer',
+            now_s - self._trail.started_s,
+            outcome=ending.outcome,
+        )
         self._trail.write(
             ending,
-            now_s=tools.clock.read_monotonic(),
+            now_s=now_s,
             age_s=tools.configuration.age_s(),
             allocator=tools.requester.allocator,
         )
@@ -232,6 +238,16 @@
             parts=self._call.parts,
         )
 
+    async def _acquire(self) -> slotrequester.Verdict:
+        asked_s = self._tools.clock.read_monotonic()
+        verdict = await self._tools.requester.acquire(self._build_wanted())
+        self._tools.metrics.observe(
+            'waiting',
+            self._tools.clock.read_monotonic() - asked_s,
+            outcome='granted' if verdict.is_ok() else 'refused',
+        )
+        return verdict
+
     def _find_start_end_s(self) -> float:
         """Return when a slot is of no use to the caller any more."""
         route = self._find_standing().route
@@ -368,6 +384,8 @@
         self, attempt: attempts.Attempt, outcome: attempts.Result | None
     ) -> slotmessages.Reading:
         line = self._trail
+        if attempt.pieces:
+            self._tools.metrics.observe('upstream_first_byte', attempt.first_s)
         if attempt.pieces and line.first_byte_s is None:
             line.first_byte_s = attempt.begun_s + attempt.first_s
         if outcome is attempts.Result.NOT_RUN:
@@ -393,8 +411,10 @@
     def _deliver(self, attempt: attempts.Attempt) -> None:
         line = self._trail
         if line.first_byte_s is not None and line.rank is not None:
-            self._tools.metrics.observe_first_byte(
-                line.first_byte_s - line.started_s, tier=line.rank
+            self._tools.metrics.observe(
+                'first_byte',
+                line.first_byte_s - line.started_s,
+                tier=line.rank,
             )
         self.log(Ending(attempt.status, 'answered', ''))
         if attempt.held is not None:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -22,6 +22,7 @@
 from lavenderledge.policy import retrybudget, routes, tokenbuckets
 from lavenderledge.proxy import exchange, forwarding, watching
 from lavenderledge.proxy import settings as configuration
+from lavenderledge.registry import timed
 
 SECRET_KEY: typing.Final = 'lavenderledge/peer-secret'
 
@@ -69,8 +70,10 @@
         self._metrics = meters.Metrics()
         self._tasks = background.Tasks(clock=clock, count=self._metrics.count)
         self._pool = client.Pool(clock=clock, count=self._metrics.count)
-        self._store = platform.open_store(
-            str(settings.store), self._pool, clock
+        self._store = timed.TimedStore(
+            store=platform.open_store(str(settings.store), self._pool, clock),
+            clock=clock,
+            note=self._note_store_call,
         )
         self._incarnation = 0
         self._link: link.PeerLink | None = None
@@ -95,8 +98,13 @@
             clock=clock,
             send=self._send,
             rank_allocators=self._registration.rank_allocators,
-            note_allocator=self._note_allocator,
-            note_knowledge=self._watching.note_knowledge,
+            notes=slotrequester.Notes(
+                self._note_allocator,
+                self._watching.note_knowledge,
+                lambda seconds: self._metrics.observe(
+                    'peer_round_trip', seconds
+                ),
+            ),
         )
         self._allocator = slotallocator.SlotAllocator(
             instance=settings.instance,
@@ -275,7 +283,10 @@
             self._ready.sweep()
             self._exposition.sweep()
             self._pool.sweep()
+            due_s = self._clock.read_monotonic() + _SWEEP.total_seconds()
             await self._clock.sleep(_SWEEP)
+            late_s = self._clock.read_monotonic() - due_s
+            self._metrics.observe('loop_delay', max(0, late_s))
 
     async def _listen(
         self, bound: listener.Listener, address: typing.Any
@@ -306,6 +317,11 @@
             note_error=self._note_error,
         )
 
+    def _note_store_call(self, name: str, seconds: float, outcome: str) -> None:
+        self._metrics.count('store_calls', call=name, outcome=outcome)
+        if name != 'watch':
+            self._metrics.observe('store_call', seconds, call=name)
+
     def _note_error(self, error: BaseException) -> None:
         self._metrics.count('handler_failures')
         _LOGGER.error('handler_failed', exc_info=error)
@@ -388,7 +404,3 @@
             settings.retry_window_s,
         ),
     )
-
-
-def _is_always_needed() -> bool:
-    return True
--- a/lavenderledge/proxy/trail.py
+++ b/lavenderledge/proxy/trail.py
@@ -3,7 +3,7 @@
 import logging
 import typing
 
-from lavenderledge import logs
+from lavenderledge import logevents, logs
 
 _MILLISECONDS: typing.Final = 1000
 # Ages are told up to this, seconds.
@@ -56,7 +56,7 @@
         failed = ending.outcome != 'answered'
         logs.write_event(
             _LOGGER,
-            'request',
+            logevents.REQUEST,
             level=logging.WARNING if failed else logging.INFO,
             id=self.request_id,
             route=self.route,
--- /dev/null
+++ b/lavenderledge/registry/timed.py
@@ -0,0 +1,75 @@
+"""A store whose calls are timed."""
+
+import typing
+from collections import abc
+
+import expression
+
+from lavenderledge import clock as clocks
+from lavenderledge.registry import store as stores
+
+_Answer = typing.TypeVar('_Answer')
+_Outcome: typing.TypeAlias = expression.Result[_Answer, stores.StoreFailure]
+
+# Gets a call's name, its seconds and how it ended: a fault's name or "ok".
+Note: typing.TypeAlias = abc.Callable[[str, float, str], object]
+
+
+class TimedStore:
+    """Passes calls on and tells how long each took.
+
+    Watches wait on purpose; of them only the outcome says something.
+    """
+
+    def __init__(
+        self, *, store: stores.Store, clock: clocks.Clock, note: Note
+    ) -> None:
+        """Pass calls on to ``store``."""
+        self._store = store
+        self._clock = clock
+        self._note = note
+
+    async def list_keys(self, prefix: str) -> stores.Listed:
+        """Return the keys of a prefix."""
+        return await self._time('list', self._store.list_keys(prefix))
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> stores.Listed:
+        """Return the changes after a revision; none once the wait is over."""
+        return await self._time(
+            'watch', self._store.watch(prefix, after=after, wait_s=wait_s)
+        )
+
+    async def create(self, key: str, content: bytes) -> _Outcome[None]:
+        """Write a key that does not exist."""
+        return await self._time('create', self._store.create(key, content))
+
+    async def put(
+        self, key: str, content: bytes, *, lease: int
+    ) -> _Outcome[None]:
+        """Write a key that goes with a lease."""
+        return await self._time(
+            'put', self._store.put(key, content, lease=lease)
+        )
+
+    async def open_lease(self, ttl_s: float) -> _Outcome[int]:
+        """Return a new lease's id."""
+        return await self._time('open_lease', self._store.open_lease(ttl_s))
+
+    async def keep_lease(self, lease: int) -> _Outcome[None]:
+        """Renew a lease."""
+        return await self._time('keep_lease', self._store.keep_lease(lease))
+
+    async def end_lease(self, lease: int) -> _Outcome[None]:
+        """End a lease with its keys."""
+        return await self._time('end_lease', self._store.end_lease(lease))
+
+    async def _time(
+        self, name: str, call: abc.Awaitable[_Outcome[_Answer]]
+    ) -> _Outcome[_Answer]:
+        begun_s = self._clock.read_monotonic()
+        answer = await call
+        outcome = answer.error.fault.value if answer.is_error() else 'ok'
+        self._note(name, self._clock.read_monotonic() - begun_s, outcome)
+        return answer
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -109,12 +109,16 @@
         while True:
             if after < self.first_kept:
                 return 410, {}
-            events = [
-                event
+            # Of each key the newest state only, as the platform does.
+            newest = {
+                event['key']: event
                 for event in self.log
                 if event['revision'] > after
                 and event['key'].startswith(asked['path_prefix'])
-            ]
+            }
+            events = sorted(
+                newest.values(), key=lambda event: event['revision']
+            )
             left_s = end_s - self.clock.read_monotonic()
             if events or left_s <= 0:
                 return 200, {'events': events, 'at': self.revision}
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,12 +1,19 @@
 """Log lines: bounded, never blocking, failures kept before successes."""
 
+import ast
 import asyncio
+import contextlib
 import io
 import logging
 import os
+import pathlib
+
+import expression
 
 from lavenderledge import clock as clocks
-from lavenderledge import core, environment, logs, status
+from lavenderledge import core, environment, logevents, logs, status
+from lavenderledge.proxy import instance as instances
+from tests import platformfleet
 
 
 def make_logger(descriptor):
@@ -106,3 +113,134 @@
     assert ended is status.ExitStatus.SUCCESS
     assert told == ['allocator_changed', 'replicas_changed', 'request']
     assert core.main(('trace', 'r9', *paths), env) is status.ExitStatus.ERROR
+
+
+class Capture(logging.Handler):
+    """Keeps the records of the system's own loggers."""
+
+    def __init__(self):
+        super().__init__(logging.DEBUG)
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@contextlib.contextmanager
+def capture_debug():
+    logger = logging.getLogger('lavenderledge')
+    captured = Capture()
+    logger.addHandler(captured)
+    logger.setLevel(logging.DEBUG)
+    try:
+        yield captured.records
+    finally:
+        logger.removeHandler(captured)
+        logger.setLevel(logging.NOTSET)
+
+
+async def play_all(fleet):
+    """Meet most of what an instance logs."""
+    await fleet.start(instances=2, replicas=2)
+    instance = fleet.instances['entry-0']
+    await platformfleet.wait_until(
+        lambda: instance._registration.count_alive() == 2
+    )
+    await fleet.send('/safe/x')
+    await fleet.send('/nowhere/x')
+    await fleet.send('/safe/x', key='key-of-nobody')
+    for replica in fleet.replicas.values():
+        replica.usual = 'error'
+    for _ in range(6):
+        await fleet.send('/safe/x')
+    for replica in fleet.replicas.values():
+        replica.usual = 'ok'
+    await asyncio.sleep(1)
+    for _ in range(6):
+        await fleet.send('/safe/x')
+    instance.reload(expression.Ok(instance._settings))
+    instance.reload(expression.Error(['--listen: no port']))
+    fleet.store.write('op/config', b'{')
+    fleet.store.mode = 'busy'
+    await asyncio.sleep(1)
+    fleet.store.mode = 'ok'
+    await asyncio.sleep(3)
+    for each in fleet.instances.values():
+        each.request_stop()
+    await asyncio.gather(*fleet.tasks.values())
+
+
+async def test_events_have_the_fields_of_the_schema_and_no_secrets():
+    fleet = platformfleet.Fleet()
+    try:
+        with capture_debug() as records:
+            await play_all(fleet)
+            metrics = [
+                str(each._metrics.render(()))
+                for each in fleet.instances.values()
+            ]
+    finally:
+        await fleet.close()
+    found = {}
+    for record in records:
+        fields = set(getattr(record, 'fields', {}))
+        if record.exc_info:
+            fields.add('exception')
+        found.setdefault(record.getMessage(), set()).update(fields)
+    assert found == {event: set(logevents.SCHEMA[event]) for event in found}
+    assert found.keys() >= {
+        'request',
+        'slot_granted',
+        'configuration_accepted',
+        'configuration_unreadable',
+        'replicas_listed',
+        'store_lost',
+        'store_regained',
+        'allocator_changed',
+        'upstream_lost',
+        'upstream_regained',
+        'instance_started',
+        'instance_joined',
+        'reloaded',
+        'reload_failed',
+        'stop_requested',
+        'instance_stopped',
+    }
+    formatter = logs._Fields()
+    told = '\n'.join([formatter.format(each) for each in records] + metrics)
+    secret = fleet.store.keys[instances.SECRET_KEY][0].decode()
+    assert len(secret) > 20
+    for hidden in (platformfleet.KEY, 'key-of-nobody', secret):
+        assert hidden not in told
+    for name in ('first_byte', 'waiting', 'whole_answer', 'store_call'):
+        assert f'lavenderledge_{name}_seconds_bucket' in metrics[0]
+    for name in ('upstream_first_byte', 'peer_round_trip', 'loop_delay'):
+        assert f'lavenderledge_{name}_seconds_bucket' in metrics[0]
+
+
+def list_calls(tree):
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+            name = node.func.attr
+            if name in {'write_event', '_log', '_log_decision', 'exception'}:
+                yield node
+
+
+def test_each_event_in_the_code_is_in_the_schema_and_on_the_page():
+    root = pathlib.Path(logs.__file__).parent
+    files = [
+        *root.glob('proxy/*.py'),
+        *root.glob('peers/*.py'),
+        *root.glob('controllers/slot*.py'),
+        root / 'daemon/tasks.py',
+    ]
+    named = set()
+    for path in files:
+        for call in list_calls(ast.parse(path.read_text())):
+            for argument in call.args:
+                if isinstance(argument, ast.Constant):
+                    named.add(argument.value)
+    assert named
+    assert named <= logevents.SCHEMA.keys()
+    page = (root.parent / 'docs/OPERATIONS.md').read_text()
+    assert [name for name in logevents.SCHEMA if f'`{name}' not in page] == []
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -33,6 +33,7 @@
         self.machine = machine
         self.age_s = 0.2
         self.known = []
+        self.round_trips = []
         self.introduced = set()
         self.running = {}
         self.waiting = {}
@@ -43,9 +44,10 @@
             clock=machine.clock,
             send=self.send,
             rank_allocators=lambda: machine.ranked,
-            note_allocator=lambda before, after: None,
-            note_knowledge=lambda version, confirmed_s: self.known.append(
-                confirmed_s
+            notes=slotrequester.Notes(
+                lambda before, after: None,
+                lambda version, confirmed_s: self.known.append(confirmed_s),
+                self.round_trips.append,
             ),
         )
         self.allocator = slotallocator.SlotAllocator(
