Errors that a replica answers with close it after two in a row

Change: a complete answer with an error status counts towards the replica's part of errors; beyond the service's usual part it makes the replica look slower by the runs that an answer takes; two in a row close it. Broken connections and silence close as before.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -33,6 +33,7 @@
 ANSWERED: typing.Final = 0
 REFUSED: typing.Final = 1
 FAILED: typing.Final = 2
+ERROR: typing.Final = 3
 
 Send: typing.TypeAlias = abc.Callable[[str, messages.Message], object]
 FindQuota: typing.TypeAlias = abc.Callable[[str], routes.Quota | None]
@@ -209,6 +210,8 @@
                 slowness=reading.slowness,
                 now_s=now_s,
             )
+        elif reading.outcome == ERROR:
+            self.book.note_error(holding, now_s)
         else:
             self.book.note_failure(holding, now_s)
 
--- a/lavenderledge/policy/pacing.py
+++ b/lavenderledge/policy/pacing.py
@@ -13,6 +13,11 @@
 _FIRST_CLOSED_S: typing.Final = 0.2
 _MOST_CLOSED_S: typing.Final = 3.0
 _MOST_DOUBLINGS: typing.Final = 5
+# A replica that answers with errors is closed after so many in a row: a single
+# one may be the fault of what was asked.
+_ERRORS_IN_A_ROW: typing.Final = 2
+# Bound of the part of runs that end in errors, so that a time stays finite.
+_MOST_ERRORS: typing.Final = 0.9
 # How much of the sums behind the line is kept at each reading.
 _FADE: typing.Final = 0.98
 # The line's slope is not believed before prompts have differed by so much,
@@ -27,8 +32,9 @@
 class Mean:
     """A running mean that starts at its first reading."""
 
-    def __init__(self) -> None:
-        """Start without readings."""
+    def __init__(self, *, weight: float = _WEIGHT) -> None:
+        """Start without readings; ``weight`` is the newest one's."""
+        self._weight = weight
         self._mean: float | None = None
 
     def note(self, reading: float) -> None:
@@ -36,7 +42,7 @@
         if self._mean is None:
             self._mean = reading
         else:
-            self._mean += _WEIGHT * (reading - self._mean)
+            self._mean += self._weight * (reading - self._mean)
 
     def read(self, default: float) -> float:
         """Return the mean, or the default without readings."""
@@ -99,6 +105,9 @@
         self._cold_until_s = cold_until_s
         self._word = 1.0
         self._word_at_s = float('-inf')
+        self._errors = Mean()
+        self._errors.note(0)
+        self._errors_in_a_row = 0
         self._failures = 0
         self._is_tried = False
         self._closed_until_s = float('-inf')
@@ -121,6 +130,8 @@
         ``ratio`` is the time to its first byte against the service's usual;
         0 stands for what is not known.
         """
+        self._errors.note(0)
+        self._errors_in_a_row = 0
         self._failures = 0
         self._closed_until_s = float('-inf')
         if ratio > 0:
@@ -129,6 +140,13 @@
             self._word = slowness
             self._word_at_s = now_s
 
+    def note_error(self, now_s: float) -> None:
+        """Take an error that the replica itself answered with."""
+        self._errors.note(1)
+        self._errors_in_a_row += 1
+        if self._errors_in_a_row >= _ERRORS_IN_A_ROW:
+            self.note_failure(now_s)
+
     def note_failure(self, now_s: float) -> None:
         """Close for longer with each try that fails.
 
@@ -149,6 +167,15 @@
         """Return the first byte's time against the service's usual."""
         return self._factor.read(1)
 
+    def expect_runs(self, usual_errors: float) -> float:
+        """Return how many runs an answer takes.
+
+        Errors of what was asked come anywhere: only those count that are more
+        than the service's ``usual_errors``, as parts of all runs.
+        """
+        own = max(0, self._errors.read(0) - usual_errors)
+        return 1 / (1 - min(own, _MOST_ERRORS))
+
     def slow_by(self, now_s: float) -> float:
         """Return how much longer than usual for it work takes there now."""
         slow = 1.0
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -255,10 +255,13 @@
             <= left_s
         ]
 
+    usual_errors = service.errors.read(0)
+
     def expect_end(replica: slots.Replica) -> float:
         crowd = replica.held / max(1, replica.info.slots)
-        return service.expect_first_s(
-            replica, wanted.prompt_tokens, now_s
-        ) + service.expect_hold_s(replica, now_s) * (1 + _FULL_FACTOR * crowd)
+        first_s = service.expect_first_s(replica, wanted.prompt_tokens, now_s)
+        hold_s = service.expect_hold_s(replica, now_s)
+        run_s = first_s + hold_s * (1 + _FULL_FACTOR * crowd)
+        return run_s * replica.pace.expect_runs(usual_errors)
 
     return min(fitting, key=expect_end, default=None)
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -11,6 +11,8 @@
 # Of a time to a first byte so much at least was the request's own: how long
 # other prompts took before it is an estimate.
 _OWN_PART: typing.Final = 0.2
+# Weight of the newest run in a service's part of errors: of some fifty.
+_ERRORS_WEIGHT: typing.Final = 0.02
 # Times and rates below this count as this, in seconds and a second.
 _LEAST: typing.Final = 0.001
 
@@ -69,6 +71,7 @@
         self.queue = slotqueue.SlotQueue()
         self.hold_s = pacing.Mean()
         self.first_byte = pacing.FirstByteLine()
+        self.errors = pacing.Mean(weight=_ERRORS_WEIGHT)
         self.sorted_s = float('-inf')
 
     def expect_first_s(
@@ -191,6 +194,7 @@
                 holding.prompt_tokens, first_s / replica.pace.factor
             )
             replica.pace.hold_s.note(now_s - holding.since_s)
+            service.errors.note(0)
             service.hold_s.note(now_s - holding.since_s)
 
     def note_failure(self, holding: Holding, now_s: float) -> None:
@@ -199,6 +203,14 @@
         if replica is not None:
             replica.pace.note_failure(now_s)
 
+    def note_error(self, holding: Holding, now_s: float) -> None:
+        """Learn from a request that its replica answered with an error."""
+        for service in self.services.values():
+            replica = service.replicas.get(holding.replica)
+            if replica is not None:
+                replica.pace.note_error(now_s)
+                service.errors.note(1)
+
     def _relist(
         self, service: Service, infos: dict[str, ReplicaInfo], now_s: float
     ) -> None:
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -406,7 +406,10 @@
         if outcome is attempts.Result.FAILED:
             self._held = attempt.held
         self._repeat_or_end()
-        return _build_reading(slotallocator.FAILED)
+        answered = outcome is attempts.Result.FAILED
+        return _build_reading(
+            slotallocator.ERROR if answered else slotallocator.FAILED
+        )
 
     def _deliver(self, attempt: attempts.Attempt) -> None:
         line = self._trail
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -128,6 +128,27 @@
     assert list_granted(book, 0.35) == []
 
 
+def test_errors_of_what_was_asked_do_not_close_a_replica():
+    pace = pacing.Pace(cold_until_s=0)
+    for _ in range(3):
+        pace.note_error(0)
+        assert pace.is_open(0)
+        pace.note_answer(ratio=0, slowness=0, now_s=0)
+    pace.note_error(0)
+    pace.note_error(0)
+    assert not pace.is_open(0)
+
+
+def test_a_replica_with_fewer_errors_goes_first():
+    book = make_book(('i-0', 'i-1'), slots_count=2)
+    teach(book)
+    book.note_error(slots.Holding('e', 'i-0', PLAN, 0, 0, 0), 0)
+    for request_id in 'ab':
+        slotgrants.enqueue(book, 'e', make_wanted(request_id), 0)
+    list_granted(book, 0)
+    assert {each.replica for each in book.holdings.values()} == {'i-1'}
+
+
 def test_each_try_that_fails_closes_a_replica_for_longer():
     pace = pacing.Pace(cold_until_s=0)
     now_s = 0
@@ -297,3 +318,49 @@
     earned = sum(WORTH[tier] * share for tier, share in now.items())
     earlier = sum(WORTH[tier] * share for tier, share in before.items())
     assert earned > earlier
+
+
+class Failing(Crest):
+    """A steady load of which a part ends in errors of the replicas.
+
+    Load patterns, 20 s each: 0.7 of the capacity, 15 in 100 of the requests
+    fail wherever they run; and 0.4 of it, two of nine replicas fail 30 in 100.
+    """
+
+    def __init__(self, *, seed, note, rate, part, where):
+        super().__init__(seed=seed)
+        self.note = note
+        self.rate = rate
+        self.part = part
+        self.where = where
+
+    def draw_arrivals(self):
+        now_s = 0
+        while now_s < 20:
+            now_s += self.rng.expovariate(self.rate)
+            yield now_s, self.rng.choice((PLAN, CHECK, NOTE))
+
+    def end(self, now_s, request_id, first_s):
+        here = self.book.holdings[request_id].replica in self.where
+        if here and random.Random(request_id).random() < self.part:
+            self.first_s[request_id] = float('inf')
+            self.note(self.book, self.book.free(request_id), now_s)
+        else:
+            super().end(now_s, request_id, first_s)
+
+
+EVERYWHERE = tuple(f'i-{number}' for number in range(9))
+
+
+@pytest.mark.parametrize(
+    ('rate', 'part', 'where'),
+    [(55, 0.15, EVERYWHERE), (30, 0.3, ('i-0', 'i-2'))],
+)
+def test_errors_of_replicas_cost_less_than_as_failures(rate, part, where):
+    earned = dict.fromkeys((slots.Book.note_error, slots.Book.note_failure), 0)
+    for note, seed in itertools.product(earned, range(8)):
+        shares = Failing(
+            seed=seed, note=note, rate=rate, part=part, where=where
+        ).run()
+        earned[note] += sum(WORTH[tier] * shares[tier] for tier in shares)
+    assert earned[slots.Book.note_error] > earned[slots.Book.note_failure]
