A storm of changes costs a large fleet no more calls

Change: the pause grows with the fleet, 0.02 s an instance, 0.5 to 3 s; who is silent is passed over by experience as before.

--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -21,15 +21,15 @@
 class Following(typing.NamedTuple):
     """What is followed, how often, and who is told.
 
-    ``wait_s`` bounds one watch, ``rest_s`` is the pause after changes, which
-    gathers several into one call. ``on_confirmed`` gets the time at which
+    ``wait_s`` bounds one watch, ``find_rest_s`` gives the pause after changes,
+    which gathers several into one call. ``on_confirmed`` gets the time at which
     an answer was asked for that knows of nothing newer. Nothing is asked
     while ``is_needed`` says no; afterwards the list is read anew.
     """
 
     prefix: str
     wait_s: float
-    rest_s: float
+    find_rest_s: abc.Callable[[], float]
     on_list: abc.Callable[[tuple[stores.Change, ...], float], None]
     on_changes: abc.Callable[[tuple[stores.Change, ...], float], None]
     on_confirmed: abc.Callable[[float], None]
@@ -93,7 +93,7 @@
             self._following.on_list(found.ok.changes, asked_s)
         elif found.ok.changes:
             self._following.on_changes(found.ok.changes, asked_s)
-            return timing.seconds(self._following.rest_s)
+            return timing.seconds(self._following.find_rest_s())
         return timing.seconds(0)
 
     async def _call(self) -> stores.Listed:
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -34,7 +34,12 @@
 _REPLICAS_WAIT_S: typing.Final = 0.5
 _REPLICAS_REST_S: typing.Final = 0.4
 _MEMBERS_WAIT_S: typing.Final = 10.0
-_MEMBERS_REST_S: typing.Final = 0.5
+# Every instance reads each change of the list of instances: together they make
+# at most one call in so many seconds, so that a storm of changes costs the
+# store the same in a large fleet; a pause lies between the bounds, seconds.
+_MEMBERS_CALL_S: typing.Final = 0.02
+_LEAST_MEMBERS_REST_S: typing.Final = 0.5
+_MOST_MEMBERS_REST_S: typing.Final = 3.0
 _LOGGER = logging.getLogger(__name__)
 
 ReadConfiguration: typing.TypeAlias = abc.Callable[[bytes], typing.Any]
@@ -146,7 +151,7 @@
             follower.Following(
                 prefix=platform.configuration_key,
                 wait_s=_CONFIGURATION_WAIT_S,
-                rest_s=_CONFIGURATION_REST_S,
+                find_rest_s=lambda: _CONFIGURATION_REST_S,
                 on_list=self._take_configuration,
                 on_changes=self._take_configuration,
                 on_confirmed=self.configuration.confirm,
@@ -155,7 +160,7 @@
             follower.Following(
                 prefix=platform.replicas_prefix,
                 wait_s=_REPLICAS_WAIT_S,
-                rest_s=_REPLICAS_REST_S,
+                find_rest_s=lambda: _REPLICAS_REST_S,
                 on_list=self._take_replicas,
                 on_changes=self._change_replicas,
                 on_confirmed=self.replicas.confirm,
@@ -164,7 +169,7 @@
             follower.Following(
                 prefix=registration.PREFIX,
                 wait_s=_MEMBERS_WAIT_S,
-                rest_s=_MEMBERS_REST_S,
+                find_rest_s=self._find_members_rest_s,
                 on_list=self._members.take_list,
                 on_changes=self._members.take_changes,
                 on_confirmed=_ignore_time,
@@ -172,6 +177,11 @@
             ),
         ]
 
+    def _find_members_rest_s(self) -> float:
+        """Return the pause after changes of the list of instances."""
+        rest_s = self._members.count_alive() * _MEMBERS_CALL_S
+        return min(max(rest_s, _LEAST_MEMBERS_REST_S), _MOST_MEMBERS_REST_S)
+
     def _allocates(self) -> bool:
         """Return whether this instance allocates, or is next to."""
         if not self._members.is_known:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from lavenderledge.controllers import slotrequester
 from lavenderledge.http1 import messages
 from tests import platformfleet
@@ -217,3 +219,11 @@
         ]
     assert not leaving.runs
     assert {answer.status for answer in answers} == {200}
+
+
+async def test_a_storm_of_changes_costs_a_large_fleet_no_more_calls():
+    async with platformfleet.running() as fleet:
+        watching = fleet.instances['entry-0']._watching
+        for instances, rest_s in ((3, 0.5), (82, 1.64), (370, 3)):
+            watching._members.count_alive = lambda count=instances: count
+            assert watching._find_members_rest_s() == pytest.approx(rest_s)
