--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -11,7 +11,6 @@
 
 _MOST_REQUESTS = 20_000
 _MOST_EXCLUDED = 64
-_MOST_PARTS = 64
 _LOWEST_TIER = 1000
 
 Tier: typing.TypeAlias = typing.Annotated[
@@ -26,7 +25,7 @@
     of the time within which its first byte is due, ``remaining_s`` of that
     within which a slot is of any use. ``cost`` is what it takes of its
     customer's quota, 0 where it was taken before. ``excluded`` names replicas
-    that it may not have. ``parts`` are the ids of the prompt's parts.
+    that it may not have.
     """
 
     request_id: bounds.Name
@@ -34,31 +33,23 @@
     customer: bounds.Name
     tier: Tier
     prompt_tokens: bounds.Count
-    output_tokens: bounds.Count
     objective_left_s: bounds.Finite
     remaining_s: bounds.Finite
     cost: bounds.Span
     excluded: typing.Annotated[
         tuple[bounds.Name, ...], msgspec.Meta(max_length=_MOST_EXCLUDED)
     ] = ()
-    parts: typing.Annotated[
-        tuple[bounds.Name, ...], msgspec.Meta(max_length=_MOST_PARTS)
-    ] = ()
 
 
 class Reading(typing.NamedTuple):
     """What one request met at its replica.
 
-    ``first_s`` runs from the dispatch to the first byte, ``gap_s`` is the
-    mean between the pieces of a stream, of which there were ``pieces``.
-    ``slowness`` is the replica's word on its machine, 1 being usual, 0 where
-    it said nothing.
+    ``first_s`` runs from the dispatch to the first byte. ``slowness`` is the
+    replica's word on its machine, 1 being usual, 0 where it said nothing.
     """
 
     outcome: bounds.Count
     first_s: bounds.Span
-    gap_s: bounds.Span
-    pieces: bounds.Count
     slowness: bounds.Span
 
 
--- a/lavenderledge/platform/dialect.py
+++ b/lavenderledge/platform/dialect.py
@@ -10,7 +10,6 @@
 _REQUEST_ID: typing.Final = b'attempt-id'
 _DEADLINE: typing.Final = b'deadline-ms'
 _TOKENS: typing.Final = b'token-count'
-_PARTS: typing.Final = b'prompt-prefix'
 _LAST_EVENT: typing.Final = b'last-event-id'
 _AUTHORIZATION: typing.Final = b'authorization'
 _SEAL: typing.Final = b'response-seal'
@@ -66,7 +65,6 @@
         has_tokens=tokens is not None,
         prompt_tokens=tokens[0] if tokens else 0,
         output_tokens=tokens[1] if tokens else 0,
-        parts=_read_parts(fields.find(_PARTS)),
         last_event_id=_read_text(fields.find(_LAST_EVENT)) or None,
     )
 
@@ -165,13 +163,6 @@
     return counts if min(counts) >= 0 else None
 
 
-def _read_parts(text: bytes | None) -> tuple[str, ...]:
-    if text is None:
-        return ()
-    parts = text.decode('latin-1').split(',')
-    return tuple(part.strip().partition(':')[0] for part in parts)
-
-
 def _read_slowness(text: bytes | None) -> float:
     """Return the fourth figure of a load: how long work takes, 100 as usual."""
     if text is None:
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -136,12 +136,6 @@
         if not self.done.done():
             self.done.set_result(self._judge(ending))
 
-    def read_gap_s(self) -> float:
-        """Return the mean time between pieces, 0 with too few."""
-        if self.pieces < 2:
-            return 0
-        return (self.last_s - self.begun_s - self.first_s) / (self.pieces - 1)
-
     def _is_success(self) -> bool:
         assert self._head is not None
         assert self._answer is not None
--- a/lavenderledge/proxy/calls.py
+++ b/lavenderledge/proxy/calls.py
@@ -10,8 +10,7 @@
     """A caller's request, decoded.
 
     ``remaining_s`` is how long the caller waits from the request's arrival,
-    None where it did not say. Token counts are 0 where they were not given;
-    ``parts`` are the ids of the prompt's parts.
+    None where it did not say. Token counts are 0 where they were not given.
     """
 
     request_id: str
@@ -22,7 +21,6 @@
     has_tokens: bool
     prompt_tokens: int
     output_tokens: int
-    parts: tuple[str, ...]
     last_event_id: str | None
 
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -230,12 +230,10 @@
             customer=line.customer,
             tier=standing.rank,
             prompt_tokens=self._call.prompt_tokens,
-            output_tokens=self._call.output_tokens,
             objective_left_s=due_s - now_s,
             remaining_s=self._find_start_end_s() - now_s,
             cost=self._count_cost() if first else 0,
             excluded=tuple(line.excluded),
-            parts=self._call.parts,
         )
 
     async def _acquire(self) -> slotrequester.Verdict:
@@ -398,8 +396,6 @@
             return slotmessages.Reading(
                 slotallocator.ANSWERED,
                 attempt.first_s,
-                attempt.read_gap_s(),
-                attempt.pieces,
                 attempt.slowness,
             )
         line.exclude(outcome.value if outcome else 'silent')
@@ -467,7 +463,7 @@
 
 
 def _build_reading(outcome: int) -> slotmessages.Reading:
-    return slotmessages.Reading(outcome, 0, 0, 0, 0)
+    return slotmessages.Reading(outcome, 0, 0)
 
 
 def _is_promise(status: int) -> bool:
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -138,7 +138,7 @@
         self.count += 1
         request_id = f'{name}-{self.count}'
         wanted = messages.Wanted(
-            request_id, 'model', 'dealer', tier, 100, 10, 0.5, 4, 0
+            request_id, 'model', 'dealer', tier, 100, 0.5, 4, 0
         )
         node = self.nodes[name]
         node.waiting[request_id] = self.loop.create_task(
@@ -153,7 +153,7 @@
             return
         request_id = next(iter(node.running))
         node.running.pop(request_id)
-        reading = messages.Reading(slotallocator.ANSWERED, 0.1, 0, 1, 0)
+        reading = messages.Reading(slotallocator.ANSWERED, 0.1, 0)
         node.requester.release(request_id, reading=reading)
         self.turn()
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -29,7 +29,6 @@
         customer='dealer',
         tier=tier,
         prompt_tokens=tokens,
-        output_tokens=100,
         objective_left_s=OBJECTIVES_S.get(tier, 0.5),
         remaining_s=PATIENCE_S,
         cost=0,
