--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -9,7 +9,13 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import routes, slotgrants, slots, tokenbuckets
+from lavenderledge.policy import (
+    incarnations,
+    routes,
+    slotgrants,
+    slots,
+    tokenbuckets,
+)
 
 _TICK_MS: typing.Final = 50
 TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
@@ -145,15 +151,18 @@
     def _find_sender(
         self, name: str, incarnation: int, now_s: float
     ) -> _Sender | None:
-        sender = self._senders.get(name)
-        if sender is not None and incarnation < sender.incarnation:
-            return None
-        if sender is not None and incarnation > sender.incarnation:
-            self._forget(name, now_s)
-            sender = None
-        if sender is None:
-            sender = _Sender(incarnation=incarnation, now_s=now_s)
-            self._senders[name] = sender
+        def make() -> _Sender:
+            return _Sender(incarnation=incarnation, now_s=now_s)
+
+        known = len(self._senders)
+        sender = incarnations.admit(
+            self._senders,
+            name,
+            incarnation,
+            forget=lambda former: self._forget(former, now_s),
+            make=make,
+        )
+        if len(self._senders) != known:
             self._update_share()
         return sender
 
--- a/lavenderledge/policy/intake.py
+++ b/lavenderledge/policy/intake.py
@@ -6,7 +6,7 @@
 from lavenderledge import outcomes
 from lavenderledge.peers import messages
 from lavenderledge.policy import book as books
-from lavenderledge.policy import limits, requests
+from lavenderledge.policy import incarnations, limits, requests
 
 GRANT_TTL_S: typing.Final = 2.0
 # An instance that has not reported for this long is forgotten.
@@ -33,12 +33,12 @@
 class Sender:
     """One instance that asks; ``stamp_s`` is by its own clock."""
 
-    def __init__(self, *, incarnation: int) -> None:
+    def __init__(self, *, incarnation: int, now_s: float) -> None:
         """Start with nothing held."""
         self.incarnation = incarnation
         self.sequence = -1
         self.stamp_s = float('-inf')
-        self.heard_s = float('-inf')
+        self.heard_s = now_s
         self.held: requests.Requests = {}
 
     def advance(self, stamp_s: float) -> None:
@@ -128,17 +128,13 @@
     def _find_sender(
         self, name: str, incarnation: int, now_s: float
     ) -> Sender | None:
-        sender = self.senders.get(name)
-        if sender is not None and incarnation < sender.incarnation:
-            return None
-        if sender is not None and incarnation > sender.incarnation:
-            self._forget(name, now_s)
-            sender = None
-        if sender is None:
-            sender = Sender(incarnation=incarnation)
-            sender.heard_s = now_s
-            self.senders[name] = sender
-        return sender
+        return incarnations.admit(
+            self.senders,
+            name,
+            incarnation,
+            forget=lambda known: self._forget(known, now_s),
+            make=lambda: Sender(incarnation=incarnation, now_s=now_s),
+        )
 
     def _forget(self, name: str, now_s: float) -> None:
         sender = self.senders.pop(name)
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -148,7 +148,7 @@
     *,
     late: bool,
 ) -> Refused | None:
-    place = service.queue.find_place(waiting.wanted.tier, late=late)
+    place = slotqueue.find_place(waiting.wanted.tier, late=late)
     ahead = service.queue.count_before(place)
     wait_s = ahead / service.count_rate(book.share)
     if now_s + wait_s <= waiting.expires_s:
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -30,6 +30,11 @@
         return self.wanted.request_id
 
 
+def find_place(tier: int, *, late: bool) -> float:
+    """Return a request's place in the order, the lowest first."""
+    return tier + _LATE_RANKS if late else tier
+
+
 class SlotQueue:
     """The waiting requests of one service."""
 
@@ -48,12 +53,12 @@
 
     def add(self, waiting: Waiting) -> None:
         """Add a request as the newest of its rank."""
-        self._put(waiting, waiting.wanted.tier)
+        self._put(waiting, find_place(waiting.wanted.tier, late=False))
 
     def demote(self, waiting: Waiting) -> None:
         """Put a request among the late ones of its rank."""
         self.remove(waiting.request_id)
-        self._put(waiting, waiting.wanted.tier + _LATE_RANKS)
+        self._put(waiting, find_place(waiting.wanted.tier, late=True))
 
     def remove(self, request_id: str) -> Waiting | None:
         """Take a request out, if it is there."""
@@ -79,10 +84,6 @@
             len(line) for each, line in self._lines.items() if each <= place
         )
 
-    def find_place(self, tier: int, *, late: bool) -> float:
-        """Return a place in the order, for ``count_before``."""
-        return tier + _LATE_RANKS if late else tier
-
     def list_of(self, sender: str) -> list[str]:
         """Return the ids of the requests of one instance."""
         return [
