The soak's daemons listen on ports that nobody else takes

Ports were drawn by the system from those that it also gives to outgoing connections and to the other runs. Ruled out: answers of other requests; no daemon of the run had served them. Change: ports below the range of outgoing connections; a daemon that ends at its first start gets others.

--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 
 from lavenderledge import clock as clocks
@@ -15,6 +16,9 @@
 KEY = 'key-of-dealer'
 LIMIT_S = 30
 
+# Other runs beside this one choose as well: not from a seed.
+_PORTS = random.SystemRandom()
+
 LIMITS = {
     'max_header_bytes': 4096,
     'max_body_bytes': 4096,
@@ -69,9 +73,13 @@
 
 
 def find_port():
-    with socket.socket() as free:
-        free.bind(('127.0.0.1', 0))
-        return free.getsockname()[1]
+    """Return a free port that no outgoing connection is given by chance."""
+    while True:
+        port = _PORTS.randrange(10000, 32000)
+        with socket.socket() as free:
+            with contextlib.suppress(OSError):
+                free.bind(('127.0.0.1', port))
+                return port
 
 
 class Answer:
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -9,6 +9,10 @@
 from tests import platformfleet
 
 
+# A process that can't listen has ended by then, seconds.
+OPEN_S = 1.5
+
+
 class Daemon:
     """One instance's process, its addresses and its log."""
 
@@ -22,6 +26,15 @@
         self._log = None
         self.log_path = os.path.join(directory, f'{name}.log')
 
+    async def open(self):
+        """Start for the first time, on ports that nobody else took."""
+        while True:
+            await self.start()
+            await asyncio.sleep(OPEN_S)
+            if self.is_running:
+                return
+            self.ports = [platformfleet.find_port() for _ in range(4)]
+
     async def start(self):
         path = os.path.join(self._directory, f'{self.name}.env')
         names = ('LISTEN', 'READY_LISTEN', 'METRICS_LISTEN', 'PEER_LISTEN')
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -103,8 +103,8 @@
                 f'entry-{number}', self.directory, store=gate.address
             )
             self.daemons.append(daemon)
-            await daemon.start()
-        await asyncio.sleep(2)
+        await asyncio.gather(*(daemon.open() for daemon in self.daemons))
+        await asyncio.sleep(1)
 
     async def add_replica(self):
         name = f'i-{len(self.replicas)}'
