Peers that fall silent are told; the daemon's secret is looked for

Cause: an allocator that is passed over was told only by the change to another, and nothing looked for the fleet's secret in the daemon's debug lines, /status and metrics.

--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -55,12 +55,15 @@
     ``allocator_changed`` gets the former and the new allocator,
     ``knowledge_heard`` the version that the allocator knows and the time from
     which on it was confirmed, ``report_echoed`` the seconds from a report to
-    its first echo.
+    its first echo, ``peer_silent`` the name of an allocator that is passed
+    over, ``peer_heard`` of one that answers again.
     """
 
     allocator_changed: abc.Callable[[str, str], None]
     knowledge_heard: abc.Callable[[int, float], None]
     report_echoed: abc.Callable[[float], None]
+    peer_silent: abc.Callable[[str], None]
+    peer_heard: abc.Callable[[str], None]
 
 
 class _Entry:
@@ -175,6 +178,7 @@
         now_s = self._clock.read_monotonic()
         if self._suspects.get(message.sender, now_s + 1) <= now_s:
             self._suspects.pop(message.sender)
+            self._notes.peer_heard(message.sender)
         if isinstance(message, messages.Beat):
             self._take_beat(message)
         if message.sender == self._allocator:
@@ -208,6 +212,7 @@
             return
         if now_s - self._asked_s > PATIENCE_S:
             self._suspects[self._allocator] = now_s + SUSPECT_S
+            self._notes.peer_silent(self._allocator)
             self._asked_s = None
 
     def _turn(self) -> None:
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -39,6 +39,8 @@
         'store_lost': _list_fields('instance prefix fault detail'),
         'store_regained': _list_fields('instance prefix'),
         'allocator_changed': _list_fields('instance before after'),
+        'peer_silent': _list_fields('instance peer'),
+        'peer_heard': _list_fields('instance peer'),
         'upstream_lost': _list_fields('instance replica failures'),
         'upstream_regained': _list_fields('instance replica'),
         'peer_address_invalid': _list_fields('instance address error'),
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -104,6 +104,8 @@
                 lambda seconds: self._metrics.observe(
                     'peer_round_trip', seconds
                 ),
+                lambda peer: self._log('peer_silent', peer=peer),
+                lambda peer: self._log('peer_heard', peer=peer),
             ),
         )
         self._allocator = slotallocator.SlotAllocator(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -93,10 +93,16 @@
 
 @contextlib.asynccontextmanager
 async def run_fleet(
-    *, instances=2, engines=2, flags=(), engine_flags=(), rows=ROWS
+    *,
+    instances=2,
+    engines=2,
+    flags=(),
+    engine_flags=(),
+    rows=ROWS,
+    log_path=None,
 ):
     """Run a fleet until the block ends."""
-    async with Fleet() as fleet:
+    async with Fleet(log_path=log_path) as fleet:
         await fleet.start_platform()
         await fleet.put_table(*rows)
         names = [f'entry-{number}' for number in range(instances)]
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -64,7 +64,7 @@
     assert slowest_s < 0.5
 
 
-async def test_a_silent_allocator_is_passed_over():
+async def test_a_silent_allocator_is_passed_over(caplog):
     async with platformfleet.running(replicas=2, instances=3) as fleet:
         await asyncio.sleep(0.8)
         allocator = fleet.instances['entry-0']._requester.allocator
@@ -74,10 +74,17 @@
         frozen._allocator.receive = lambda message: None
         frozen._allocator.tick = lambda: None
         begun_s = asyncio.get_running_loop().time()
-        answer = await fleet.send('/once/x', entry=staying)
+        with caplog.at_level('INFO'):
+            answer = await fleet.send('/once/x', entry=staying)
         took_s = asyncio.get_running_loop().time() - begun_s
     assert answer.status == messages.OK
     assert took_s < 0.6
+    silent = [
+        record.fields['peer']
+        for record in caplog.records
+        if record.getMessage() == 'peer_silent'
+    ]
+    assert set(silent) == {allocator}
 
 
 async def test_a_newcomer_is_answered_by_who_has_not_heard_of_it():
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -13,7 +13,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import core, environment, logevents, logs, status
 from lavenderledge.proxy import instance as instances
-from tests import platformfleet
+from tests import platformfleet, processes
 
 
 def make_logger(descriptor):
@@ -244,3 +244,27 @@
     assert named <= logevents.SCHEMA.keys()
     page = (root.parent / 'docs/OPERATIONS.md').read_text()
     assert [name for name in logevents.SCHEMA if f'`{name}' not in page] == []
+
+
+async def read_text(fleet, name, path):
+    address = fleet.programs[name].addresses['admin']
+    async with fleet.session.get(f'http://{address}{path}') as response:
+        return await response.text()
+
+
+async def test_the_daemon_tells_its_secret_nowhere(tmp_path):
+    path = tmp_path / 'fleet.log'
+    async with processes.run_fleet(
+        flags=('--log-level=debug',), log_path=str(path)
+    ) as fleet:
+        answer = await fleet.ask('entry-0')
+        assert answer.status == 200
+        told = [
+            await read_text(fleet, name, page)
+            for name in ('entry-0', 'entry-1')
+            for page in ('/status', '/metrics', '/live', '/ready')
+        ]
+        secret = fleet.pair.secret.decode()
+    told.append(path.read_text())
+    assert 'event=instance_started' in told[-1]
+    assert secret not in '\n'.join(told)
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -48,6 +48,8 @@
                 lambda before, after: None,
                 lambda version, confirmed_s: self.known.append(confirmed_s),
                 self.round_trips.append,
+                lambda peer: None,
+                lambda peer: None,
             ),
         )
         self.allocator = slotallocator.SlotAllocator(
