The displaced requests of a test really wait

With 256 slots at the engine the notes wait only while their grants travel; once they run there is nobody to displace, and the instance's reserve (twice its bound) was held by notes that had been granted. Change: the engine runs half of what the instance holds, so that eight wait for as long as a note runs; the six plans, their status and the notes' outcomes are asked as before.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -91,8 +91,9 @@
 
 
 async def test_a_higher_tier_displaces_and_is_not_refused_for_room():
-    flags = ('--max-requests=4',)
-    engine_flags = ('--token-gap-s=0.02',)
+    flags = ('--max-requests=16',)
+    # Half of what the instance holds waits for as long as a note runs.
+    engine_flags = ('--token-gap-s=0.02', '--max-running=8')
     async with processes.run_fleet(
         instances=1, engines=1, flags=flags, engine_flags=engine_flags
     ) as running:
@@ -103,7 +104,7 @@
 
         async def is_full():
             found = await running.read_json('entry-0', '/status')
-            return found['waiting'] + found['running'] >= 4
+            return found['waiting'] >= 6 and found['in_flight'] >= 16
 
         await processes.wait_for(is_full)
         plans = await asyncio.gather(
