A test counts the requests that were displaced

The test had told nothing of displacing before either. Change: six notes must be told that they were displaced; notes last four seconds, so that they still wait when the plans come.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -98,7 +98,7 @@
         instances=1, engines=1, flags=flags, engine_flags=engine_flags
     ) as running:
         notes = [
-            asyncio.create_task(running.ask('entry-0', kind='note', tokens=60))
+            asyncio.create_task(running.ask('entry-0', kind='note', tokens=200))
             for _ in range(40)
         ]
 
@@ -111,6 +111,9 @@
             *(running.ask('entry-0', tokens=20) for _ in range(6))
         )
         assert [plan.status for plan in plans] == [200] * 6
-        for answer in await asyncio.gather(*notes):
+        answers = await asyncio.gather(*notes)
+        displaced = ['displaced' in answer.body for answer in answers]
+        assert sum(displaced) == 6
+        for answer in answers:
             if answer.status != 200:
                 assert answer.status == 503
