--- a/tests/soak/takeover.py
+++ b/tests/soak/takeover.py
@@ -16,7 +16,7 @@
 from lavenderledge.http1 import client, messages
 from tests.soak import daemons, run
 
-FAULTS = ('none', 'killed', 'frozen', 'store silent')
+FAULTS = ('none', 'killed', 'frozen', 'store-silent')
 RATE = 80
 BEFORE_S = 4
 AFTER_S = 6
@@ -88,7 +88,7 @@
         victim.signal(signal.SIGKILL)
     elif fault == 'frozen':
         victim.pause()
-    elif fault == 'store silent':
+    elif fault == 'store-silent':
         soak.store.mode = 'silent'
         soak.later(SILENCE_S, soak.mend_store)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,7 +95,7 @@
     assert not found, summary
 
 
-@pytest.mark.parametrize('fault', ['killed', 'frozen', 'store silent'])
+@pytest.mark.parametrize('fault', ['killed', 'frozen', 'store-silent'])
 async def test_a_lost_allocator_costs_callers_less_than_a_second(fault):
     found = await takeover.play(fault)
     assert found.answered == 1
