Dead state and wire fields that nobody reads are gone

Cause: read over the whole change: a clock, a counter, a path and a platform were kept and never used; Release.replica and the tiers of held requests crossed between instances and decided nothing; two clauses caught alike. Ruled out: readers elsewhere (searched; mypy and the tests tell). Change: removed.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -253,7 +253,6 @@
                 slots.Holding(
                     report.sender,
                     each.replica,
-                    each.tier,
                     0,
                     0,
                     now_s,
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -165,7 +165,6 @@
                 self._instance,
                 self._read_incarnation(),
                 request_id,
-                entry.replica,
                 refund,
                 reading,
             ),
@@ -278,7 +277,6 @@
                     request_id,
                     entry.wanted.service,
                     entry.replica,
-                    entry.wanted.tier,
                 )
                 for request_id, entry in self._entries.items()
                 if entry.replica
@@ -334,7 +332,6 @@
                 self._instance,
                 self._read_incarnation(),
                 grant.request_id,
-                grant.replica,
                 0,
                 None,
             ),
--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -54,7 +54,6 @@
     def __init__(self, *, address: str, clock: clocks.Clock) -> None:
         """Stand for a connection to ``host:port``."""
         self.address = address
-        self.used = 0
         self.idle_since_s = clock.read_monotonic()
         self.idle_limit_s = _DEFAULT_IDLE_S
         self.on_lost: abc.Callable[[Connection], None] | None = None
@@ -92,7 +91,6 @@
     ) -> None:
         """Send a request; ``bodiless`` says that no body will come."""
         assert self._transport is not None
-        self.used += 1
         self._receiver = receiver
         self._parser = httptools.HttpResponseParser(self)
         self._headed = False
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -37,13 +37,8 @@
         self.started = False
         self.ended = False
 
-    @property
-    def is_writable(self) -> bool:
-        """Return whether the client takes more now."""
-        return self._connection.is_writable
-
     def watch_writable(self, notify: abc.Callable[[bool], None]) -> None:
-        """Have changes of ``is_writable`` told."""
+        """Have it told whether the client takes more, at each change."""
         self._connection.notify_writable = notify
 
     def send(
@@ -132,7 +127,6 @@
         self._complete = False
         self.since_s = clock.read_monotonic()
         self.closing = False
-        self.is_writable = True
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
     @property
@@ -275,9 +269,7 @@
     def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fault = self._fault or messages.BAD_REQUEST
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fault = self._fault or messages.BAD_REQUEST
         if self._fault:
             self._listener.note_fault(self._fault)
@@ -314,7 +306,6 @@
             self._transport.pause_reading()
 
     def _set_writable(self, *, value: bool) -> None:
-        self.is_writable = value
         if self.notify_writable is not None:
             self.notify_writable(value)
 
--- a/lavenderledge/peers/slots.py
+++ b/lavenderledge/peers/slots.py
@@ -59,7 +59,6 @@
     request_id: bounds.Name
     service: bounds.Name
     replica: bounds.Name
-    tier: Tier
 
 
 class Ask(typing.NamedTuple):
@@ -91,14 +90,12 @@
 class Release(typing.NamedTuple):
     """A request that no longer waits or holds a slot.
 
-    ``replica`` is empty where it held none; ``refund`` is what its customer
-    gets back.
+    ``refund`` is what its customer gets back.
     """
 
     sender: bounds.Name
     incarnation: bounds.Count
     request_id: bounds.Name
-    replica: bounds.Name
     refund: bounds.Span
     reading: Reading | None
 
--- a/lavenderledge/platform/__main__.py
+++ b/lavenderledge/platform/__main__.py
@@ -12,8 +12,8 @@
     replicas_prefix=documents.REPLICAS_PREFIX,
     read_configuration=documents.read_configuration,
     read_replica=documents.read_replica,
-    open_store=lambda address, pool, clock: store.PlatformStore(
-        address=address, pool=pool, clock=clock
+    open_store=lambda address, pool: store.PlatformStore(
+        address=address, pool=pool
     ),
 )
 
--- a/lavenderledge/platform/dialect.py
+++ b/lavenderledge/platform/dialect.py
@@ -5,8 +5,6 @@
 from lavenderledge.http1 import messages
 from lavenderledge.proxy import calls
 
-READY_PATH: typing.Final = b'/api/readyz'
-
 _REQUEST_ID: typing.Final = b'attempt-id'
 _DEADLINE: typing.Final = b'deadline-ms'
 _TOKENS: typing.Final = b'token-count'
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -8,7 +8,6 @@
 import expression
 import msgspec
 
-from lavenderledge import clock as clocks
 from lavenderledge.http1 import client, messages
 from lavenderledge.registry import store as stores
 
@@ -88,14 +87,11 @@
 class PlatformStore:
     """Implements ``registry.store.Store`` on the platform's calls."""
 
-    def __init__(
-        self, *, address: str, pool: client.Pool, clock: clocks.Clock
-    ) -> None:
+    def __init__(self, *, address: str, pool: client.Pool) -> None:
         """Take the service's ``host:port``."""
         self._address = address
         self._host = address.encode()
         self._pool = pool
-        self._clock = clock
 
     async def list_keys(self, prefix: str) -> stores.Listed:
         """Return the keys of a prefix, page by page.
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -222,7 +222,6 @@
         slots.Holding(
             waiting.sender,
             replica.info.name,
-            wanted.tier,
             wanted.prompt_tokens,
             queued_s,
             now_s,
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -36,7 +36,6 @@
 
     sender: str
     replica: str
-    tier: int
     prompt_tokens: int
     queued_s: float
     since_s: float
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -65,13 +65,12 @@
     ) -> None:
         """Build everything; nothing runs yet."""
         self._settings = settings
-        self._platform = platform
         self._clock = clock
         self._metrics = meters.Metrics()
         self._tasks = background.Tasks(clock=clock, count=self._metrics.count)
         self._pool = client.Pool(clock=clock, count=self._metrics.count)
         self._store = timed.TimedStore(
-            store=platform.open_store(str(settings.store), self._pool, clock),
+            store=platform.open_store(str(settings.store), self._pool),
             clock=clock,
             note=self._note_store_call,
         )
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -45,7 +45,7 @@
 def teach(book, *, hold_s=0.5, first_s=0.1):
     """Let each replica have answered once."""
     for name in tuple(book.services[SERVICE].replicas):
-        holding = slots.Holding('e', name, PLAN, 2000, 0, -hold_s)
+        holding = slots.Holding('e', name, 2000, 0, -hold_s)
         book.hold('taught', holding, service=SERVICE)
         book.free('taught')
         book.note_answer(holding, first_s=first_s, slowness=0, now_s=0)
@@ -105,7 +105,7 @@
 def test_a_fresh_request_waits_for_a_replica_that_makes_it_timely():
     book = make_book(('fast', 'slow'))
     for name, first_s in (('fast', 0.1), ('slow', 0.7)) * 20:
-        holding = slots.Holding('e', name, PLAN, 2000, 0, -0.5)
+        holding = slots.Holding('e', name, 2000, 0, -0.5)
         book.note_answer(holding, first_s=first_s, slowness=0, now_s=0)
     slotgrants.enqueue(book, 'e', make_wanted('busy'), 0)
     assert list_granted(book, 0) == ['busy']
@@ -118,7 +118,7 @@
 
 def test_a_failing_replica_is_tried_by_one_request_at_a_time():
     book = make_book(slots_count=4)
-    holding = slots.Holding('e', 'i-0', PLAN, 0, 0, 0)
+    holding = slots.Holding('e', 'i-0', 0, 0, 0)
     book.note_failure(holding, 0)
     for number in range(4):
         slotgrants.enqueue(book, 'e', make_wanted(str(number)), 0)
@@ -141,7 +141,7 @@
 def test_a_replica_with_fewer_errors_goes_first():
     book = make_book(('i-0', 'i-1'), slots_count=2)
     teach(book)
-    book.note_error(slots.Holding('e', 'i-0', PLAN, 0, 0, 0), 0)
+    book.note_error(slots.Holding('e', 'i-0', 0, 0, 0), 0)
     for request_id in 'ab':
         slotgrants.enqueue(book, 'e', make_wanted(request_id), 0)
     list_granted(book, 0)
