One type of a client's bounds, one draw for a request, one event name

Cause: routes.Limits and http1's Bounds were the same four fields with the same docstring, copied field by field; routes and slotgrants each hashed a request's id to a point; trace wrote the name of the request's event again. Change: http1.bounds.Bounds serves both; rendezvous.draw_point; logevents.REQUEST. Ruled out: upstreams' list of hop-by-hop headers, which differs in three names from http1's and would change what is passed on. Conclusion: no behaviour changes; same hash, same values.

--- a/lavenderledge/cli/tracecommand.py
+++ b/lavenderledge/cli/tracecommand.py
@@ -4,13 +4,12 @@
 import typing
 from collections import abc
 
-from lavenderledge import status
+from lavenderledge import logevents, status
 from lavenderledge.cli import context
 
 _PAIR: typing.Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 # Beliefs that changed so long before a request's end are shown with it, s.
 _BEFORE_S: typing.Final = 5.0
-_REQUEST: typing.Final = 'request'
 _UNREADABLE: typing.Final = float(0)
 
 
@@ -82,7 +81,7 @@
         line
         for line in known
         if begin_s <= line.time_s <= end_s
-        and line.event != _REQUEST
+        and line.event != logevents.REQUEST
         and (
             line.source in sources or line.fields.get('instance') in allocators
         )
--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from lavenderledge import clock as clocks
+from lavenderledge.http1 import bounds as limits
 from lavenderledge.http1 import messages, server
 
 # Connections that wait to be accepted while the loop is busy.
@@ -19,7 +20,7 @@
         *,
         handle: server.Handle,
         clock: clocks.Clock,
-        bounds: server.Bounds,
+        bounds: limits.Bounds,
         note_fault: abc.Callable[[int], None],
         note_error: abc.Callable[[BaseException], None],
     ) -> None:
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -7,7 +7,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import messages
+from lavenderledge.http1 import bounds, messages
 
 # Writes beyond this many bytes pause whoever produces the answer; a peer
 # that takes nothing then holds little memory. asyncio's default is 64 KiB.
@@ -16,15 +16,6 @@
 _TARGET_LIMIT_BYTES: typing.Final = 8192
 
 
-class Bounds(typing.NamedTuple):
-    """What a client may send, in bytes, and how long it may take."""
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
 class Reply:
     """Where the answer to one request goes."""
 
@@ -94,7 +85,7 @@
 class Owner(typing.Protocol):
     """What a connection belongs to."""
 
-    bounds: Bounds
+    bounds: bounds.Bounds
     connections: 'set[Connection]'
     note_fault: abc.Callable[[int], None]
     note_error: abc.Callable[[BaseException], None]
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lavenderledge.controllers import beliefs
+from lavenderledge.http1 import bounds
 from lavenderledge.policy import routes, slots
 from lavenderledge.registry import store as stores
 
@@ -124,7 +125,7 @@
                 customer.name: customer.quota for customer in customers.values()
             },
             has_customers=document.tenants is not None and bool(tenants),
-            limits=routes.Limits(
+            limits=bounds.Bounds(
                 header_bytes=document.limits.max_header_bytes,
                 body_bytes=document.limits.max_body_bytes,
                 header_timeout_s=document.limits.header_timeout_ms
--- a/lavenderledge/policy/rendezvous.py
+++ b/lavenderledge/policy/rendezvous.py
@@ -8,6 +8,9 @@
 
 import xxhash
 
+_POINT_BITS = 32
+_POINTS = 1 << _POINT_BITS
+
 
 def rank(key: str, instances: abc.Iterable[str]) -> list[str]:
     """Return the instances, the first choice for the key first."""
@@ -37,6 +40,11 @@
     return instance in rank(key, instances)[:count]
 
 
+def draw_point(text: str) -> float:
+    """Return where a text falls between 0 and 1, everywhere the same."""
+    return xxhash.xxh32_intdigest(text.encode()) / _POINTS
+
+
 def _weigh(key: str, instance: str) -> int:
     text = f'{len(key)}:{key}{instance}'
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -4,14 +4,12 @@
 import typing
 from collections import abc
 
-import xxhash
+from lavenderledge.http1 import bounds
+from lavenderledge.policy import rendezvous
 
 # Route tiers beyond this count as the lowest.
 ROUTE_TIERS: typing.Final = 16
 
-_POINT_BITS: typing.Final = 32
-_POINTS: typing.Final = 1 << _POINT_BITS
-
 
 @enum.unique
 class Repetition(enum.Enum):
@@ -95,15 +93,6 @@
     default_cost: float
 
 
-class Limits(typing.NamedTuple):
-    """What a client may send, in bytes, and how long it may take."""
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
 class Configuration(typing.NamedTuple):
     """One version of the operators' configuration.
 
@@ -117,7 +106,7 @@
     customers_by_key: abc.Mapping[str, Customer]
     quotas: abc.Mapping[str, Quota]
     has_customers: bool
-    limits: Limits
+    limits: bounds.Bounds
 
 
 class Standing(typing.NamedTuple):
@@ -192,7 +181,7 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     total = sum(target.weight for target in route.targets)
-    point = xxhash.xxh32_intdigest(request_id.encode()) / _POINTS * total
+    point = rendezvous.draw_point(request_id) * total
     for target in route.targets:
         point -= target.weight
         if point < 0:
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -8,10 +8,8 @@
 import itertools
 import typing
 
-import xxhash
-
 from lavenderledge.peers import slots as messages
-from lavenderledge.policy import slotqueue, slots
+from lavenderledge.policy import rendezvous, slotqueue, slots
 
 # Retry-After lies between these, seconds, and is spread by this part, so that
 # callers neither return in a busy loop nor all at once.
@@ -24,8 +22,6 @@
 _LOOK_AHEAD: typing.Final = 6
 # No request is looked at for lateness more often than this, seconds.
 _SORT_INTERVAL_S: typing.Final = 0.02
-_POINT_BITS: typing.Final = 32
-_POINTS: typing.Final = 1 << _POINT_BITS
 
 
 class Granted(typing.NamedTuple):
@@ -161,7 +157,7 @@
 ) -> Refused:
     """Return a refusal until the present queue should have been served."""
     clear_s = len(service.queue) / service.count_rate(book.share)
-    point = xxhash.xxh32_intdigest(waiting.request_id.encode()) / _POINTS
+    point = rendezvous.draw_point(waiting.request_id)
     spread_s = clear_s * (1 + _RETRY_SPREAD * point)
     return Refused(
         waiting.sender,
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -15,7 +15,7 @@
 )
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.daemon import tasks as background
-from lavenderledge.http1 import client, listener, messages, server
+from lavenderledge.http1 import bounds, client, listener, messages, server
 from lavenderledge.peers import keys, link
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.peers import slots as slotmessages
@@ -43,7 +43,7 @@
 _START_BODY_BYTES: typing.Final = 4_194_304
 _START_HEADER_S: typing.Final = 3.0
 _START_IDLE_S: typing.Final = 15.0
-_START_BOUNDS: typing.Final = server.Bounds(
+_START_BOUNDS: typing.Final = bounds.Bounds(
     header_bytes=_START_HEADER_BYTES,
     body_bytes=_START_BODY_BYTES,
     header_timeout_s=_START_HEADER_S,
@@ -347,13 +347,7 @@
 
     def _apply(self, accepted: routes.Configuration) -> None:
         """Put a configuration into force that was just accepted."""
-        limits = accepted.limits
-        self._entry.bounds = server.Bounds(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            header_timeout_s=limits.header_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
-        )
+        self._entry.bounds = accepted.limits
         self._allocator.tell_all()
 
     def _introduce(self, instance: str, address: str) -> None:
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -7,9 +7,9 @@
 import urllib.parse
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import listener, server
+from lavenderledge.http1 import bounds, listener
 
-BOUNDS = server.Bounds(65536, 1 << 22, 5, 60)
+BOUNDS = bounds.Bounds(65536, 1 << 22, 5, 60)
 
 
 class Store:
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge.controllers import beliefs
+from lavenderledge.http1 import bounds
 from lavenderledge.policy import routes, slots
 from tests import serving
 
@@ -19,7 +20,7 @@
 
 def make_configuration(version):
     return routes.Configuration(
-        version, {}, {}, {}, False, routes.Limits(1, 1, 1, 1)
+        version, {}, {}, {}, False, bounds.Bounds(1, 1, 1, 1)
     )
 
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from lavenderledge.http1 import bounds
 from lavenderledge.policy import retrybudget, routes, tokenbuckets
 
 AMOUNTS = st.floats(1, 1e5)
@@ -108,7 +109,7 @@
         dict(customers),
         {},
         bool(customers),
-        routes.Limits(1, 1, 1, 1),
+        bounds.Bounds(1, 1, 1, 1),
     )
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, listener, server
+from lavenderledge.http1 import bounds, client, listener
 from lavenderledge.proxy import events
 from tests import platformfleet, platformstore
 
-BOUNDS = server.Bounds(
+BOUNDS = bounds.Bounds(
     header_bytes=1000, body_bytes=100, header_timeout_s=0.2, idle_timeout_s=0.4
 )
 
