Replicas are found in one place; what an instance keeps has one rule

Cause: the book looped over all services in three places to find a replica's; a report and the end of an instance each dropped its requests in a loop of their own; each beat built a set of all replicas' names to tell a list's age. Change: Book._find_service; SlotAllocator._keep_only; whether lapsed replicas are in use is worked out when the list changes. Ruled out: a replica that two services list: names are unique, and free() and note_failure already took the first. The cost of a beat was not measured.

--- a/lavenderledge/controllers/beliefs.py
+++ b/lavenderledge/controllers/beliefs.py
@@ -184,6 +184,7 @@
         self._clock = clock
         self._confirmed_s = float('-inf')
         self._left: set[str] = set()
+        self._is_doubtful = False
 
     def has_left(self, name: str) -> bool:
         """Return whether a replica was seen here to leave.
@@ -204,8 +205,8 @@
         A list with replicas that lapsed and are still used was last right
         before the outage.
         """
-        names = {info.name for info in self.list_usable()}
-        if self.listing.missing.isdisjoint(names):
+        self.list_usable()
+        if not self._is_doubtful:
             return self.age_s()
         since_s = min(self._confirmed_s, self.listing.outage_s)
         return self._clock.read_monotonic() - since_s
@@ -225,6 +226,7 @@
             self._seen = entries
             self._usable = _select_usable(entries, self.listing.missing)
             usable = {info.name for info in self._usable}
+            self._is_doubtful = not usable.isdisjoint(self.listing.missing)
             self._left = (self._left | known) - usable
         return self._usable
 
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -243,10 +243,7 @@
         sender.stamp_s = report.stamp_s
         held = {each.request_id: each for each in report.held}
         waiting = set(report.waiting)
-        for request_id, holding in tuple(self.book.holdings.items()):
-            gone = request_id not in held and request_id not in waiting
-            if holding.sender == report.sender and gone:
-                self.book.free(request_id)
+        self._keep_only(report.sender, held=held.keys(), waiting=waiting)
         for request_id, each in held.items():
             self.book.hold(
                 request_id,
@@ -259,10 +256,6 @@
                 ),
                 service=each.service,
             )
-        for service in self.book.services.values():
-            for request_id in service.queue.list_of(report.sender):
-                if request_id not in waiting:
-                    service.queue.remove(request_id)
         self._introduce(report.sender, report.address)
         self._beat(report.sender)
 
@@ -288,12 +281,23 @@
 
     def _forget(self, name: str, now_s: float) -> None:
         self._senders.pop(name)
+        self._keep_only(name, held=frozenset(), waiting=frozenset())
+
+    def _keep_only(
+        self, name: str, *, held: abc.Set[str], waiting: abc.Set[str]
+    ) -> None:
+        """Drop all of an instance's requests but these.
+
+        One that it still waits for may have been granted meanwhile.
+        """
+        kept = held | waiting
         for request_id, holding in tuple(self.book.holdings.items()):
-            if holding.sender == name:
+            if holding.sender == name and request_id not in kept:
                 self.book.free(request_id)
         for service in self.book.services.values():
-            for request_id in service.queue.list_of(name):
-                service.queue.remove(request_id)
+            for waiting_id in service.queue.list_of(name):
+                if waiting_id not in waiting:
+                    service.queue.remove(waiting_id)
 
     def _update_share(self) -> None:
         alive = max(self._count_alive(), 1)
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -163,11 +163,8 @@
 
     def find_replica(self, name: str) -> Replica | None:
         """Return a replica by its name, None where it is not listed."""
-        for service in self.services.values():
-            replica = service.replicas.get(name)
-            if replica is not None:
-                return replica
-        return None
+        service = self._find_service(name)
+        return None if service is None else service.replicas[name]
 
     def note_answer(
         self,
@@ -178,23 +175,21 @@
         now_s: float,
     ) -> None:
         """Learn from a request that was answered."""
-        for service in self.services.values():
-            replica = service.replicas.get(holding.replica)
-            if replica is None:
-                continue
-            first_s = max(first_s - holding.queued_s, first_s * _OWN_PART)
-            usual_s = service.first_byte.expect(holding.prompt_tokens)
-            replica.pace.note_answer(
-                ratio=first_s / usual_s if usual_s else 0,
-                slowness=slowness,
-                now_s=now_s,
-            )
-            service.first_byte.note(
-                holding.prompt_tokens, first_s / replica.pace.factor
-            )
-            replica.pace.hold_s.note(now_s - holding.since_s)
-            service.errors.note(0)
-            service.hold_s.note(now_s - holding.since_s)
+        service = self._find_service(holding.replica)
+        if service is None:
+            return
+        pace = service.replicas[holding.replica].pace
+        own_s = max(first_s - holding.queued_s, first_s * _OWN_PART)
+        usual_s = service.first_byte.expect(holding.prompt_tokens)
+        pace.note_answer(
+            ratio=own_s / usual_s if usual_s else 0,
+            slowness=slowness,
+            now_s=now_s,
+        )
+        service.first_byte.note(holding.prompt_tokens, own_s / pace.factor)
+        pace.hold_s.note(now_s - holding.since_s)
+        service.hold_s.note(now_s - holding.since_s)
+        service.errors.note(0)
 
     def note_failure(self, holding: Holding, now_s: float) -> None:
         """Learn from a request that its replica failed or turned away."""
@@ -204,11 +199,17 @@
 
     def note_error(self, holding: Holding, now_s: float) -> None:
         """Learn from a request that its replica answered with an error."""
+        service = self._find_service(holding.replica)
+        if service is not None:
+            service.replicas[holding.replica].pace.note_error(now_s)
+            service.errors.note(1)
+
+    def _find_service(self, replica: str) -> Service | None:
+        """Return the service of a replica, None where it is not listed."""
         for service in self.services.values():
-            replica = service.replicas.get(holding.replica)
-            if replica is not None:
-                replica.pace.note_error(now_s)
-                service.errors.note(1)
+            if replica in service.replicas:
+                return service
+        return None
 
     def _relist(
         self, service: Service, infos: dict[str, ReplicaInfo], now_s: float
