A late request is put among the late at once

Cause: a request that arrived late was added as fresh, taken out and put among the late. Change: SlotQueue.add takes whether it is late; demote uses it.

--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -64,9 +64,7 @@
     refused = _refuse_hopeless(book, service, waiting, now_s, late=late)
     if refused is not None:
         return refused
-    service.queue.add(waiting)
-    if late:
-        service.queue.demote(waiting)
+    service.queue.add(waiting, late=late)
     return None
 
 
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -51,14 +51,17 @@
         """Return whether a request waits."""
         return request_id in self._places
 
-    def add(self, waiting: Waiting) -> None:
-        """Add a request as the newest of its rank."""
-        self._put(waiting, find_place(waiting.wanted.tier, late=False))
+    def add(self, waiting: Waiting, *, late: bool = False) -> None:
+        """Add a request as the newest of its rank, or of the late ones."""
+        place = find_place(waiting.wanted.tier, late=late)
+        self._places[waiting.request_id] = place
+        line = self._lines.setdefault(place, collections.OrderedDict())
+        line[waiting.request_id] = waiting
 
     def demote(self, waiting: Waiting) -> None:
         """Put a request among the late ones of its rank."""
         self.remove(waiting.request_id)
-        self._put(waiting, find_place(waiting.wanted.tier, late=True))
+        self.add(waiting, late=True)
 
     def remove(self, request_id: str) -> Waiting | None:
         """Take a request out, if it is there."""
@@ -95,8 +98,3 @@
     def list_senders(self) -> set[str]:
         """Return the instances whose requests wait."""
         return {waiting.sender for waiting in self.walk()}
-
-    def _put(self, waiting: Waiting, place: float) -> None:
-        self._places[waiting.request_id] = place
-        line = self._lines.setdefault(place, collections.OrderedDict())
-        line[waiting.request_id] = waiting
