The data path's tools are built once

Cause: forwarding.Parts and exchange.Tools were the same eight fields, copied for each request; the budgets by service lived in the forwarder, which two of the tools pointed back to. An attempt counted its pieces, of which only whether there was one is asked. Change: Forwarder takes the Tools, and other settings by apply; RetryBudgets keeps a budget for each service; Attempt.has_body; Trail.note_first_byte. Ruled out: retry settings that change at a reload: they never did. Conclusion: no behaviour changes; requests on their way keep the settings that they began with, as before. Saved time per request was not measured.

--- a/lavenderledge/policy/retrybudget.py
+++ b/lavenderledge/policy/retrybudget.py
@@ -47,3 +47,20 @@
         for times in (self._requests, self._repeats):
             while times and now_s - times[0] > self._budget.window_s:
                 times.popleft()
+
+
+class RetryBudgets:
+    """A budget of its own for each service."""
+
+    def __init__(self, *, budget: Budget) -> None:
+        """Start with empty windows; each service has the same bound."""
+        self._budget = budget
+        self._by_service: dict[str, RetryBudget] = {}
+
+    def find(self, service: str) -> RetryBudget:
+        """Return a service's budget, made at its first request."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = RetryBudget(budget=self._budget)
+            self._by_service[service] = found
+        return found
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -85,7 +85,7 @@
         self.begun_s = clock.read_monotonic()
         self.first_s = float(0)
         self.last_s = self.begun_s
-        self.pieces = 0
+        self.has_body = False
         self.slowness = float(0)
         self.status = 0
         self._call = call
@@ -117,9 +117,9 @@
     def take_body(self, body: bytes) -> None:
         """Relay or hold a part of the body."""
         now_s = self._clock.read_monotonic()
-        if not self.pieces:
+        if not self.has_body:
+            self.has_body = True
             self.first_s = now_s - self.begun_s
-        self.pieces += 1
         self.last_s = now_s
         if self._relaying:
             self._pass(body)
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -52,7 +52,6 @@
 
     most_key_age_s: float
     most_reject_age_s: float
-    budget: retrybudget.Budget
 
 
 class Tools(typing.NamedTuple):
@@ -65,9 +64,9 @@
     pool: client.Pool
     metrics: meters.Metrics
     settings: Settings
+    budgets: retrybudget.RetryBudgets
     has_left: abc.Callable[[str], bool]
-    may_repeat: abc.Callable[[str], bool]
-    note_request: abc.Callable[[str], None]
+    count_instances: abc.Callable[[], int]
 
 
 class Exchange:
@@ -216,7 +215,8 @@
             self._relay.splitter = events.EventSplitter(
                 last_id=self._call.last_event_id
             )
-        self._tools.note_request(self._trail.service)
+        budget = self._tools.budgets.find(self._trail.service)
+        budget.note_request(self._tools.clock.read_monotonic())
 
     def _build_wanted(self) -> slotmessages.Wanted:
         standing = self._find_standing()
@@ -320,12 +320,18 @@
         if now_s - slot.granted_s > _GRANT_S:
             self._trail.last_failure = 'grant_lapsed'
             return False
-        if self._trail.sends and not self._tools.may_repeat(service):
+        if self._trail.sends and not self._may_repeat(now_s):
             self._tools.metrics.count('retries_denied', reason='budget')
             self._give_up('retry_budget')
             return False
         return True
 
+    def _may_repeat(self, now_s: float) -> bool:
+        """Count a repeat if the instance's share of the budget allows it."""
+        return self._tools.budgets.find(self._trail.service).take(
+            now_s, instances=self._tools.count_instances()
+        )
+
     def _send(
         self, connection: client.Connection, replica: str
     ) -> attempts.Attempt:
@@ -382,10 +388,9 @@
         self, attempt: attempts.Attempt, outcome: attempts.Result | None
     ) -> slotmessages.Reading:
         line = self._trail
-        if attempt.pieces:
+        if attempt.has_body:
             self._tools.metrics.observe('upstream_first_byte', attempt.first_s)
-        if attempt.pieces and line.first_byte_s is None:
-            line.first_byte_s = attempt.begun_s + attempt.first_s
+            line.note_first_byte(attempt.begun_s + attempt.first_s)
         if outcome is attempts.Result.NOT_RUN:
             line.exclude(f'not_run_{attempt.status}')
             self._check_excluded()
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -126,16 +126,23 @@
             introduce=self._introduce,
         )
         self._forwarder = forwarding.Forwarder(
-            settings=_bound_exchanges(settings),
-            parts=forwarding.Parts(
+            tools=exchange.Tools(
                 dialect=platform.dialect,
                 clock=clock,
                 configuration=self._watching.configuration,
                 requester=self._requester,
                 pool=self._pool,
                 metrics=self._metrics,
-                count_instances=self._registration.count_alive,
+                settings=_bound_exchanges(settings),
+                budgets=retrybudget.RetryBudgets(
+                    budget=retrybudget.Budget(
+                        settings.retry_ratio,
+                        settings.retry_slack,
+                        settings.retry_window_s,
+                    )
+                ),
                 has_left=self._watching.replicas.has_left,
+                count_instances=self._registration.count_alive,
             ),
         )
         self._entry = self._build_listener(self._forwarder.serve)
@@ -174,7 +181,7 @@
             apply_ms=settings.apply_ms,
             log_level=settings.log_level,
         )
-        self._forwarder.settings = _bound_exchanges(self._settings)
+        self._forwarder.apply(_bound_exchanges(self._settings))
         logging.getLogger().setLevel(settings.log_level.upper())
         self._log('reloaded', log_level=settings.log_level)
 
@@ -393,9 +400,4 @@
     return exchange.Settings(
         most_key_age_s=settings.revocation_s - _REVOCATION_MARGIN_S,
         most_reject_age_s=settings.apply_s,
-        budget=retrybudget.Budget(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window_s,
-        ),
     )
--- a/lavenderledge/proxy/trail.py
+++ b/lavenderledge/proxy/trail.py
@@ -44,6 +44,11 @@
         """Return whether some replica may have begun to work on it."""
         return self.runs > 0
 
+    def note_first_byte(self, at_s: float) -> None:
+        """Take the time of a run's first byte; that of the first run stays."""
+        if self.first_byte_s is None:
+            self.first_byte_s = at_s
+
     def exclude(self, failure: str) -> None:
         """Note that the present replica failed or turned it away."""
         self.excluded.append(self.replica)
