Entries of the store are read in one loop; tests share their pool and their cut

Cause: a list and its changes decoded replicas in two loops, both ends of an outage noted it in the same two lines; five tests built the same pool, two the same cut-off. Change: Watching._read_replicas and _note_outage; platformfleet.make_pool; cut_off in test_beliefs. Assertions are as before. Conclusion: no behaviour changes.

--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -209,8 +209,7 @@
         prefix = following.prefix
 
         def note_failure(failure: stores.StoreFailure, first: bool) -> None:
-            self.replicas.listing.note_outage()
-            self._members.note_outage()
+            self._note_outage()
             if first:
                 self._log(
                     'store_lost',
@@ -220,8 +219,7 @@
                 )
 
         def note_regained() -> None:
-            self.replicas.listing.note_outage()
-            self._members.note_outage()
+            self._note_outage()
             self._log('store_regained', prefix=prefix)
 
         return follower.Follower(
@@ -233,6 +231,11 @@
             on_regained=note_regained,
         )
 
+    def _note_outage(self) -> None:
+        """Take no lapse of the next seconds for an end."""
+        self.replicas.listing.note_outage()
+        self._members.note_outage()
+
     def _take_configuration(
         self, changes: abc.Sequence[stores.Change], asked_s: float
     ) -> None:
@@ -257,28 +260,25 @@
     def _take_replicas(
         self, changes: abc.Sequence[stores.Change], asked_s: float
     ) -> None:
-        prefix = self._platform.replicas_prefix
-        listed = {
-            change.key.removeprefix(prefix): self._platform.read_replica(change)
-            for change in changes
-        }
+        listed = dict(self._read_replicas(changes))
         self.replicas.listing.replace(
             {name: each for name, each in listed.items() if each is not None}
         )
         self._log('replicas_listed', count=len(listed))
 
+    def _read_replicas(
+        self, changes: abc.Sequence[stores.Change]
+    ) -> abc.Iterator[tuple[str, beliefs.ListedReplica | None]]:
+        """Yield names and entries, None for those that can't be used."""
+        for change in changes:
+            name = change.key.removeprefix(self._platform.replicas_prefix)
+            yield name, self._platform.read_replica(change)
+
     def _change_replicas(
         self, changes: abc.Sequence[stores.Change], asked_s: float
     ) -> None:
-        prefix = self._platform.replicas_prefix
         before = self.replicas.list_usable()
-        self.replicas.listing.update(
-            (
-                change.key.removeprefix(prefix),
-                self._platform.read_replica(change),
-            )
-            for change in changes
-        )
+        self.replicas.listing.update(self._read_replicas(changes))
         after = self.replicas.list_usable()
         if after is before:
             return
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -72,6 +72,13 @@
     return {**configuration, **changes}
 
 
+def make_pool():
+    """Return a caller's pool of connections, which counts nothing."""
+    return client.Pool(
+        clock=clocks.SystemClock(), count=lambda *args, **labels: None
+    )
+
+
 def find_port():
     """Return a free port that no outgoing connection is given by chance."""
     while True:
@@ -212,9 +219,7 @@
 
     async def begin_raw(self, data, *, entry='entry-0'):
         """Send bytes on a connection of their own."""
-        pool = client.Pool(
-            clock=clocks.SystemClock(), count=lambda *args, **labels: None
-        )
+        pool = make_pool()
         address = str(self.entries[entry][0])
         opened = await pool.open(address, timeout_s=1, most_idle_s=0)
         answer = Answer()
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -8,7 +8,6 @@
 
 from tests import platformfleet
 
-
 # A process that can't listen has ended by then, seconds.
 OPEN_S = 1.5
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,8 +7,7 @@
 import signal
 import sys
 
-from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, messages
+from lavenderledge.http1 import messages
 from tests import platformfleet, platformreplica, platformstore
 from tests.soak import checks, daemons, proxy
 
@@ -130,9 +129,7 @@
 
     async def call_until(self, end_s):
         loop = asyncio.get_running_loop()
-        pool = client.Pool(
-            clock=clocks.SystemClock(), count=lambda *args, **labels: None
-        )
+        pool = platformfleet.make_pool()
         while loop.time() < end_s:
             await self.call(pool)
             await asyncio.sleep(self.rng.uniform(0.01, 0.1))
@@ -305,9 +302,7 @@
     async def recover(self):
         """Return whether requests are served once all has been healed."""
         self.heal()
-        pool = client.Pool(
-            clock=clocks.SystemClock(), count=lambda *args, **labels: None
-        )
+        pool = platformfleet.make_pool()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + 12
         while loop.time() < end_s:
--- a/tests/soak/takeover.py
+++ b/tests/soak/takeover.py
@@ -12,8 +12,8 @@
 import sys
 import typing
 
-from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, messages
+from lavenderledge.http1 import messages
+from tests import platformfleet
 from tests.soak import daemons, run
 
 FAULTS = ('none', 'killed', 'frozen', 'store-silent')
@@ -52,9 +52,7 @@
 async def _send_all(soak, fault):
     """Send at a steady rate; return when the fault struck."""
     loop = asyncio.get_running_loop()
-    pool = client.Pool(
-        clock=clocks.SystemClock(), count=lambda *args, **labels: None
-    )
+    pool = platformfleet.make_pool()
     calls = []
     began_s = loop.time()
     struck_s = None
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -14,6 +14,15 @@
     return beliefs.ListedReplica(info, is_ready=is_ready)
 
 
+def cut_off(belief, clock, *, for_s):
+    """Lose the store and regain it."""
+    belief.confirm(clock.now_s)
+    belief.listing.note_outage()
+    clock.now_s += for_s
+    belief.listing.note_outage()
+    belief.confirm(clock.now_s)
+
+
 def list_names(belief):
     return [info.name for info in belief.list_usable()]
 
@@ -83,11 +92,7 @@
     clock = serving.ManualClock()
     belief = beliefs.ReplicaBelief(clock=clock)
     belief.listing.replace({name: make_listed(name) for name in 'abcde'})
-    belief.confirm(clock.now_s)
-    belief.listing.note_outage()
-    clock.now_s += 3
-    belief.listing.note_outage()
-    belief.confirm(clock.now_s)
+    cut_off(belief, clock, for_s=3)
     belief.listing.update([('a', None), ('f', make_listed('f'))])
     assert list_names(belief) == ['b', 'c', 'd', 'e', 'f']
     assert belief.doubtful_age_s() == 0
@@ -99,11 +104,7 @@
     clock = serving.ManualClock()
     belief = beliefs.ReplicaBelief(clock=clock)
     belief.listing.replace({name: make_listed(name) for name in 'abc'})
-    belief.confirm(clock.now_s)
-    belief.listing.note_outage()
-    clock.now_s += 3
-    belief.listing.note_outage()
-    belief.confirm(clock.now_s)
+    cut_off(belief, clock, for_s=3)
     belief.listing.update([('a', None), ('b', None)])
     assert list_names(belief) == ['a', 'b', 'c']
     assert belief.doubtful_age_s() == 3
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, client, listener
+from lavenderledge.http1 import bounds, listener
 from lavenderledge.proxy import events
 from tests import platformfleet, platformstore
 
@@ -142,7 +142,7 @@
 
     peer = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = peer.sockets[0].getsockname()[1]
-    pool = client.Pool(clock=clocks.SystemClock(), count=lambda *a, **b: None)
+    pool = platformfleet.make_pool()
     opened = await pool.open(f'127.0.0.1:{port}', timeout_s=1, most_idle_s=9)
     answer = Mine()
     opened.ok.begin(b'GET / HTTP/1.1\r\n\r\n', answer)
