Grants carry the age of their list, and requests log it

Asks carry a stamp and grants echo the newest one, so that the age is counted on the clock of the instance that asked and a delay on the way makes it older, not younger. No decision uses it yet.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -76,6 +76,11 @@
         self.received_s = now_s
         self.stamp_s: float | None = None
 
+    def note_stamp(self, stamp_s: float) -> None:
+        """Keep the newest stamp; messages may arrive out of order."""
+        if self.stamp_s is None or stamp_s > self.stamp_s:
+            self.stamp_s = stamp_s
+
 
 class SlotAllocator:
     """Grants slots to the requests of all instances that report here."""
@@ -115,6 +120,7 @@
         self.slot_state.set_replicas(self._state_reader.list_replicas(), now_s)
         match message:
             case messages.Ask():
+                sender.note_stamp(message.stamp_s)
                 self._apply_request(message, now_s)
             case messages.Release():
                 self._apply_release(message, now_s)
@@ -244,7 +250,7 @@
             return
         sender.sequence = report.sequence
         sender.received_s = now_s
-        sender.stamp_s = report.stamp_s
+        sender.note_stamp(report.stamp_s)
         held = {slot.request_id: slot for slot in report.held}
         waiting = set(report.waiting)
         self._remove_other_requests(
@@ -329,18 +335,26 @@
                 sender=grant.sender,
                 replica=grant.replica,
             )
-            self._send(
-                grant.sender,
-                messages.Grant(
-                    self._instance,
-                    grant.request_id,
-                    grant.replica,
-                    grant.address,
-                ),
-            )
+            self._send_grant(grant)
         for refusal in refused:
             self._refuse(refusal)
 
+    def _send_grant(self, grant: slotgrants.Granted) -> None:
+        stamp_s = self._senders[grant.sender].stamp_s
+        assert stamp_s is not None
+        list_age_s = self._state_reader.read_freshness().list_age_s
+        self._send(
+            grant.sender,
+            messages.Grant(
+                self._instance,
+                grant.request_id,
+                grant.replica,
+                grant.address,
+                stamp_s,
+                min(list_age_s, _MAX_REPORTED_AGE_S),
+            ),
+        )
+
     def _refuse(self, refused: slotgrants.Refused) -> None:
         self._log_decision(
             'slot_refused',
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -39,11 +39,16 @@
 
 
 class Slot(typing.NamedTuple):
-    """A replica's slot; ``granted_s`` is when the grant arrived."""
+    """A replica's slot.
+
+    ``granted_s`` is when the grant arrived. The store confirmed the list that
+    it is based on at ``list_confirmed_s`` or later.
+    """
 
     replica: str
     address: str
     granted_s: float
+    list_confirmed_s: float
 
 
 Decision: typing.TypeAlias = expression.Result[Slot, Refusal]
@@ -272,7 +277,10 @@
         self._send(
             self._allocator,
             messages.Ask(
-                self._instance, self._read_incarnation(), entry.renew(now_s)
+                self._instance,
+                self._read_incarnation(),
+                now_s,
+                entry.renew(now_s),
             ),
         )
 
@@ -339,7 +347,12 @@
         entry.replica = grant.replica
         entry.charged = True
         now_s = self._clock.read_monotonic()
-        slot = Slot(grant.replica, grant.address, now_s)
+        slot = Slot(
+            grant.replica,
+            grant.address,
+            now_s,
+            grant.stamp_s - grant.list_age_s,
+        )
         self._resolve(entry, expression.Ok(slot))
 
     def _release_grant(self, grant: messages.Grant) -> None:
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -17,11 +17,12 @@
 SCHEMA: typing.Final[abc.Mapping[str, frozenset[str]]] = types.MappingProxyType(
     {
         # Requests. ``age_ms`` is the age of the configuration ``version`` that
-        # the request was checked against.
+        # the request was checked against, ``list_age_ms`` that of the list of
+        # replicas behind the last grant, when the request was sent.
         REQUEST: _list_fields(
             'id route service customer rank status outcome reason replica '
-            'sends runs excluded failure waited_ms first_ms total_ms version '
-            'age_ms allocator'
+            'sends runs excluded failure list_age_ms waited_ms first_ms '
+            'total_ms version age_ms allocator'
         ),
         # Decisions of the allocator, at level DEBUG.
         'slot_granted': _list_fields(
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -59,20 +59,30 @@
 
 
 class Ask(typing.NamedTuple):
-    """A request that has started to wait."""
+    """A request that has started to wait.
+
+    ``stamp_s`` is the sender's clock.
+    """
 
     sender: bounds.Name
     incarnation: bounds.Count
+    stamp_s: bounds.Finite
     spec: RequestSpec
 
 
 class Grant(typing.NamedTuple):
-    """A slot of a replica, reached at ``host:port``."""
+    """A slot of a replica, reached at ``host:port``.
+
+    ``stamp_s`` echoes the newest stamp of the instance that asked. The store
+    confirmed the allocator's list of replicas ``list_age_s`` before the grant.
+    """
 
     sender: bounds.Name
     request_id: bounds.Name
     replica: bounds.Name
     address: bounds.Name
+    stamp_s: bounds.Finite
+    list_age_s: bounds.NonNegative
 
 
 class Refusal(typing.NamedTuple):
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -301,7 +301,7 @@
         if not self._may_send(slot):
             self._deps.pool.release(connection)
             return None
-        attempt = self._send(connection, slot.replica)
+        attempt = self._send(connection, slot)
         try:
             outcome = await self._wait_for_result(attempt)
         finally:
@@ -338,9 +338,11 @@
         )
 
     def _send(
-        self, connection: client.Connection, replica: str
+        self, connection: client.Connection, slot: slotrequester.Slot
     ) -> attempts.Attempt:
+        now_s = self._deps.clock.read_monotonic()
         self._record.sends += 1
+        self._record.list_age_s = now_s - slot.list_confirmed_s
         splitter = self._relay.splitter
         last_id = self._parsed.last_event_id
         if splitter is not None:
@@ -354,9 +356,9 @@
             clock=self._deps.clock,
         )
         context = headercodec.ForwardContext(
-            replica=replica,
+            replica=slot.replica,
             customer=self._record.customer or None,
-            remaining_s=self._deadline_s - self._deps.clock.read_monotonic(),
+            remaining_s=self._deadline_s - now_s,
             last_event_id=last_id,
         )
         attempts.apply_backpressure(connection, self._relay.reply)
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -37,6 +37,7 @@
         self.replica = ''
         self.last_failure = ''
         self.granted_s: float | None = None
+        self.list_age_s: float | None = None
         self.first_byte_s: float | None = None
 
     @property
@@ -76,11 +77,12 @@
             runs=self.runs,
             excluded=','.join(self.excluded),
             failure=self.last_failure,
+            list_age_ms=_format_age(self.list_age_s),
             waited_ms=self._elapsed_ms(self.granted_s),
             first_ms=self._elapsed_ms(self.first_byte_s),
             total_ms=self._elapsed_ms(now_s),
             version=self.version,
-            age_ms=round(min(age_s, _MAX_AGE_S) * _MILLISECONDS),
+            age_ms=_format_age(age_s),
             allocator=allocator,
         )
 
@@ -88,3 +90,10 @@
         if at_s is None:
             return ''
         return round((at_s - self.started_s) * _MILLISECONDS, 1)
+
+
+def _format_age(age_s: float | None) -> object:
+    """Return an age in milliseconds, empty if it is not known."""
+    if age_s is None:
+        return ''
+    return round(min(age_s, _MAX_AGE_S) * _MILLISECONDS)
