--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -128,6 +128,7 @@
         self.instance_ports = {}
         self.tasks = {}
         self._store_listener = platformstore.build_listener(self.store.handle)
+        self._store_links = {}
         self._request_count = 0
 
     async def start(self, *, replicas=2, instances=1, **configuration):
@@ -145,6 +146,19 @@
         self.store.write(f'servers/{name}', replica.describe(service, slots))
         return replica
 
+    async def add_store_link(self, name):
+        """Return the address at which an instance reaches the store.
+
+        ``cut_store`` makes the store unreachable there.
+        """
+        link = platformstore.StoreLink(self.store)
+        await link.listener.listen('127.0.0.1', 0)
+        self._store_links[name] = link
+        return formats.Address('127.0.0.1', link.listener.port)
+
+    def cut_store(self, name, *, is_cut=True):
+        self._store_links[name].is_cut = is_cut
+
     async def add_instance(self, name, **changes):
         while not await self._try_instance(name, changes):
             await asyncio.sleep(0.01)
@@ -239,6 +253,8 @@
         for running in self.instances.values():
             await running.close()
         self._store_listener.stop()
+        for link in self._store_links.values():
+            link.listener.stop()
         for replica in self.replicas.values():
             replica.listener.stop()
 
--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -24,6 +24,7 @@
         self.script = collections.deque()
         self.runs = []
         self.received = []
+        self.arrivals_s = []
         self.running = 0
         self.max_running = 0
         self.cancelled = []
@@ -51,6 +52,7 @@
 
     async def handle(self, request, reply):
         self.received.append(request)
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         fields = request.fields
         expected = (fields.find(b'expect-instance') or b'').decode()
         if expected != self.name:
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -187,6 +187,33 @@
                 self.delete(key)
 
 
+class StoreLink:
+    """A way to a store; while it is cut, it loses calls and responses."""
+
+    def __init__(self, store):
+        self.is_cut = False
+        self.listener = build_listener(self._handle)
+        self._store = store
+
+    async def _handle(self, request, reply):
+        await self._store.handle(request, _LossyReply(self, reply))
+        if self.is_cut:
+            await asyncio.Event().wait()
+
+
+class _LossyReply:
+    def __init__(self, link, reply):
+        self._link = link
+        self._reply = reply
+
+    def send(self, *response):
+        if not self._link.is_cut:
+            self._reply.send(*response)
+
+    def abort(self):
+        self._reply.abort()
+
+
 def build_listener(handle, clock=None):
     """Return a listener for the handler of a fake server."""
     return listener.Listener(
