Send no request to a replica by a list that nobody has confirmed lately

Callers saw nothing, but replicas got requests up to 5 s after they had said that they leave (DRAIN). Cause: a grant was used for 0.6 s after its arrival, whatever the age of the list of replicas behind it; with all followers cut off from the store, the newest old list stayed in use although the sending instance itself reached the store. Evidence: list_age_ms 3870 at an instance that was not cut off. Why this works: right before the first byte the newer one of the granting list and the own list decides, on the sender's clock; if both are older than drain_ms less 0.4 s, the instance reads the list itself, and uses the old one only if the store does not answer it. The pause after changes is 0.2 s instead of 0.4 s, so that a followed list stays younger than that (0.5 + 0.2 + 0.5 s).

--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -1,6 +1,7 @@
 """Caches of the store's content, with its version and age."""
 
 import collections
+import enum
 import typing
 from collections import abc
 
@@ -141,6 +142,11 @@
         """Return the monotonic time at which the last outage began, seconds."""
         return self._outage_s
 
+    @property
+    def is_in_grace(self) -> bool:
+        """Return whether entries that expired may be listed again."""
+        return self._clock.read_monotonic() < self._grace_until_s
+
     def note_outage(self) -> None:
         """Keep entries that expire within ``RELIST_GRACE_S`` from now."""
         now_s = self._clock.read_monotonic()
@@ -158,7 +164,7 @@
         """Apply changed entries in order; None marks a removed one."""
         changed = dict(self.entries)
         missing = self.missing
-        in_grace = self._clock.read_monotonic() < self._grace_until_s
+        in_grace = self.is_in_grace
         for name, entry in changes:
             before = changed.get(name)
             expires = before is not None and not self._is_leaving(before)
@@ -174,6 +180,15 @@
             self._entries = changed
 
 
+@enum.unique
+class Standing(enum.Enum):
+    """What is known of a replica: whether it takes requests."""
+
+    LISTED = 'listed'
+    LEFT = 'left'
+    UNCONFIRMED = 'unconfirmed'
+
+
 class ReplicaCache:
     """The listed replicas and the age of the list."""
 
@@ -184,6 +199,7 @@
         )
         self._last_entries: abc.Mapping[str, ListedReplica] = {}
         self._usable: tuple[slots.ReplicaInfo, ...] = ()
+        self._usable_names: abc.Set[str] = frozenset()
         self._clock = clock
         self._confirmed_s = float('-inf')
         self._left: set[str] = set()
@@ -198,6 +214,27 @@
         self.list_usable()
         return name in self._left and self.age_s() < _LEFT_RETENTION_S
 
+    def judge(
+        self, name: str, *, listed_s: float, max_age_s: float
+    ) -> Standing:
+        """Judge a replica that a peer's list had at ``listed_s`` (monotonic).
+
+        The newer one of that list and the own one decides, unless neither was
+        correct within the last ``max_age_s``.
+        """
+        if self.has_left(name):
+            return Standing.LEFT
+        own_age_s = self.age_s()
+        peer_age_s = self._clock.read_monotonic() - listed_s
+        if min(own_age_s, peer_age_s) > max_age_s:
+            return Standing.UNCONFIRMED
+        if peer_age_s < own_age_s or name in self._usable_names:
+            return Standing.LISTED
+        # The entry may have expired in an outage that the peer saw as well.
+        if self.entry_cache.is_in_grace:
+            return Standing.LISTED
+        return Standing.LEFT
+
     def age_s(self) -> float:
         """Return the seconds since the confirming answer was requested."""
         return self._clock.read_monotonic() - self._confirmed_s
@@ -225,12 +262,13 @@
         """
         entries = self.entry_cache.entries
         if entries is not self._last_entries:
-            current = {info.name for info in self._usable}
+            former = self._usable_names
+            missing = self.entry_cache.missing
             self._last_entries = entries
-            self._usable = _select_usable(entries, self.entry_cache.missing)
-            usable = {info.name for info in self._usable}
-            self._has_missing = not usable.isdisjoint(self.entry_cache.missing)
-            self._left = (self._left | current) - usable
+            self._usable = _select_usable(entries, missing)
+            self._usable_names = {info.name for info in self._usable}
+            self._has_missing = not missing.isdisjoint(self._usable_names)
+            self._left = (self._left | former) - self._usable_names
         return self._usable
 
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -55,7 +55,11 @@
 
 
 class Dependencies(typing.NamedTuple):
-    """Objects that all exchanges of an instance share."""
+    """Objects that all exchanges of an instance share.
+
+    ``confirm_replica`` gets a granted replica and the monotonic time at which
+    it was listed, and returns whether it may get a request now.
+    """
 
     header_codec: headercodec.HeaderCodec
     clock: clocks.Clock
@@ -65,7 +69,7 @@
     metrics: meters.Metrics
     age_limits: AgeLimits
     budgets: retrybudget.RetryBudgets
-    has_left: abc.Callable[[str], bool]
+    confirm_replica: abc.Callable[[str, float], abc.Awaitable[bool]]
     count_instances: abc.Callable[[], int]
 
 
@@ -297,9 +301,22 @@
             self._record.exclude('connect_failed')
             self._check_exclusions()
             return _build_reading(slotallocator.REFUSED)
-        connection = opened.ok
-        if not self._may_send(slot):
-            self._deps.pool.release(connection)
+        try:
+            return await self._use_connection(opened.ok, slot)
+        finally:
+            self._deps.pool.release(opened.ok)
+
+    async def _use_connection(
+        self, connection: client.Connection, slot: slotrequester.Slot
+    ) -> slotmessages.Reading | None:
+        """Send the request on a connection unless something has changed."""
+        is_usable = await self._deps.confirm_replica(
+            slot.replica, slot.list_confirmed_s
+        )
+        if not is_usable:
+            self._record.exclude('has_left')
+            return None
+        if not connection.is_open or not self._may_send(slot):
             return None
         attempt = self._send(connection, slot)
         try:
@@ -307,11 +324,13 @@
         finally:
             if not attempt.done.done():
                 connection.abort()
-            self._deps.pool.release(connection)
         return self._handle_result(attempt, outcome)
 
     def _may_send(self, slot: slotrequester.Slot) -> bool:
-        """Check, right before sending, whatever may have changed."""
+        """Check, right before sending, whatever may have changed.
+
+        Nothing may be awaited between this check and the first byte.
+        """
         service = self._record.service
         now_s = self._deps.clock.read_monotonic()
         if now_s >= self._deadline_s - _RESPONSE_MARGIN_S:
@@ -319,9 +338,6 @@
             return False
         if not self._check_configuration() or service != self._record.service:
             return False
-        if self._deps.has_left(slot.replica):
-            self._record.exclude('has_left')
-            return False
         if now_s - slot.granted_s > _GRANT_LIFETIME_S:
             self._record.last_failure = 'grant_lapsed'
             return False
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -83,6 +83,7 @@
         self._registration = self._build_registration()
         self._watcher = watching.StoreWatcher(
             instance=settings.instance,
+            drain_s=settings.drain_s,
             platform=platform,
             store=self._store,
             members=self._registration,
@@ -145,7 +146,7 @@
                         settings.retry_window_s,
                     )
                 ),
-                has_left=self._watcher.replicas.has_left,
+                confirm_replica=self._watcher.confirm_replica,
                 count_instances=self._registration.count_alive,
             ),
         )
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -32,6 +32,7 @@
     stop_grace_s: float
     revocation_ms: float
     apply_ms: float
+    drain_ms: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
@@ -50,6 +51,11 @@
         """Return the time limit for applying a configuration, in seconds."""
         return self.apply_ms / _MILLISECONDS
 
+    @property
+    def drain_s(self) -> float:
+        """Return how long a leaving replica takes requests, in seconds."""
+        return self.drain_ms / _MILLISECONDS
+
 
 def _parse_number(text: str) -> float:
     number = float(text)
@@ -140,6 +146,14 @@
         '2000',
         'maximum time until a new configuration is applied',
     ),
+    definition.declare(
+        '--drain-ms',
+        'MILLISECONDS',
+        _parse_number,
+        '2000',
+        'time for which a replica still takes requests after it says that it '
+        'leaves',
+    ),
     definition.declare(
         '--retry-ratio',
         'RATIO',
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from lavenderledge import clock as clocks
-from lavenderledge import logs
+from lavenderledge import logs, timing
 from lavenderledge.controllers import (
     caches,
     follower,
@@ -21,10 +21,21 @@
 from lavenderledge.proxy import headercodec
 from lavenderledge.registry import store as stores
 
-# While the list of replicas is being reread, no slot is granted from one older
-# than this. A watch fails within two seconds, so a watched list never gets
-# this old.
-_MAX_LIST_AGE_S: typing.Final = 2.5
+# Requests are sent by lists of replicas that were correct this long before the
+# end of a replica's drain time, or later: they still have to arrive.
+_DRAIN_MARGIN_S: typing.Final = 0.4
+_MIN_LIST_AGE_RATIO: typing.Final = 0.5
+# The store is asked this long before a list becomes too old, so that requests
+# need not wait for its answer.
+_LIST_REREAD_MARGIN_S: typing.Final = 0.3
+# An instance follows the replicas for this long after it was granted one from
+# an old list.
+_LIST_FOLLOW_S: typing.Final = 2.0
+# A request waits for a recent list for this long. A store that takes longer is
+# taken as unreachable, and then the old list is used.
+_LIST_WAIT_S: typing.Final = 0.3
+_LIST_CHECK_INTERVAL_S: typing.Final = 0.01
+_LIST_CHECK_INTERVAL: typing.Final = timing.seconds(_LIST_CHECK_INTERVAL_S)
 # An instance whose configuration is older reads the store itself: a
 # configuration must be applied within two seconds.
 _MAX_RECEIVED_AGE_S: typing.Final = 1.8
@@ -33,7 +44,7 @@
 _CONFIGURATION_WAIT_S: typing.Final = 0.5
 _CONFIGURATION_PAUSE_S: typing.Final = 0.05
 _REPLICAS_WAIT_S: typing.Final = 0.5
-_REPLICAS_PAUSE_S: typing.Final = 0.4
+_REPLICAS_PAUSE_S: typing.Final = 0.2
 _MEMBERS_WAIT_S: typing.Final = 10.0
 # Every instance reads each change of the list of instances. Together they make
 # at most one call per interval, so that frequent changes put the same load on
@@ -81,6 +92,7 @@
         self,
         *,
         instance: str,
+        drain_s: float,
         platform: Platform,
         store: stores.Store,
         members: registration.Registration,
@@ -88,7 +100,11 @@
         metrics: meters.Metrics,
         callbacks: Callbacks,
     ) -> None:
-        """Create a watcher with empty caches."""
+        """Create a watcher with empty caches.
+
+        ``drain_s`` is how long a replica takes requests after it says that it
+        leaves.
+        """
         self.configuration = caches.ConfigurationCache(clock=clock)
         self.replicas = caches.ReplicaCache(clock=clock)
         self._instance = instance
@@ -99,6 +115,10 @@
         self._metrics = metrics
         self._callbacks = callbacks
         self._rng = random.Random(instance)
+        self._max_list_age_s = max(
+            drain_s - _DRAIN_MARGIN_S, drain_s * _MIN_LIST_AGE_RATIO
+        )
+        self._replicas_needed_until_s = float('-inf')
         self._replica_follower: follower.Follower | None = None
         self._newest_peer_version = 0
 
@@ -145,16 +165,47 @@
         It is False while the store can't be reached: then the old list is
         used.
         """
-        store_follower = self._replica_follower
-        if store_follower is None or store_follower.is_failing:
+        if self._has_lost_replicas:
             return False
-        return self.replicas.age_s() > _MAX_LIST_AGE_S
+        return self.replicas.age_s() > self._max_list_age_s
+
+    async def confirm_replica(self, name: str, listed_s: float) -> bool:
+        """Return whether a granted replica may get a request now.
+
+        A peer's list had it at ``listed_s`` (monotonic). If that list and the
+        own one are too old, the store is asked; if it does not answer, the old
+        list is used.
+        """
+        give_up_s = self._clock.read_monotonic() + _LIST_WAIT_S
+        standing = self._judge_replica(name, listed_s)
+        while standing is caches.Standing.UNCONFIRMED:
+            is_over = self._clock.read_monotonic() >= give_up_s
+            if self._has_lost_replicas or is_over:
+                self._metrics.count('unconfirmed_replicas')
+                return True
+            await self._clock.sleep(_LIST_CHECK_INTERVAL)
+            standing = self._judge_replica(name, listed_s)
+        return standing is caches.Standing.LISTED
 
     def find_quota(self, customer: str) -> routes.Quota | None:
         """Return a customer's quota, None if there is none."""
         current = self.configuration.current
         return None if current is None else current.quotas.get(customer)
 
+    @property
+    def _has_lost_replicas(self) -> bool:
+        """Return whether the last call for the replicas failed."""
+        store_follower = self._replica_follower
+        return store_follower is None or store_follower.is_failing
+
+    def _judge_replica(self, name: str, listed_s: float) -> caches.Standing:
+        now_s = self._clock.read_monotonic()
+        if now_s - listed_s > self._max_list_age_s - _LIST_REREAD_MARGIN_S:
+            self._replicas_needed_until_s = now_s + _LIST_FOLLOW_S
+        return self.replicas.judge(
+            name, listed_s=listed_s, max_age_s=self._max_list_age_s
+        )
+
     def _list_subscriptions(self) -> list[follower.Subscription]:
         platform = self._platform
         return [
@@ -174,7 +225,7 @@
                 on_list=self._replace_replicas,
                 on_changes=self._update_replicas,
                 on_confirmed=self.replicas.confirm,
-                is_needed=self._allocates,
+                is_needed=self._must_watch_replicas,
             ),
             follower.Subscription(
                 prefix=registration.PREFIX,
@@ -200,6 +251,11 @@
         candidates = candidates[: slotrequester.FOLLOWER_COUNT]
         return self._instance in candidates or self._callbacks.is_allocator()
 
+    def _must_watch_replicas(self) -> bool:
+        """Return whether this instance reads the list of replicas."""
+        now_s = self._clock.read_monotonic()
+        return self._allocates() or now_s < self._replicas_needed_until_s
+
     def _must_watch_configuration(self) -> bool:
         """Return whether this instance reads the configuration's key."""
         return self._allocates() or self._lacks_configuration()
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -179,6 +179,7 @@
             stop_grace_s=5,
             revocation_ms=5000,
             apply_ms=2000,
+            drain_ms=2000,
             retry_ratio=0.2,
             retry_window_s=10,
             retry_slack=50,
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -128,3 +128,39 @@
     assert cache.has_left('a')
     clock.now_s += 11
     assert not cache.has_left('a')
+
+
+def test_the_newer_list_decides_whether_a_replica_has_left():
+    clock = serving.ManualClock()
+    cache = caches.ReplicaCache(clock=clock)
+
+    def judge(name, *, peer_age_s):
+        return cache.judge(
+            name, listed_s=clock.now_s - peer_age_s, max_age_s=1.6
+        )
+
+    assert judge('a', peer_age_s=1.5) is caches.Standing.LISTED
+    assert judge('a', peer_age_s=1.7) is caches.Standing.UNCONFIRMED
+    cache.entry_cache.replace({'a': make_listed('a')})
+    cache.confirm(clock.now_s)
+    clock.now_s += 1
+    assert judge('a', peer_age_s=5) is caches.Standing.LISTED
+    assert judge('b', peer_age_s=5) is caches.Standing.LEFT
+    assert judge('b', peer_age_s=0.5) is caches.Standing.LISTED
+    clock.now_s += 1
+    assert judge('a', peer_age_s=5) is caches.Standing.UNCONFIRMED
+    cache.entry_cache.update([('a', make_listed('a', is_ready=False))])
+    assert judge('a', peer_age_s=0) is caches.Standing.LEFT
+
+
+def test_a_replica_that_may_have_expired_in_an_outage_has_not_left():
+    clock = serving.ManualClock()
+    cache = caches.ReplicaCache(clock=clock)
+    cache.entry_cache.note_outage()
+    cache.entry_cache.replace({'a': make_listed('a')})
+    cache.confirm(clock.now_s)
+    granted = {'listed_s': clock.now_s - 5, 'max_age_s': 1.6}
+    assert cache.judge('b', **granted) is caches.Standing.LISTED
+    clock.now_s += caches.RELIST_GRACE_S + 0.1
+    cache.confirm(clock.now_s)
+    assert cache.judge('b', **granted) is caches.Standing.LEFT
