Count the age of an allocator's list from the report that it answers

The configuration's age was already counted from the echoed stamp. Measured: test_a_beat_that_arrives_late_does_not_make_a_list_look_recent failed before (the allocator stayed) and passes.

--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -319,13 +319,15 @@
             self._send(other, report._replace(held=(), waiting=()))
 
     def _apply_beat(self, beat: messages.Beat) -> None:
-        if beat.list_age_s > MAX_LIST_AGE_S:
-            now_s = self._clock.read_monotonic()
-            self._stale_confirmed_s[beat.sender] = now_s - beat.list_age_s
-        else:
-            self._stale_confirmed_s.pop(beat.sender, None)
         if beat.stamp_s is None:
             return
+        # Counted from the echoed stamp: a beat may arrive long after it was
+        # sent.
+        confirmed_s = beat.stamp_s - beat.list_age_s
+        if self._clock.read_monotonic() - confirmed_s > MAX_LIST_AGE_S:
+            self._stale_confirmed_s[beat.sender] = confirmed_s
+        else:
+            self._stale_confirmed_s.pop(beat.sender, None)
         self._callbacks.freshness_received(
             beat.version, beat.stamp_s - beat.age_s
         )
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -273,3 +273,21 @@
     faster = [f'entry-{number}' for number in range(0, 9, 2)]
     assert sorted(ranked[:5]) == faster
     assert list(ranked[:5]) == rendezvous.rank('slots', faster)
+
+
+def test_a_beat_that_arrives_late_does_not_make_a_list_look_recent():
+    machine = Machine()
+    try:
+        node = machine.nodes[machine.ranked[1]]
+        first = machine.ranked[0]
+        sent_s = machine.clock.now_s
+        machine.clock.now_s += 4
+        beat = messages.Beat(first, sent_s, 1, 0.2, 0.2)
+        node.requester.receive(beat)
+        node.requester.tick()
+        assert node.requester.allocator != first
+        node.requester.receive(beat._replace(stamp_s=machine.clock.now_s))
+        node.requester.tick()
+        assert node.requester.allocator == first
+    finally:
+        machine.teardown()
