--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -5,6 +5,8 @@
 
 from tests import platformstore
 
+DOWN_S = 1.5
+
 
 class Replica:
     """One replica; ``script`` holds its actions for the next requests.
@@ -13,7 +15,9 @@
     ``reset`` (runs, then resets), ``early`` (resets before it runs), ``hang``,
     ``cut`` (breaks off during the response), ``unsigned`` (no seal), ``twice``
     (sends a second response), ``promise`` (runs, but sends a 503 that means
-    "not run"). With an empty script it does ``default_action``.
+    "not run"). With an empty script it does ``default_action``. A prompt with
+    ``deadly_part`` crashes it when it begins to answer; it is back after
+    ``DOWN_S``.
     """
 
     def __init__(self, name, *, default_action='ok', work_s=0.0, events=6):
@@ -28,6 +32,9 @@
         self.running = 0
         self.max_running = 0
         self.cancelled = []
+        self.deadly_part = b'(none)'
+        self.deadly_runs_s = []
+        self.is_down = False
         self.address = ''
         self.listener = platformstore.build_listener(self.handle)
 
@@ -53,6 +60,9 @@
     async def handle(self, request, reply):
         self.received.append(request)
         self.arrivals_s.append(asyncio.get_running_loop().time())
+        if self.is_down:
+            reply.abort()
+            return
         fields = request.fields
         expected = (fields.find(b'expect-instance') or b'').decode()
         if expected != self.name:
@@ -87,6 +97,9 @@
             await asyncio.Event().wait()
         if self.work_s:
             await asyncio.sleep(self.work_s)
+        if self.deadly_part in (request.fields.find(b'prompt-prefix') or b''):
+            self._crash()
+            return
         if action == 'reset':
             reply.abort()
         elif action == 'error':
@@ -100,6 +113,14 @@
         else:
             self._respond(action, reply, response_fields, request_id)
 
+    def _crash(self):
+        loop = asyncio.get_running_loop()
+        self.deadly_runs_s.append(loop.time())
+        self.is_down = True
+        loop.call_later(DOWN_S, setattr, self, 'is_down', False)
+        for connection in tuple(self.listener.connections):
+            connection.abort()
+
     def _respond(self, action, reply, response_fields, request_id):
         body = f'{self.name} ran {request_id}'.encode()
         if action == 'cut':
--- /dev/null
+++ b/tests/test_deadlyprompts.py
@@ -0,0 +1,83 @@
+"""Prompts with a part that crashes each replica that begins to answer them."""
+
+import asyncio
+import collections
+import itertools
+
+from lavenderledge.http1 import messages
+from tests import platformfleet
+
+DEADLY = 'dead0001'
+# Requests that may still reach replicas this long after the fifth crash.
+CONTACT_S = 3.0
+MAX_LATE_RUNS = 3
+MAX_CRASHES = 5
+
+
+def format_prompt(*shared, own):
+    """Return the field that lists a prompt's parts and their tokens."""
+    listed = ','.join(f'{part}:60' for part in (*shared, own))
+    return ((b'Prompt-Prefix', listed.encode()),)
+
+
+class Callers:
+    """Sound and deadly requests at all instances, until ``stop``."""
+
+    def __init__(self, fleet):
+        self.sound = collections.Counter()
+        self._fleet = fleet
+        self._numbers = itertools.count()
+        self._stopped = False
+        self._instances = itertools.cycle(fleet.instances)
+
+    def stop(self):
+        self._stopped = True
+
+    async def send_deadly(self):
+        """Send prompts with the deadly part; the others vary."""
+        while not self._stopped:
+            number = next(self._numbers)
+            await self._send(f'f{number % 4}', DEADLY, own=f'd{number}')
+            await asyncio.sleep(0.1)
+
+    async def send_sound(self):
+        """Send prompts with the deadly ones' other parts."""
+        while not self._stopped:
+            number = next(self._numbers)
+            response = await self._send(f'f{number % 4}', own=f's{number}')
+            is_answered = response.status == messages.OK and response.body
+            self.sound[bool(is_answered)] += 1
+            await asyncio.sleep(0.02)
+
+    async def _send(self, *shared, own):
+        return await self._fleet.send(
+            '/stream/resumable/x',
+            instance=next(self._instances),
+            fields=format_prompt(*shared, own=own),
+        )
+
+
+async def test_a_deadly_prompt_does_not_crash_one_replica_after_the_other():
+    async with platformfleet.running(replicas=5, instances=3) as fleet:
+        for replica in fleet.replicas.values():
+            replica.deadly_part = DEADLY.encode()
+            replica.work_s = 0.03
+        callers = Callers(fleet)
+        tasks = [
+            asyncio.create_task(send())
+            for send in (callers.send_deadly, *[callers.send_sound] * 4)
+        ]
+        await asyncio.sleep(6)
+        callers.sound.clear()
+        await asyncio.sleep(3)
+        callers.stop()
+        await asyncio.gather(*tasks)
+        crashes_s = sorted(
+            itertools.chain.from_iterable(
+                replica.deadly_runs_s for replica in fleet.replicas.values()
+            )
+        )
+    fifth_s = crashes_s[:MAX_CRASHES][-1]
+    late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
+    assert len(late) <= MAX_LATE_RUNS
+    assert callers.sound[True] > callers.sound[False]
