Quarantine the parts of prompts that crash replicas

Cause: a lost run counted only against its replica; nobody connected the crashes through what their requests had in common. Why this works: each instance reports the runs that it lost before their first byte; the allocator blames each crash on its lost runs in equal parts and clears every part that a request was answered with since. Parts that were in the crashes of two replicas or more are quarantined together, so that a sound prompt with only some of them still runs, and every beat tells all instances, which check right before sending and tell the next allocator.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -10,6 +10,7 @@
 from lavenderledge import logs
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
+    crashevidence,
     incarnations,
     routes,
     slotgrants,
@@ -104,6 +105,7 @@
         self._state_reader = state_reader
         self._on_peer_address = on_peer_address
         self._count_alive = count_alive
+        self._evidence = crashevidence.CrashEvidence()
         self._buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         self._senders: dict[str, _Sender] = {}
         self._decision_scheduled = False
@@ -136,6 +138,7 @@
             return
         self.slot_state.set_replicas(self._state_reader.list_replicas(), now_s)
         self._buckets.drop_idle(now_s)
+        self._judge_crashes(now_s)
         self._decide()
         if now_s - self._beats_sent_s < BEAT_INTERVAL_S:
             return
@@ -221,6 +224,7 @@
         self, holding: slots.HeldSlot, reading: messages.Reading, now_s: float
     ) -> None:
         if reading.outcome == ANSWERED:
+            self._evidence.note_answered(holding.service, holding.parts, now_s)
             self.slot_state.note_answer(
                 holding,
                 first_s=reading.first_s,
@@ -268,9 +272,56 @@
                 ),
                 service=slot.service,
             )
+        self._note_evidence(report, now_s)
         self._on_peer_address(report.sender, report.address)
         self._send_beat(report.sender)
 
+    def _note_evidence(self, report: messages.Report, now_s: float) -> None:
+        for run in report.lost_runs:
+            self._evidence.note_lost(
+                crashevidence.LostRun(
+                    run.request_id,
+                    run.service,
+                    run.replica,
+                    frozenset(run.parts),
+                    now_s - run.age_s,
+                )
+            )
+        for quarantine in report.quarantines:
+            self._evidence.merge(
+                crashevidence.Quarantine(
+                    quarantine.service,
+                    frozenset(quarantine.parts),
+                    now_s + quarantine.left_s,
+                )
+            )
+
+    def _judge_crashes(self, now_s: float) -> None:
+        """Quarantine prompts that crash replicas, and tell all instances."""
+        imposed = self._evidence.judge(now_s)
+        for quarantine in imposed:
+            self._log(
+                'prompt_quarantined',
+                level=logging.WARNING,
+                service=quarantine.service,
+                parts=','.join(sorted(quarantine.parts)),
+                replicas=','.join(self._evidence.list_crashed(quarantine)),
+            )
+        if imposed:
+            self.notify_all()
+
+    def _list_quarantines(self) -> tuple[messages.Quarantine, ...]:
+        now_s = self._clock.read_monotonic()
+        listed = self._evidence.list_quarantines(now_s)
+        return tuple(
+            messages.Quarantine(
+                quarantine.service,
+                tuple(sorted(quarantine.parts)),
+                quarantine.until_s - now_s,
+            )
+            for quarantine in listed[-messages.MAX_QUARANTINES :]
+        )
+
     def _send_beat(self, name: str) -> None:
         sender = self._senders.get(name)
         freshness = self._state_reader.read_freshness()
@@ -282,6 +333,7 @@
                 freshness.version,
                 min(freshness.age_s, _MAX_REPORTED_AGE_S),
                 min(freshness.list_age_s, _MAX_REPORTED_AGE_S),
+                self._list_quarantines(),
             ),
         )
 
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -1,6 +1,7 @@
 """The requester's side of slots: this instance's own requests."""
 
 import asyncio
+import collections
 import datetime
 import typing
 from collections import abc
@@ -9,6 +10,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.peers import slotmessages as messages
+from lavenderledge.policy import crashevidence
 
 _TICK_MS: typing.Final = 50
 TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
@@ -129,12 +131,35 @@
         self._sequence = 0
         self._suspect_until_s: dict[str, float] = {}
         self._stale_confirmed_s: dict[str, float] = {}
+        self._lost_runs: collections.deque[crashevidence.LostRun] = (
+            collections.deque(maxlen=messages.MAX_LOST_RUNS)
+        )
+        self._quarantines: tuple[crashevidence.Quarantine, ...] = ()
 
     @property
     def allocator(self) -> str:
         """Return the instance that is the current allocator."""
         return self._allocator
 
+    def note_lost(self, run: crashevidence.LostRun) -> None:
+        """Report a run that was lost before its first byte."""
+        self._lost_runs.append(run)
+        self._report(self._clock.read_monotonic())
+
+    def find_quarantine_s(self, service: str, parts: abc.Set[str]) -> float:
+        """Return for how many seconds a prompt must not be sent, or 0."""
+        if not self._quarantines:
+            return 0
+        now_s = self._clock.read_monotonic()
+        return max(
+            (
+                max(0, quarantine.until_s - now_s)
+                for quarantine in self._quarantines
+                if quarantine.matches(service, parts)
+            ),
+            default=0,
+        )
+
     async def acquire(self, spec: messages.RequestSpec) -> Decision:
         """Wait for a slot, a refusal or the deadline.
 
@@ -307,6 +332,15 @@
                 for request_id, entry in self._entries.items()
                 if not entry.replica
             ),
+            self._list_lost_runs(now_s),
+            tuple(
+                messages.Quarantine(
+                    quarantine.service,
+                    tuple(sorted(quarantine.parts)),
+                    max(0, quarantine.until_s - now_s),
+                )
+                for quarantine in self._quarantines
+            ),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -318,7 +352,33 @@
                 continue
             self._send(other, report._replace(held=(), waiting=()))
 
+    def _list_lost_runs(self, now_s: float) -> tuple[messages.LostRun, ...]:
+        return tuple(
+            messages.LostRun(
+                run.request_id,
+                run.service,
+                run.replica,
+                tuple(sorted(run.parts)),
+                now_s - run.at_s,
+            )
+            for run in self._lost_runs
+            if now_s - run.at_s < crashevidence.RETENTION_S
+        )
+
+    def _apply_quarantines(self, beat: messages.Beat) -> None:
+        now_s = self._clock.read_monotonic()
+        self._quarantines = tuple(
+            crashevidence.Quarantine(
+                quarantine.service,
+                frozenset(quarantine.parts),
+                now_s + quarantine.left_s,
+            )
+            for quarantine in beat.quarantines
+        )
+
     def _apply_beat(self, beat: messages.Beat) -> None:
+        if beat.sender == self._allocator:
+            self._apply_quarantines(beat)
         if beat.stamp_s is None:
             return
         # Counted from the echoed stamp: a beat may arrive long after it was
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -31,6 +31,7 @@
         'slot_refused': _list_fields(
             'instance id sender reason retry_after_ms share list_age_ms'
         ),
+        'prompt_quarantined': _list_fields('instance service parts replicas'),
         # State read from the store.
         'configuration_accepted': _list_fields('instance version revision'),
         'configuration_unreadable': _list_fields('instance detail'),
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -12,17 +12,26 @@
 _MAX_REQUESTS = 20_000
 _MAX_EXCLUDED = 64
 _MAX_TIER = 1000
+_MAX_PARTS = 32
+MAX_LOST_RUNS: typing.Final = 32
+MAX_QUARANTINES: typing.Final = 32
 
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIER)]
 
 
+PromptParts: typing.TypeAlias = typing.Annotated[
+    tuple[bounds.Name, ...], msgspec.Meta(max_length=_MAX_PARTS)
+]
+
+
 class RequestSpec(typing.NamedTuple):
     """One request for a slot of a service.
 
     ``tier`` is its rank, 0 being the highest. The first byte is due within
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
-    names replicas that must not be granted.
+    names replicas that must not be granted, ``parts`` those parts of the prompt
+    that other requests may share.
     """
 
     request_id: bounds.Name
@@ -36,6 +45,7 @@
     excluded: typing.Annotated[
         tuple[bounds.Name, ...], msgspec.Meta(max_length=_MAX_EXCLUDED)
     ] = ()
+    parts: PromptParts = ()
 
 
 class Reading(typing.NamedTuple):
@@ -58,6 +68,32 @@
     replica: bounds.Name
 
 
+class LostRun(typing.NamedTuple):
+    """A run that was lost before its first byte, ``age_s`` before the report.
+
+    ``parts`` are those of its prompt that other requests may share.
+    """
+
+    request_id: bounds.Name
+    service: bounds.Name
+    replica: bounds.Name
+    parts: PromptParts
+    age_s: bounds.NonNegative
+
+
+class Quarantine(typing.NamedTuple):
+    """Prompts with all these parts are not sent for ``left_s``."""
+
+    service: bounds.Name
+    parts: PromptParts
+    left_s: bounds.NonNegative
+
+
+_Quarantines: typing.TypeAlias = typing.Annotated[
+    tuple[Quarantine, ...], msgspec.Meta(max_length=MAX_QUARANTINES)
+]
+
+
 class Ask(typing.NamedTuple):
     """A request that has started to wait.
 
@@ -111,7 +147,9 @@
     """All slots and waiting requests of an instance; replaces its last report.
 
     ``stamp_s`` is the sender's clock. Replies go to ``address``, which the
-    allocator may not have read from the store yet.
+    allocator may not have read from the store yet. ``lost_runs`` and
+    ``quarantines`` are what a new allocator has to know about prompts that
+    crash replicas.
     """
 
     sender: bounds.Name
@@ -125,6 +163,10 @@
     waiting: typing.Annotated[
         tuple[bounds.Name, ...], msgspec.Meta(max_length=_MAX_REQUESTS)
     ]
+    lost_runs: typing.Annotated[
+        tuple[LostRun, ...], msgspec.Meta(max_length=MAX_LOST_RUNS)
+    ] = ()
+    quarantines: _Quarantines = ()
 
 
 class Beat(typing.NamedTuple):
@@ -132,7 +174,7 @@
 
     ``stamp_s`` echoes that report's, None without one. The store confirmed
     the allocator's configuration ``version`` ``age_s`` ago and its list of
-    replicas ``list_age_s`` ago.
+    replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
     """
 
     sender: bounds.Name
@@ -140,6 +182,7 @@
     version: bounds.Count
     age_s: bounds.NonNegative
     list_age_s: bounds.NonNegative
+    quarantines: _Quarantines = ()
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -9,6 +9,7 @@
 _DEADLINE: typing.Final = b'deadline-ms'
 _TOKEN_COUNT: typing.Final = b'token-count'
 _LAST_EVENT_ID: typing.Final = b'last-event-id'
+_PROMPT_PREFIX: typing.Final = b'prompt-prefix'
 _AUTHORIZATION: typing.Final = b'authorization'
 _RESPONSE_SEAL: typing.Final = b'response-seal'
 _NOT_RUN: typing.Final = b'not-executed'
@@ -18,6 +19,7 @@
 _NORMAL_SLOWNESS: typing.Final = 100
 _MILLISECONDS: typing.Final = 1000
 _MAX_ID_LENGTH: typing.Final = 200
+_MAX_SHARED_PARTS: typing.Final = 32
 _MIN_DEADLINE_MS: typing.Final = 1
 
 # Fields of callers' requests that are not forwarded; some are set anew.
@@ -74,6 +76,7 @@
         has_tokens=tokens is not None,
         prompt_tokens=tokens[0] if tokens else 0,
         output_tokens=tokens[1] if tokens else 0,
+        shared_parts=_read_shared_parts(fields.find(_PROMPT_PREFIX)),
         last_event_id=_read_text(fields.find(_LAST_EVENT_ID)) or None,
     )
 
@@ -176,6 +179,15 @@
     return counts if min(counts) >= 0 else None
 
 
+def _read_shared_parts(text: bytes | None) -> tuple[str, ...]:
+    """Return the ids in a prompt prefix without the last, the request's own."""
+    parts = _read_text(text).split(',')[:-1]
+    return tuple(
+        part.partition(':')[0].strip()[:_MAX_ID_LENGTH]
+        for part in parts[:_MAX_SHARED_PARTS]
+    )
+
+
 def _read_slowness(text: bytes | None) -> float:
     """Return the fourth number of a server load as a ratio, 0 if unknown."""
     if text is None:
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -232,6 +232,8 @@
             spec.prompt_tokens,
             prefill_wait_s,
             now_s,
+            name,
+            frozenset(spec.parts),
         ),
         service=name,
     )
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -31,7 +31,8 @@
 class HeldSlot(typing.NamedTuple):
     """A slot that a request holds.
 
-    ``prefill_wait_s`` is the estimated wait for other prompts before its own.
+    ``prefill_wait_s`` is the estimated wait for other prompts before its own,
+    ``parts`` are those of its prompt that other requests may share.
     """
 
     sender: str
@@ -39,6 +40,8 @@
     prompt_tokens: int
     prefill_wait_s: float
     since_s: float
+    service: str = ''
+    parts: frozenset[str] = frozenset()
 
 
 class Replica:
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -9,7 +9,7 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
-from lavenderledge.policy import retrybudget, routes
+from lavenderledge.policy import crashevidence, retrybudget, routes
 from lavenderledge.proxy import attempts, events, headercodec, requestrecord
 
 # A final response is sent this long before the request's deadline.
@@ -99,6 +99,7 @@
         self._relay = attempts.ResponseRelay(reply=reply, splitter=None)
         self._match: routes.RouteMatch | None = None
         self._buffered: attempts.BufferedResponse | None = None
+        self._shared_parts = frozenset(parsed.shared_parts)
 
     @property
     def is_finished(self) -> bool:
@@ -110,7 +111,7 @@
         if not self._check_configuration():
             return
         self._apply_route()
-        while not self.is_finished:
+        while not self.is_finished and self._check_quarantine():
             decision = await self._acquire()
             if decision.is_error():
                 self._handle_refusal(decision.error)
@@ -209,6 +210,16 @@
         self.refuse(messages.UNAVAILABLE, 'stale_configuration', None)
         return False
 
+    def _check_quarantine(self) -> bool:
+        """Refuse a prompt that crashes replicas; return whether it may run."""
+        left_s = self._deps.requester.find_quarantine_s(
+            self._record.service, self._shared_parts
+        )
+        if not left_s:
+            return True
+        self._give_up('quarantined', left_s)
+        return False
+
     def _get_match(self) -> routes.RouteMatch:
         assert self._match is not None
         return self._match
@@ -241,6 +252,7 @@
             remaining_s=self._find_start_deadline_s() - now_s,
             cost=self._compute_cost() if is_first else 0,
             excluded=tuple(record.excluded),
+            parts=self._parsed.shared_parts,
         )
 
     async def _acquire(self) -> slotrequester.Decision:
@@ -338,6 +350,8 @@
             return False
         if not self._check_configuration() or service != self._record.service:
             return False
+        if not self._check_quarantine():
+            return False
         if now_s - slot.granted_s > _GRANT_LIFETIME_S:
             self._record.last_failure = 'grant_lapsed'
             return False
@@ -435,6 +449,8 @@
                 attempt.slowness,
             )
         record.exclude(outcome.value if outcome else 'silent')
+        if outcome is attempts.Result.LOST and not attempt.has_body:
+            self._note_lost()
         if outcome is attempts.Result.FAILED:
             self._buffered = attempt.buffered
         self._retry_or_fail()
@@ -443,6 +459,17 @@
             slotallocator.ERROR if has_responded else slotallocator.FAILED
         )
 
+    def _note_lost(self) -> None:
+        self._deps.requester.note_lost(
+            crashevidence.LostRun(
+                self._record.request_id,
+                self._record.service,
+                self._record.replica,
+                self._shared_parts,
+                self._deps.clock.read_monotonic(),
+            )
+        )
+
     def _finish_response(self, attempt: attempts.Attempt) -> None:
         record = self._record
         if record.first_byte_s is not None and record.rank is not None:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -11,6 +11,8 @@
 
     ``remaining_s`` is how long the caller waits from the request's arrival,
     None if it sent no deadline. Token counts are 0 if it sent none.
+    ``shared_parts`` identifies the parts of its prompt that other requests may
+    share.
     """
 
     request_id: str
@@ -21,6 +23,7 @@
     has_tokens: bool
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[str, ...]
     last_event_id: str | None
 
 
--- /dev/null
+++ b/tests/test_crashevidence.py
@@ -0,0 +1,117 @@
+"""Which parts of prompts are quarantined after crashes."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from lavenderledge.policy import crashevidence
+
+SERVICE = 'model'
+
+
+def lose(evidence, request_id, replica, parts, at_s=0.0):
+    evidence.note_lost(
+        crashevidence.LostRun(
+            request_id, SERVICE, replica, frozenset(parts.split()), at_s
+        )
+    )
+
+
+def list_parts(evidence, now_s=1.0):
+    evidence.judge(now_s)
+    return [
+        set(quarantine.parts) for quarantine in evidence.list_quarantines(now_s)
+    ]
+
+
+def test_one_crash_or_one_replica_is_not_enough():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'first dead')
+    lose(evidence, 'r-2', 'i-1', 'first dead', 5)
+    assert list_parts(evidence, 6) == []
+
+
+def test_the_part_that_was_in_each_crash_is_quarantined():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'first dead')
+    lose(evidence, 'r-2', 'i-2', 'second dead')
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_sound_prompts_with_one_of_two_suspected_parts_still_run():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'first dead')
+    lose(evidence, 'r-2', 'i-2', 'first dead')
+    (quarantine,) = evidence.judge(1)
+    assert quarantine.matches(SERVICE, {'first', 'dead', 'more'})
+    assert not quarantine.matches(SERVICE, {'first', 'other'})
+    assert not quarantine.matches('other', {'first', 'dead'})
+
+
+def test_a_part_of_answered_requests_is_not_suspected():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'sound')
+    evidence.note_answered(SERVICE, frozenset({'sound'}), 0.5)
+    lose(evidence, 'r-2', 'i-2', 'sound', 0.8)
+    assert list_parts(evidence) == []
+
+
+def test_an_answer_ends_a_quarantine_of_its_parts():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'dead')
+    lose(evidence, 'r-2', 'i-2', 'dead')
+    (quarantine,) = evidence.judge(1)
+    evidence.note_answered(SERVICE, frozenset({'first', 'dead'}), 2)
+    assert evidence.list_quarantines(2) == ()
+    # Another instance still has it.
+    evidence.merge(quarantine)
+    assert evidence.list_quarantines(2) == ()
+
+
+def test_several_victims_of_a_crash_share_the_blame():
+    evidence = crashevidence.CrashEvidence()
+    for crash in ('1', '2'):
+        for victim in ('a', 'b'):
+            lose(evidence, f'{victim}-{crash}', f'i-{crash}', f'part-{victim}')
+    assert list_parts(evidence) == []
+    lose(evidence, 'a-3', 'i-3', 'part-a', 2)
+    assert list_parts(evidence, 3) == [{'part-a'}]
+
+
+def test_a_quarantine_and_its_evidence_end():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 'r-1', 'i-1', 'dead')
+    lose(evidence, 'r-2', 'i-2', 'dead')
+    assert list_parts(evidence) == [{'dead'}]
+    later_s = crashevidence.RETENTION_S + 1
+    lose(evidence, 'r-3', 'i-3', 'dead', later_s)
+    assert list_parts(evidence, later_s + 1) == []
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 9),
+            st.frozensets(st.sampled_from('abcd'), min_size=1),
+            st.booleans(),
+        )
+    )
+)
+def test_answered_prompts_are_never_quarantined(steps):
+    evidence = crashevidence.CrashEvidence()
+    now_s = 0
+    answered = []
+    for number, (replica, parts, is_answered) in enumerate(steps):
+        now_s += 1
+        if is_answered:
+            evidence.note_answered(SERVICE, parts, now_s)
+            answered.append(parts)
+        else:
+            answered.clear()
+            lose(
+                evidence, f'r-{number}', f'i-{replica}', ' '.join(parts), now_s
+            )
+        evidence.judge(now_s + 0.5)
+        for quarantine in evidence.list_quarantines(now_s):
+            assert not any(
+                quarantine.matches(SERVICE, served) for served in answered
+            )
