A stream that ends inside an event, or before its first byte, is broken off

Callers got a stream as complete that its replica had ended in the middle of an event, or a closed connection without an answer where the stream had neither a byte nor a framing. Cause: the end of a connection or the last byte of a length counted as the end of the stream, whatever came last; and a length was relayed, so that the caller's answer was complete with its last byte. Why this works: a stream is complete only after the end of an event, without events only if its framing says so, and streams are relayed in chunks. Anything else is a lost run: resumed where that is allowed, otherwise broken off or 502.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -167,10 +167,7 @@
         self._head_received = True
         # The parser no longer has this when the message is complete.
         self._peer_closes = not self._parser.should_keep_alive()
-        self._until_close = (
-            head.length is None
-            and self._fields.find(b'transfer-encoding') is None
-        )
+        self._until_close = not head.is_framed
         self._skipping = not self._receiver.accepts(head)
         if self._skipping:
             self._not_reusable = True
--- a/lavenderledge/http1/messages.py
+++ b/lavenderledge/http1/messages.py
@@ -97,6 +97,12 @@
     fields: Fields
     length: int | None
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the body's end is marked by a length or chunks."""
+        is_encoded = self.fields.find(b'transfer-encoding') is not None
+        return is_encoded or self.length is not None
+
 
 @enum.unique
 class Ending(enum.Enum):
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -43,11 +43,15 @@
         self.reply = reply
         self.splitter = splitter
 
-    def begin(self, head: messages.ResponseHead) -> None:
-        """Relay the head of the first attempt."""
+    def begin(self, head: messages.ResponseHead, *, is_stream: bool) -> None:
+        """Relay the head of the first attempt.
+
+        A stream is relayed without its length: it may turn out to be broken
+        off although it has that length.
+        """
         if self.reply.started:
             return
-        length = head.length if self.splitter is None else None
+        length = None if is_stream else head.length
         self.reply.start(
             head.status, messages.list_end_to_end(head.fields), length=length
         )
@@ -96,6 +100,7 @@
         self._head: messages.ResponseHead | None = None
         self._parsed: headercodec.ParsedResponse | None = None
         self._is_relaying = False
+        self._stream_end = events.EndTracker()
         self._chunks: list[bytes] = []
         self._size_bytes = 0
 
@@ -147,7 +152,9 @@
 
     def _relay_body(self, body: bytes) -> None:
         assert self._head is not None
-        self._relay.begin(self._head)
+        if self._is_stream:
+            self._stream_end.feed(body)
+        self._relay.begin(self._head, is_stream=self._is_stream)
         self._relay.write(body)
 
     def _classify(self, ending: messages.Ending) -> Result:
@@ -158,8 +165,7 @@
         if ending is not messages.Ending.COMPLETE:
             return Result.LOST
         if self._is_relaying:
-            self._relay.finish()
-            return Result.DELIVERED
+            return self._finish_relay(self._head)
         self.buffered = BufferedResponse(
             self._head.status,
             messages.list_end_to_end(self._head.fields),
@@ -170,6 +176,19 @@
         succeeded = self._head.status // 100 == _SUCCESS_CLASS
         return Result.INVALID if succeeded else Result.FAILED
 
+    def _finish_relay(self, head: messages.ResponseHead) -> Result:
+        """End the relayed response, unless it is a stream that broke off.
+
+        A stream without events is complete only if its framing says so.
+        """
+        if self._is_stream and not self._stream_end.is_complete:
+            return Result.LOST
+        if not self.has_body and not head.is_framed:
+            return Result.LOST
+        self._relay.begin(head, is_stream=self._is_stream)
+        self._relay.finish()
+        return Result.DELIVERED
+
 
 def apply_backpressure(
     connection: client.Connection, reply: server.Reply
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -4,11 +4,30 @@
 import typing
 
 _EVENT_END: typing.Final = re.compile(rb'\r?\n\r?\n')
+_EVENT_ENDINGS: typing.Final = (b'\n\n', b'\n\r\n')
+_MAX_END_BYTES: typing.Final = 4
 _EVENT_ID: typing.Final = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 # A longer partial event is passed on without waiting for its end.
 _MAX_PARTIAL_BYTES: typing.Final = 1_048_576
 
 
+class EndTracker:
+    """Tells whether a stream ends after a complete event."""
+
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        self._tail = b''
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the last event has its end, or there is none."""
+        return not self._tail or self._tail.endswith(_EVENT_ENDINGS)
+
+    def feed(self, body: bytes) -> None:
+        """Add bytes."""
+        self._tail = (self._tail + body)[-_MAX_END_BYTES:]
+
+
 class EventSplitter:
     """Splits a stream into complete events and records the last event's id."""
 
