Bound what is read from a replica that sends bytes without end

A replica in trouble may send a head, another request's answer or an error without end; the instance read on until the request's deadline and kept an error's body and an endless field in memory. Why this works: everything that is not the response waited for, and its head, may have 256 KiB together, and a response that is buffered and no success 256 KiB; then the connection is closed and the run counts as lost or invalid.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -18,6 +18,9 @@
 _IDLE_MARGIN_S: typing.Final = 0.5
 # Idle timeout if the peer sends no Keep-Alive timeout.
 _DEFAULT_IDLE_TIMEOUT_S: typing.Final = 2.0
+# Maximum size of all that a peer sends apart from the response that is waited
+# for, and of that response's head.
+_MAX_UNUSED_BYTES: typing.Final = 262_144
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -65,6 +68,7 @@
         self._until_close = False
         self._head_received = False
         self._skipping = False
+        self._unused_bytes = 0
         self._not_reusable = False
         self._bodiless = False
         self._peer_closes = False
@@ -95,6 +99,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._head_received = False
         self._skipping = False
+        self._unused_bytes = 0
         self._bodiless = bodiless
         self._transport.write(request)
 
@@ -143,6 +148,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._prevent_reuse()
             self._end(messages.Ending.MALFORMED)
+            return
+        self._check_unused(len(data))
 
     def on_message_begin(self) -> None:
         """Begin a response; an unexpected one prevents reuse."""
@@ -194,6 +201,16 @@
         self.idle_since_s = self._clock.read_monotonic()
         self._end(messages.Ending.COMPLETE)
 
+    def _check_unused(self, size_bytes: int) -> None:
+        """End the exchange if the peer sends too much that is no response."""
+        if self._receiver is None:
+            return
+        if not self._head_received or self._skipping:
+            self._unused_bytes += size_bytes
+        if self._unused_bytes > _MAX_UNUSED_BYTES:
+            self._end(messages.Ending.MALFORMED)
+            self._prevent_reuse()
+
     def _end(self, ending: messages.Ending) -> None:
         receiver = self._receiver
         self._receiver = None
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -131,10 +131,8 @@
             return
         self._chunks.append(body)
         self._size_bytes += len(body)
-        if self._size_bytes > _MAX_BUFFERED_BYTES and self._is_success():
-            self._is_relaying = True
-            self._relay_body(b''.join(self._chunks))
-            self._chunks.clear()
+        if self._size_bytes > _MAX_BUFFERED_BYTES:
+            self._end_buffering()
 
     def receive_end(self, ending: messages.Ending) -> None:
         """Set the result."""
@@ -150,6 +148,15 @@
             and not self._parsed.is_encoded
         )
 
+    def _end_buffering(self) -> None:
+        """Relay a response that is too large to buffer, if it is a success."""
+        if self._is_success():
+            self._is_relaying = True
+            self._relay_body(b''.join(self._chunks))
+        elif not self.done.done():
+            self.done.set_result(Result.INVALID)
+        self._chunks.clear()
+
     def _relay_body(self, body: bytes) -> None:
         assert self._head is not None
         if self._is_stream:
