Do not blame prompts for runs that a faulty replica loses one by one

Cause: two replicas that reset 0.4 of their requests for 5 s lost 10 and 4 runs with nothing in common; runs lost more than a second apart counted as separate crashes with one suspect each. Why this works: what a replica loses within 10 s shares the blame; a deadly part is in all of it, a sound one in little.

--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -15,10 +15,11 @@
 # Instances report what they lost in the same crash at about the same time. It
 # is judged this long after the first report, seconds.
 _SETTLE_S: typing.Final = 0.1
-# Runs lost at a replica within this time were lost in the same crash, seconds.
-_CRASH_SPAN_S: typing.Final = 1.0
-# Each crash is blamed on its lost runs in equal parts. A part of a prompt is
-# guilty from this sum and from this many replicas on.
+# The blame for what a replica loses within this time, in seconds, is shared by
+# the runs that it lost: a faulty replica loses many that have nothing in
+# common. A part of a prompt is guilty from this sum of blame and from this many
+# replicas on.
+_CRASH_SPAN_S: typing.Final = 10.0
 _MIN_BLAME: typing.Final = 1.5
 _MIN_REPLICAS: typing.Final = 2
 _MAX_LOST_RUNS: typing.Final = 256
@@ -146,25 +147,26 @@
             for run in self._lost.values()
             if run.service == service and part in self._find_suspects(run)
         ]
-        replicas = {run.replica for run in runs}
-        crashes = {run.replica: self._find_crash(run) for run in runs}
-        blame = sum(1 / len(crash) for crash in crashes.values())
-        if len(replicas) < _MIN_REPLICAS or blame < _MIN_BLAME:
+        latest = {run.replica: run for run in runs}
+        blame = sum(self._compute_blame(run, part) for run in latest.values())
+        if len(latest) < _MIN_REPLICAS or blame < _MIN_BLAME:
             return None
         # Parts that occurred in each of these crashes can't be told apart.
         common = frozenset.intersection(*map(self._find_suspects, runs))
         last_s = max(run.at_s for run in runs)
         return Quarantine(service, common, last_s + RETENTION_S)
 
-    def _find_crash(self, run: LostRun) -> list[LostRun]:
-        """Return the runs lost in the same crash that may have caused it."""
-        return [
+    def _compute_blame(self, run: LostRun, part: str) -> float:
+        """Return a part's share of the runs lost where this one was."""
+        lost = [
             other
             for other in self._lost.values()
             if other.replica == run.replica
             and abs(other.at_s - run.at_s) < _CRASH_SPAN_S
-            and self._find_suspects(other)
         ]
+        suspects = [self._find_suspects(other) for other in lost]
+        found = [parts for parts in suspects if parts]
+        return len([parts for parts in found if part in parts]) / len(found)
 
     def _find_suspects(self, run: LostRun) -> frozenset[str]:
         """Return the parts that no request with them was answered since."""
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -77,6 +77,16 @@
     assert list_parts(evidence, 3) == [{'part-a'}]
 
 
+def test_losses_at_faulty_replicas_are_not_blamed_on_prompts():
+    evidence = crashevidence.CrashEvidence()
+    for number in range(6):
+        replica = f'i-{number % 2}'
+        lose(evidence, f'r-{number}', replica, f'part-{number}', number)
+    lose(evidence, 'r-7', 'i-0', 'part-0', 6)
+    lose(evidence, 'r-8', 'i-1', 'part-0', 7)
+    assert list_parts(evidence, 8) == []
+
+
 def test_a_quarantine_and_its_evidence_end():
     evidence = crashevidence.CrashEvidence()
     lose(evidence, 'r-1', 'i-1', 'dead')
