Suspect unknown parts of prompts before those that were answered

Cause: a victim of the crash shared the first part, so that this part was in more lost runs than the deadly one; that it had been answered minutes before did not count, only answers since the crash did. Why this works: a deadly part has never been answered; where a lost run has such a part, only such parts are suspected, and a replica's losses with one are not blamed on the others. Parts that became deadly later are found as before.

--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -165,17 +165,30 @@
             and abs(other.at_s - run.at_s) < _CRASH_SPAN_S
         ]
         suspects = [self._find_suspects(other) for other in lost]
+        if self._find_unknown(run):
+            suspects = [self._find_unknown(other) for other in lost]
         found = [parts for parts in suspects if parts]
         return len([parts for parts in found if part in parts]) / len(found)
 
     def _find_suspects(self, run: LostRun) -> frozenset[str]:
-        """Return the parts that no request with them was answered since."""
-        return frozenset(
+        """Return the parts that no request with them was answered since.
+
+        Parts that were never answered are suspected before all others.
+        """
+        return self._find_unknown(run) or frozenset(
             part
             for part in run.parts
             if self._read_answered_s(run.service, part) < run.at_s
         )
 
+    def _find_unknown(self, run: LostRun) -> frozenset[str]:
+        """Return the parts that no request with them was ever answered."""
+        return frozenset(
+            part
+            for part in run.parts
+            if (run.service, part) not in self._answered_s
+        )
+
     def _read_answered_s(self, service: str, part: str) -> float:
         return self._answered_s.get((service, part), float('-inf'))
 
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -77,6 +77,24 @@
     assert list_parts(evidence, 3) == [{'part-a'}]
 
 
+def test_a_part_that_was_answered_before_is_not_blamed_for_an_unknown_one():
+    evidence = crashevidence.CrashEvidence()
+    evidence.note_answered(SERVICE, frozenset({'first'}), -5)
+    lose(evidence, 'r-1', 'i-1', 'first dead')
+    lose(evidence, 'r-2', 'i-1', 'first')
+    lose(evidence, 'r-3', 'i-2', 'first dead')
+    lose(evidence, 'r-4', 'i-2', 'first')
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_a_part_may_become_deadly_after_it_was_answered():
+    evidence = crashevidence.CrashEvidence()
+    evidence.note_answered(SERVICE, frozenset({'dead'}), -5)
+    lose(evidence, 'r-1', 'i-1', 'dead')
+    lose(evidence, 'r-2', 'i-2', 'dead')
+    assert list_parts(evidence) == [{'dead'}]
+
+
 def test_losses_at_faulty_replicas_are_not_blamed_on_prompts():
     evidence = crashevidence.CrashEvidence()
     for number in range(6):
