Test that a quarantine outlasts the allocator that imposed it

The allocator is stopped without a graceful end; its successor must refuse the deadly prompts by what the other instances report.

--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -199,6 +199,13 @@
         await wait_until(lambda: running.is_ready or self.tasks[name].done())
         return not self.tasks[name].done()
 
+    async def stop_instance(self, name):
+        """Stop an instance without a graceful end."""
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await self.instances.pop(name).close()
+
     async def send(
         self, path, *, instance='entry-0', method=b'POST', **options
     ):
--- a/tests/test_deadlyprompts.py
+++ b/tests/test_deadlyprompts.py
@@ -57,6 +57,21 @@
         )
 
 
+def list_crashes(fleet):
+    """Return the times of all crashes."""
+    return sorted(
+        itertools.chain.from_iterable(
+            replica.deadly_runs_s for replica in fleet.replicas.values()
+        )
+    )
+
+
+def list_allocators(fleet):
+    return {
+        running._requester.allocator for running in fleet.instances.values()
+    }
+
+
 async def test_a_deadly_prompt_does_not_crash_one_replica_after_the_other():
     async with platformfleet.running(replicas=5, instances=3) as fleet:
         for replica in fleet.replicas.values():
@@ -72,12 +87,34 @@
         await asyncio.sleep(3)
         callers.stop()
         await asyncio.gather(*tasks)
-        crashes_s = sorted(
-            itertools.chain.from_iterable(
-                replica.deadly_runs_s for replica in fleet.replicas.values()
-            )
-        )
+        crashes_s = list_crashes(fleet)
     fifth_s = crashes_s[:MAX_CRASHES][-1]
     late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
     assert len(late) <= MAX_LATE_RUNS
     assert callers.sound[True] > callers.sound[False]
+
+
+async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
+    async with platformfleet.running(replicas=5, instances=3) as fleet:
+        for replica in fleet.replicas.values():
+            replica.deadly_part = DEADLY.encode()
+            replica.work_s = 0.03
+        await platformfleet.wait_until(lambda: len(list_allocators(fleet)) == 1)
+        (allocator,) = list_allocators(fleet)
+        callers = Callers(fleet)
+        deadly = asyncio.create_task(callers.send_deadly())
+        sound = asyncio.create_task(callers.send_sound())
+        await asyncio.sleep(2)
+        callers.stop()
+        await asyncio.gather(deadly, sound)
+        before = len(list_crashes(fleet))
+        await fleet.stop_instance(allocator)
+        await asyncio.sleep(0.5)
+        callers = Callers(fleet)
+        deadly = asyncio.create_task(callers.send_deadly())
+        await asyncio.sleep(3)
+        callers.stop()
+        await deadly
+        after = len(list_crashes(fleet))
+    assert 0 < before <= MAX_CRASHES
+    assert after == before
