Report lost runs for two seconds, and all of them to a new allocator only

Cause: found by reading the diff: every report repeated up to 32 lost runs for ten minutes; with 91 instances that is about 0.5 MB/s at the allocator (32 x 100 bytes x 91 x 2 a second, reckoned, not measured), as much as a link of 5 Mbit/s carries. Why this works: an allocator keeps what it was told, so only lost messages and new allocators need a repetition. Measured: test_a_quarantine_outlasts_the_allocator_that_imposed_it and the state machine of the slot messages pass.

--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -27,6 +27,9 @@
 # Lists confirmed less than this apart count as equally old, seconds, so that a
 # small difference does not change the allocator.
 _AGE_TOLERANCE_S: typing.Final = 1.0
+# Lost runs are reported again for this long, seconds, since messages may be
+# lost. A new allocator gets all of them.
+_LOST_RUN_REPEAT_S: typing.Final = 2.0
 # How many of the first-ranked instances follow the store for the others.
 FOLLOWER_COUNT: typing.Final = 3
 
@@ -257,7 +260,7 @@
         self._allocator = first
         self._waiting_since_s = None
         now_s = self._clock.read_monotonic()
-        self._report(now_s)
+        self._report(now_s, lost_within_s=crashevidence.RETENTION_S)
         for entry in tuple(self._entries.values()):
             if not entry.waiter.done():
                 self._send_request(entry, now_s)
@@ -309,7 +312,9 @@
             ),
         )
 
-    def _report(self, now_s: float) -> None:
+    def _report(
+        self, now_s: float, *, lost_within_s: float = _LOST_RUN_REPEAT_S
+    ) -> None:
         self._reported_s = now_s
         self._sequence += 1
         report = messages.Report(
@@ -332,7 +337,7 @@
                 for request_id, entry in self._entries.items()
                 if not entry.replica
             ),
-            self._list_lost_runs(now_s),
+            self._list_lost_runs(now_s, within_s=lost_within_s),
             tuple(
                 messages.Quarantine(
                     quarantine.service,
@@ -352,7 +357,9 @@
                 continue
             self._send(other, report._replace(held=(), waiting=()))
 
-    def _list_lost_runs(self, now_s: float) -> tuple[messages.LostRun, ...]:
+    def _list_lost_runs(
+        self, now_s: float, *, within_s: float
+    ) -> tuple[messages.LostRun, ...]:
         return tuple(
             messages.LostRun(
                 run.request_id,
@@ -362,7 +369,7 @@
                 now_s - run.at_s,
             )
             for run in self._lost_runs
-            if now_s - run.at_s < crashevidence.RETENTION_S
+            if now_s - run.at_s < within_s
         )
 
     def _apply_quarantines(self, beat: messages.Beat) -> None:
