--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -16,7 +16,7 @@
     ``cut`` (breaks off during the response), ``unsigned`` (no seal), ``twice``
     (sends a second response), ``promise`` (runs, but sends a 503 that means
     "not run"). With an empty script it does ``default_action``. A prompt with
-    ``deadly_part`` crashes it when it begins to answer; it is back after
+    ``poison_part`` crashes it when it begins to answer; it is back after
     ``DOWN_S``.
     """
 
@@ -32,8 +32,8 @@
         self.running = 0
         self.max_running = 0
         self.cancelled = []
-        self.deadly_part = b'(none)'
-        self.deadly_runs_s = []
+        self.poison_part = b'(none)'
+        self.poison_runs_s = []
         self.is_down = False
         self.address = ''
         self.listener = platformstore.build_listener(self.handle)
@@ -97,7 +97,7 @@
             await asyncio.Event().wait()
         if self.work_s:
             await asyncio.sleep(self.work_s)
-        if self.deadly_part in (request.fields.find(b'prompt-prefix') or b''):
+        if self.poison_part in (request.fields.find(b'prompt-prefix') or b''):
             self._crash()
             return
         if action == 'reset':
@@ -115,7 +115,7 @@
 
     def _crash(self):
         loop = asyncio.get_running_loop()
-        self.deadly_runs_s.append(loop.time())
+        self.poison_runs_s.append(loop.time())
         self.is_down = True
         loop.call_later(DOWN_S, setattr, self, 'is_down', False)
         for connection in tuple(self.listener.connections):
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -87,7 +87,7 @@
     assert list_parts(evidence) == [{'dead'}]
 
 
-def test_a_part_may_become_deadly_after_it_was_answered():
+def test_a_part_may_become_poison_after_it_was_answered():
     evidence = crashevidence.CrashEvidence()
     evidence.note_answered(SERVICE, frozenset({'dead'}), -5)
     lose(evidence, 'r-1', 'i-1', 'dead')
--- a/tests/test_deadlyprompts.py
+++ b/tests/test_poisonprompts.py
@@ -7,7 +7,7 @@
 from lavenderledge.http1 import messages
 from tests import platformfleet
 
-DEADLY = 'dead0001'
+POISON = 'dead0001'
 # Requests that may still reach replicas this long after the fifth crash.
 CONTACT_S = 3.0
 MAX_LATE_RUNS = 3
@@ -21,7 +21,7 @@
 
 
 class Callers:
-    """Sound and deadly requests at all instances, until ``stop``."""
+    """Sound and poison requests at all instances, until ``stop``."""
 
     def __init__(self, fleet):
         self.sound = collections.Counter()
@@ -33,15 +33,15 @@
     def stop(self):
         self._stopped = True
 
-    async def send_deadly(self):
-        """Send prompts with the deadly part; the others vary."""
+    async def send_poison(self):
+        """Send prompts with the poison part; the others vary."""
         while not self._stopped:
             number = next(self._numbers)
-            await self._send(f'f{number % 4}', DEADLY, own=f'd{number}')
+            await self._send(f'f{number % 4}', POISON, own=f'd{number}')
             await asyncio.sleep(0.1)
 
     async def send_sound(self):
-        """Send prompts with the deadly ones' other parts."""
+        """Send prompts with the poison ones' other parts."""
         while not self._stopped:
             number = next(self._numbers)
             response = await self._send(f'f{number % 4}', own=f's{number}')
@@ -61,7 +61,7 @@
     """Return the times of all crashes."""
     return sorted(
         itertools.chain.from_iterable(
-            replica.deadly_runs_s for replica in fleet.replicas.values()
+            replica.poison_runs_s for replica in fleet.replicas.values()
         )
     )
 
@@ -72,15 +72,15 @@
     }
 
 
-async def test_a_deadly_prompt_does_not_crash_one_replica_after_the_other():
+async def test_a_poison_prompt_does_not_crash_one_replica_after_the_other():
     async with platformfleet.running(replicas=5, instances=3) as fleet:
         for replica in fleet.replicas.values():
-            replica.deadly_part = DEADLY.encode()
+            replica.poison_part = POISON.encode()
             replica.work_s = 0.03
         callers = Callers(fleet)
         tasks = [
             asyncio.create_task(send())
-            for send in (callers.send_deadly, *[callers.send_sound] * 4)
+            for send in (callers.send_poison, *[callers.send_sound] * 4)
         ]
         await asyncio.sleep(6)
         callers.sound.clear()
@@ -97,24 +97,24 @@
 async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
     async with platformfleet.running(replicas=5, instances=3) as fleet:
         for replica in fleet.replicas.values():
-            replica.deadly_part = DEADLY.encode()
+            replica.poison_part = POISON.encode()
             replica.work_s = 0.03
         await platformfleet.wait_until(lambda: len(list_allocators(fleet)) == 1)
         (allocator,) = list_allocators(fleet)
         callers = Callers(fleet)
-        deadly = asyncio.create_task(callers.send_deadly())
+        poison = asyncio.create_task(callers.send_poison())
         sound = asyncio.create_task(callers.send_sound())
         await asyncio.sleep(2)
         callers.stop()
-        await asyncio.gather(deadly, sound)
+        await asyncio.gather(poison, sound)
         before = len(list_crashes(fleet))
         await fleet.stop_instance(allocator)
         await asyncio.sleep(0.5)
         callers = Callers(fleet)
-        deadly = asyncio.create_task(callers.send_deadly())
+        poison = asyncio.create_task(callers.send_poison())
         await asyncio.sleep(3)
         callers.stop()
-        await deadly
+        await poison
         after = len(list_crashes(fleet))
     assert 0 < before <= MAX_CRASHES
     assert after == before
