Bound the time to judge crashes

Cause: found by reading the diff: judging compared each suspected part with up to 256 lost runs and all that their replicas lost, in the allocator's event loop. 64 runs are kept now, and only parts that two replicas lost runs with are compared. The end of a stream is followed without copying its pieces. Tests of crash evidence, poison prompts, unframed answers and forwarding pass.

--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -22,7 +22,7 @@
 _CRASH_SPAN_S: typing.Final = 10.0
 _MIN_BLAME: typing.Final = 1.5
 _MIN_REPLICAS: typing.Final = 2
-_MAX_LOST_RUNS: typing.Final = 256
+_MAX_LOST_RUNS: typing.Final = 64
 _MAX_ANSWERED: typing.Final = 4096
 
 
@@ -134,12 +134,18 @@
             }
         )
 
-    def _list_suspects(self) -> set[tuple[str, str]]:
-        return {
-            (run.service, part)
-            for run in self._lost.values()
-            for part in self._find_suspects(run)
-        }
+    def _list_suspects(self) -> list[tuple[str, str]]:
+        """Return the parts that enough replicas lost runs with."""
+        replicas: dict[tuple[str, str], set[str]] = {}
+        for run in self._lost.values():
+            for part in self._find_suspects(run):
+                key = (run.service, part)
+                replicas.setdefault(key, set()).add(run.replica)
+        return [
+            key
+            for key, names in replicas.items()
+            if len(names) >= _MIN_REPLICAS
+        ]
 
     def _judge_part(self, service: str, part: str) -> Quarantine | None:
         runs = [
@@ -149,7 +155,7 @@
         ]
         latest = {run.replica: run for run in runs}
         blame = sum(self._compute_blame(run, part) for run in latest.values())
-        if len(latest) < _MIN_REPLICAS or blame < _MIN_BLAME:
+        if blame < _MIN_BLAME:
             return None
         # Parts that occurred in each of these crashes can't be told apart.
         common = frozenset.intersection(*map(self._find_suspects, runs))
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -25,7 +25,8 @@
 
     def feed(self, body: bytes) -> None:
         """Add bytes."""
-        self._tail = (self._tail + body)[-_MAX_END_BYTES:]
+        end = body[-_MAX_END_BYTES:]
+        self._tail = (self._tail + end)[-_MAX_END_BYTES:]
 
 
 class EventSplitter:
