Blame the part of a prompt that explains most crashes

Cause: each part was judged by itself, and shared parts are in more lost runs than the poison one. Why this works: the part that was in most crashes is taken first, and what was lost with it counts as its victims; an own quarantine that another one explains better is withdrawn; one from another allocator is taken over, since it may have known more; and a quarantine after two crashes lasts 30 s, doubled by each further crash up to ten minutes, so that a wrong one ends. Plain requests that are lost are not reported any more: each cost a whole report.

--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -8,9 +8,13 @@
 import typing
 from collections import abc
 
-# How long lost runs and answers count, and a quarantine lasts after the last
-# crash, seconds.
+# How long lost runs and answers count, and the longest quarantine, seconds.
 RETENTION_S: typing.Final = 600.0
+# A quarantine after the first two crashes lasts this long, seconds, and each
+# further crash doubles it: it may be wrong, and then only an answer shows it.
+_FIRST_QUARANTINE_S: typing.Final = 30.0
+# Times in messages between instances grow by their delay, seconds.
+_MERGE_TOLERANCE_S: typing.Final = 1.0
 
 # Instances report what they lost in the same crash at about the same time. It
 # is judged this long after the first report, seconds.
@@ -47,6 +51,11 @@
     parts: frozenset[str]
     until_s: float
 
+    @property
+    def key(self) -> tuple[str, frozenset[str]]:
+        """Return what is quarantined, without the time."""
+        return self.service, self.parts
+
     def matches(self, service: str, parts: abc.Set[str]) -> bool:
         """Return whether a request's prompt has all these parts."""
         return service == self.service and self.parts <= parts
@@ -60,6 +69,8 @@
         self._lost: dict[tuple[str, str], LostRun] = {}
         self._answered_s: dict[tuple[str, str], float] = {}
         self._quarantines: dict[tuple[str, frozenset[str]], Quarantine] = {}
+        self._merged: set[tuple[str, frozenset[str]]] = set()
+        self._withdrawn_s: dict[tuple[str, frozenset[str]], float] = {}
         self._judge_at_s: float | None = None
 
     def note_lost(self, run: LostRun) -> None:
@@ -88,7 +99,10 @@
 
     def merge(self, quarantine: Quarantine) -> None:
         """Add another instance's quarantine unless it was answered since."""
-        key = (quarantine.service, quarantine.parts)
+        key = quarantine.key
+        withdrawn_s = self._withdrawn_s.get(key, float('-inf'))
+        if quarantine.until_s < withdrawn_s + _MERGE_TOLERANCE_S:
+            return
         imposed_s = quarantine.until_s - RETENTION_S
         if all(
             self._read_answered_s(quarantine.service, part) > imposed_s
@@ -96,6 +110,8 @@
         ):
             return
         present = self._quarantines.get(key)
+        if present is None:
+            self._merged.add(key)
         if present is None or present.until_s < quarantine.until_s:
             self._quarantines[key] = quarantine
 
@@ -105,15 +121,15 @@
             return []
         self._judge_at_s = None
         self._drop_old(now_s)
-        imposed: list[Quarantine] = []
-        for service, part in self._list_suspects():
-            quarantine = self._judge_part(service, part)
-            if quarantine is None:
-                continue
-            key = (service, quarantine.parts)
-            if key not in self._quarantines:
-                imposed.append(quarantine)
-            self._quarantines[key] = quarantine
+        found = self._explain_crashes()
+        imposed = [
+            quarantine
+            for quarantine in found
+            if quarantine.key not in self._quarantines
+        ]
+        self._withdraw_explained(found)
+        for quarantine in found:
+            self._quarantines[quarantine.key] = quarantine
         return imposed
 
     def list_quarantines(self, now_s: float) -> tuple[Quarantine, ...]:
@@ -134,10 +150,63 @@
             }
         )
 
-    def _list_suspects(self) -> list[tuple[str, str]]:
+    def _explain_crashes(self) -> list[Quarantine]:
+        """Return quarantines that explain the crashes, the strongest first.
+
+        Runs that were lost in a crash that is explained are its victims. What
+        another allocator has explained is taken over: it may have known more.
+        """
+        found: list[Quarantine] = []
+        merged = [
+            quarantine
+            for key, quarantine in self._quarantines.items()
+            if key in self._merged
+        ]
+        runs = [
+            run
+            for run in self._lost.values()
+            if _is_culprit(run, merged) or not self._is_victim(run, merged)
+        ]
+        while True:
+            strongest = self._find_strongest(runs)
+            if strongest is None:
+                return found
+            found.append(strongest)
+            runs = [run for run in runs if not self._is_victim(run, found)]
+
+    def _find_strongest(self, runs: list[LostRun]) -> Quarantine | None:
+        """Return a quarantine of the part that explains most crashes.
+
+        Shared parts are in more lost runs than the one that crashes replicas,
+        but in fewer crashes.
+        """
+        max_strength = (0, float(0))
+        guilty: list[LostRun] = []
+        for service, part in self._list_suspects(runs):
+            with_part = [
+                run
+                for run in runs
+                if run.service == service and part in self._find_suspects(run)
+            ]
+            latest = {run.replica: run for run in with_part}.values()
+            blame = sum(self._compute_blame(run, part) for run in latest)
+            strength = (len(latest), blame)
+            if blame >= _MIN_BLAME and strength > max_strength:
+                max_strength = strength
+                guilty = with_part
+        if not guilty:
+            return None
+        # Parts that occurred in each of these crashes can't be told apart.
+        common = frozenset.intersection(*map(self._find_suspects, guilty))
+        retries = len({run.replica for run in guilty}) - _MIN_REPLICAS
+        duration_s = min(_FIRST_QUARANTINE_S * 2**retries, RETENTION_S)
+        last_s = max(run.at_s for run in guilty)
+        return Quarantine(guilty[0].service, common, last_s + duration_s)
+
+    def _list_suspects(self, runs: list[LostRun]) -> list[tuple[str, str]]:
         """Return the parts that enough replicas lost runs with."""
         replicas: dict[tuple[str, str], set[str]] = {}
-        for run in self._lost.values():
+        for run in runs:
             for part in self._find_suspects(run):
                 key = (run.service, part)
                 replicas.setdefault(key, set()).add(run.replica)
@@ -147,28 +216,34 @@
             if len(names) >= _MIN_REPLICAS
         ]
 
-    def _judge_part(self, service: str, part: str) -> Quarantine | None:
-        runs = [
-            run
-            for run in self._lost.values()
-            if run.service == service and part in self._find_suspects(run)
-        ]
-        latest = {run.replica: run for run in runs}
-        blame = sum(self._compute_blame(run, part) for run in latest.values())
-        if blame < _MIN_BLAME:
-            return None
-        # Parts that occurred in each of these crashes can't be told apart.
-        common = frozenset.intersection(*map(self._find_suspects, runs))
-        last_s = max(run.at_s for run in runs)
-        return Quarantine(service, common, last_s + RETENTION_S)
+    def _is_victim(self, run: LostRun, found: list[Quarantine]) -> bool:
+        """Return whether a quarantined prompt was lost in the same crash."""
+        return any(
+            _is_culprit(other, found)
+            for other in self._lost.values()
+            if _are_together(run, other)
+        )
+
+    def _withdraw_explained(self, found: list[Quarantine]) -> None:
+        """Withdraw own quarantines whose evidence others explain better."""
+        kept = {quarantine.key for quarantine in found}
+        for key, quarantine in tuple(self._quarantines.items()):
+            runs = [
+                run
+                for run in self._lost.values()
+                if quarantine.matches(run.service, run.parts)
+            ]
+            is_explained = runs and all(
+                self._is_victim(run, found) for run in runs
+            )
+            if is_explained and key not in kept | self._merged:
+                self._quarantines.pop(key)
+                self._withdrawn_s[key] = quarantine.until_s
 
     def _compute_blame(self, run: LostRun, part: str) -> float:
         """Return a part's share of the runs lost where this one was."""
         lost = [
-            other
-            for other in self._lost.values()
-            if other.replica == run.replica
-            and abs(other.at_s - run.at_s) < _CRASH_SPAN_S
+            other for other in self._lost.values() if _are_together(run, other)
         ]
         suspects = [self._find_suspects(other) for other in lost]
         if self._find_unknown(run):
@@ -212,3 +287,20 @@
         for quarantine_key, quarantine in tuple(self._quarantines.items()):
             if quarantine.until_s <= now_s:
                 self._quarantines.pop(quarantine_key)
+        self._merged &= self._quarantines.keys()
+        for withdrawn_key, until_s in tuple(self._withdrawn_s.items()):
+            if until_s < oldest_s:
+                self._withdrawn_s.pop(withdrawn_key)
+
+
+def _is_culprit(run: LostRun, quarantines: list[Quarantine]) -> bool:
+    """Return whether a run's prompt is quarantined."""
+    return any(
+        quarantine.matches(run.service, run.parts) for quarantine in quarantines
+    )
+
+
+def _are_together(run: LostRun, other: LostRun) -> bool:
+    """Return whether two runs were lost at a replica at about the same time."""
+    is_close = abs(other.at_s - run.at_s) < _CRASH_SPAN_S
+    return is_close and other.replica == run.replica
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -460,6 +460,9 @@
         )
 
     def _note_lost(self) -> None:
+        """Report a run whose prompt may have crashed its replica."""
+        if not self._shared_parts:
+            return
         self._deps.requester.note_lost(
             crashevidence.LostRun(
                 self._record.request_id,
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -95,6 +95,53 @@
     assert list_parts(evidence) == [{'dead'}]
 
 
+def test_sound_parts_are_not_quarantined_before_the_first_answer():
+    evidence = crashevidence.CrashEvidence()
+    for crash, replica in enumerate(('i-0', 'i-1', 'i-2', 'i-3')):
+        part = f'first-{crash % 2}'
+        lose(evidence, f'p-{crash}', replica, f'dead {part}', crash * 0.1)
+        lose(evidence, f's-{crash}', replica, part, crash * 0.1)
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_a_wrong_quarantine_is_withdrawn_when_the_crashes_are_explained():
+    evidence = crashevidence.CrashEvidence()
+    lose(evidence, 's-1', 'i-1', 'sound')
+    lose(evidence, 's-2', 'i-2', 'sound')
+    (wrong,) = evidence.judge(0.2)
+    assert wrong.parts == {'sound'}
+    for number in (1, 2, 3):
+        lose(evidence, f'p-{number}', f'i-{number}', 'dead', 0.3)
+    assert list_parts(evidence) == [{'dead'}]
+    # Another instance still has it.
+    evidence.merge(wrong)
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_a_new_allocator_does_not_blame_the_victims_of_a_quarantined_prompt():
+    evidence = crashevidence.CrashEvidence()
+    evidence.merge(crashevidence.Quarantine(SERVICE, frozenset({'dead'}), 30.0))
+    for crash, replica in enumerate(('i-0', 'i-1', 'i-2')):
+        lose(evidence, f'p-{crash}', replica, f'dead first-{crash}')
+        lose(evidence, f's-{crash}', replica, 'sound')
+        lose(evidence, f't-{crash}', replica, 'sound')
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_a_quarantine_lasts_longer_with_each_crash():
+    evidence = crashevidence.CrashEvidence()
+    lengths_s = []
+    for number in range(9):
+        lose(evidence, f'p-{number}', f'i-{number}', 'dead', number)
+        evidence.judge(number + 0.5)
+        lengths_s += [
+            quarantine.until_s - number
+            for quarantine in evidence.list_quarantines(number + 0.5)
+        ]
+    assert lengths_s[:4] == [30, 60, 120, 240]
+    assert lengths_s[-1] == crashevidence.RETENTION_S
+
+
 def test_losses_at_faulty_replicas_are_not_blamed_on_prompts():
     evidence = crashevidence.CrashEvidence()
     for number in range(6):
--- a/tests/test_poisonprompts.py
+++ b/tests/test_poisonprompts.py
@@ -118,3 +118,14 @@
         after = len(list_crashes(fleet))
     assert 0 < before <= MAX_CRASHES
     assert after == before
+
+
+async def test_lost_runs_without_a_shared_prompt_cause_no_reports():
+    async with platformfleet.running(replicas=2, instances=1) as fleet:
+        for replica in fleet.replicas.values():
+            replica.default_action = 'early'
+        requester = fleet.instances['entry-0']._requester
+        responses = [await fleet.send('/once/x') for _ in range(3)]
+        lost_runs = list(requester._lost_runs)
+    assert {response.status for response in responses} <= {502, 503}
+    assert lost_runs == []
