Log how a replica framed its answer and how that ended

A request's line now has framing (length, chunked or close), ending (complete, closed, reset, malformed) and body_bytes of the last replica's answer.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -133,8 +133,10 @@
         complete = exc is None and self._head_received and self._until_close
         if complete and not self._skipping:
             self._end(messages.Ending.COMPLETE)
-        else:
+        elif exc is None:
             self._end(messages.Ending.CLOSED)
+        else:
+            self._end(messages.Ending.RESET)
         if self.on_lost is not None:
             self.on_lost(self)
 
--- a/lavenderledge/http1/messages.py
+++ b/lavenderledge/http1/messages.py
@@ -90,6 +90,15 @@
     received_s: float
 
 
+@enum.unique
+class Framing(enum.Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 class ResponseHead(typing.NamedTuple):
     """The head of a response; ``length`` is None if not given."""
 
@@ -97,19 +106,29 @@
     fields: Fields
     length: int | None
 
+    @property
+    def framing(self) -> Framing:
+        """Return what marks the end of the body."""
+        if self.fields.find(b'transfer-encoding') is not None:
+            return Framing.CHUNKED
+        return Framing.CLOSE if self.length is None else Framing.LENGTH
+
     @property
     def is_framed(self) -> bool:
         """Return whether the body's end is marked by a length or chunks."""
-        is_encoded = self.fields.find(b'transfer-encoding') is not None
-        return is_encoded or self.length is not None
+        return self.framing is not Framing.CLOSE
 
 
 @enum.unique
 class Ending(enum.Enum):
-    """How a response ended."""
+    """How a response ended.
+
+    CLOSED and RESET mean that the connection ended before the response did.
+    """
 
     COMPLETE = 'complete'
     CLOSED = 'closed'
+    RESET = 'reset'
     MALFORMED = 'malformed'
 
 
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -21,8 +21,8 @@
         # replicas behind the last grant, when the request was sent.
         REQUEST: _list_fields(
             'id route service customer rank status outcome reason replica '
-            'sends runs excluded failure list_age_ms waited_ms first_ms '
-            'total_ms version age_ms allocator'
+            'sends runs excluded failure framing ending body_bytes '
+            'list_age_ms waited_ms first_ms total_ms version age_ms allocator'
         ),
         # Decisions of the allocator, at level DEBUG.
         'slot_granted': _list_fields(
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -92,6 +92,8 @@
         self.has_body = False
         self.slowness = float(0)
         self.status = 0
+        self.ending: messages.Ending | None = None
+        self.size_bytes = 0
         self._request = request
         self._header_codec = header_codec
         self._relay = relay
@@ -102,7 +104,11 @@
         self._is_relaying = False
         self._stream_end = events.EndTracker()
         self._chunks: list[bytes] = []
-        self._size_bytes = 0
+
+    @property
+    def framing(self) -> messages.Framing | None:
+        """Return how the response is framed, None before its head."""
+        return None if self._head is None else self._head.framing
 
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether the response belongs to this request."""
@@ -126,16 +132,17 @@
             self.has_body = True
             self.first_byte_delay_s = now_s - self.started_s
         self.last_received_s = now_s
+        self.size_bytes += len(body)
         if self._is_relaying:
             self._relay_body(body)
             return
         self._chunks.append(body)
-        self._size_bytes += len(body)
-        if self._size_bytes > _MAX_BUFFERED_BYTES:
+        if self.size_bytes > _MAX_BUFFERED_BYTES:
             self._end_buffering()
 
     def receive_end(self, ending: messages.Ending) -> None:
         """Set the result."""
+        self.ending = ending
         if not self.done.done():
             self.done.set_result(self._classify(ending))
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -429,6 +429,7 @@
         self, attempt: attempts.Attempt, outcome: attempts.Result | None
     ) -> slotmessages.Reading:
         record = self._record
+        record.note_response(attempt)
         if attempt.has_body:
             self._deps.metrics.observe(
                 'upstream_first_byte', attempt.first_byte_delay_s
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -4,6 +4,7 @@
 import typing
 
 from lavenderledge import logevents, logs
+from lavenderledge.proxy import attempts
 
 _MILLISECONDS: typing.Final = 1000
 # Ages are logged up to this: a configuration never confirmed is infinitely old.
@@ -39,6 +40,9 @@
         self.granted_s: float | None = None
         self.list_age_s: float | None = None
         self.first_byte_s: float | None = None
+        self._framing = ''
+        self._ending = ''
+        self._body_bytes = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -50,6 +54,12 @@
         if self.first_byte_s is None:
             self.first_byte_s = at_s
 
+    def note_response(self, attempt: attempts.Attempt) -> None:
+        """Record how the response of the last attempt was framed and ended."""
+        self._framing = attempt.framing.value if attempt.framing else ''
+        self._ending = attempt.ending.value if attempt.ending else ''
+        self._body_bytes = attempt.size_bytes
+
     def exclude(self, failure: str) -> None:
         """Exclude the current replica, which failed or rejected the request."""
         self.excluded.append(self.replica)
@@ -77,6 +87,9 @@
             runs=self.runs,
             excluded=','.join(self.excluded),
             failure=self.last_failure,
+            framing=self._framing,
+            ending=self._ending,
+            body_bytes=self._body_bytes,
             list_age_ms=_format_age(self.list_age_s),
             waited_ms=self._elapsed_ms(self.granted_s),
             first_ms=self._elapsed_ms(self.first_byte_s),
