Do not follow a relayed part of a plain answer with another answer

What callers would see: a safe answer over 256 KiB, of which a part was relayed and which then broke off, was sent to a second replica. Its body followed the first part, joined up to the first one's length, or its whole head stood in the middle of the body.

Cause: whether a request may be tried again was read from its route alone. A plain answer that has begun to reach its caller can't be replaced. Now only streams go on after that, and silence of the replica no longer ends such an answer early. The same question at the other place, buffered errors, already looked at what was relayed.

--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -405,8 +405,8 @@
         self, attempt: attempts.Attempt
     ) -> attempts.Result | None:
         """Return the result, None after the deadline or silence timeout."""
-        silence_timeout_s = self._find_silence_timeout_s()
         while not attempt.done.done():
+            silence_timeout_s = self._find_silence_timeout_s()
             now_s = self._deps.clock.read_monotonic()
             left_s = self._deadline_s - _RESPONSE_MARGIN_S - now_s
             silence_left_s = attempt.last_received_s + silence_timeout_s - now_s
@@ -418,7 +418,7 @@
 
     def _find_silence_timeout_s(self) -> float:
         route = self._get_match().route
-        if not route.route_type.is_repeatable or not self._has_attempts_left(1):
+        if not self._is_repeatable() or not self._has_attempts_left(1):
             return float('inf')
         if route.route_type.is_stream:
             return max(_STREAM_SILENCE_TIMEOUT_S, route.objective_s)
@@ -490,11 +490,21 @@
         """Leave the request to another attempt, or send a final response."""
         now_s = self._deps.clock.read_monotonic()
         in_time = now_s < self._deadline_s - _RESPONSE_MARGIN_S
-        repeatable = self._get_match().route.route_type.is_repeatable
-        if repeatable and in_time and self._has_attempts_left(0):
+        if in_time and self._is_repeatable() and self._has_attempts_left(0):
             return
         self._give_up('upstream' if in_time else 'deadline')
 
+    def _is_repeatable(self) -> bool:
+        """Return whether another run can still give the caller a response.
+
+        Once a part was relayed, only a stream can go on.
+        """
+        route_type = self._get_match().route.route_type
+        is_relayed = self._relay.reply.started
+        return route_type.is_repeatable and (
+            route_type.is_stream or not is_relayed
+        )
+
     def _has_attempts_left(self, pending: int) -> bool:
         max_attempts = self._get_match().route.max_attempts
         return self._record.runs + pending < max_attempts
