End unframed answers of HTTP/1.0 callers with their connection

What callers would see: a stream reached a caller of HTTP/1.0 in chunks, whose sizes it read as a part of the body; and one that broke off was closed in an orderly way, which such a caller takes as its complete end.

Cause: the framing of an answer was chosen without looking at the caller's version. Such answers now have neither length nor chunks. If one is not finished, its connection is reset instead of closed; SO_LINGER is set from the head on, so that this holds for a killed process too, whose sockets the kernel closes.

--- a/lavenderledge/http1/messages.py
+++ b/lavenderledge/http1/messages.py
@@ -151,15 +151,16 @@
     status: int,
     fields: abc.Iterable[Header],
     *,
+    framing: Framing,
     length: int | None,
     close: bool,
 ) -> bytes:
-    """Return the bytes of a response head; chunked without ``length``."""
+    """Return the bytes of a response head with its framing fields."""
     parts = [b'HTTP/1.1 %d ' % status, _PHRASES.get(status, b''), b'\r\n']
     parts += [b'%b: %b\r\n' % pair for pair in fields]
-    if length is None:
+    if framing is Framing.CHUNKED:
         parts.append(b'Transfer-Encoding: chunked\r\n')
-    else:
+    elif length is not None:
         parts.append(b'Content-Length: %d\r\n' % length)
     if close:
         parts.append(b'Connection: close\r\n')
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 server: one protocol object for each connection."""
 
 import asyncio
+import socket
+import struct
 import typing
 from collections import abc
 
@@ -14,6 +16,9 @@
 _HIGH_WATER_BYTES: typing.Final = 65536
 # Limit of the request target, which ``header_bytes`` does not count.
 _MAX_TARGET_BYTES: typing.Final = 8192
+# Values of SO_LINGER: a socket that is closed is reset, or is closed in order.
+_RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+_ORDERLY_CLOSE: typing.Final = struct.pack('ii', 0, 0)
 
 
 class Reply:
@@ -47,12 +52,26 @@
         *,
         length: int | None,
     ) -> None:
-        """Send the head; without ``length`` the body is chunked."""
+        """Send the head.
+
+        Without ``length`` the body is chunked, or ends with the connection of
+        a client that does not know chunks.
+        """
+        connection = self._connection
         self.started = True
-        self._chunked = length is None
-        self._connection.write(
+        framing = messages.Framing.LENGTH
+        if length is None:
+            framing = connection.choose_framing()
+        if framing is messages.Framing.CLOSE:
+            connection.begin_unframed()
+        self._chunked = framing is messages.Framing.CHUNKED
+        connection.write(
             messages.format_head(
-                status, fields, length=length, close=self._connection.closing
+                status,
+                fields,
+                framing=framing,
+                length=length,
+                close=connection.closing,
             )
         )
 
@@ -116,6 +135,8 @@
         self._reading = False
         self._fault = 0
         self._complete = False
+        self._knows_chunks = True
+        self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
         self.notify_writable: abc.Callable[[bool], None] | None = None
@@ -140,6 +161,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
         self._listener.connections.discard(self)
+        if self._is_unframed and exc is None and self._task is None:
+            self._set_linger(_ORDERLY_CLOSE)
         self._transport = None
         self.notify_writable = None
         if self._task is not None:
@@ -200,6 +223,7 @@
         # The parser no longer has this when the message is complete.
         if not self._parser.should_keep_alive():
             self.closing = True
+        self._knows_chunks = self._parser.get_http_version() != '1.0'
         if not is_framing_unambiguous(self._fields):
             self._fault = messages.BAD_REQUEST
         elif self._fields.find(b'expect') and self._transport is not None:
@@ -217,6 +241,22 @@
         """Mark the request as complete; ``_feed`` then handles it."""
         self._complete = True
 
+    def choose_framing(self) -> messages.Framing:
+        """Return the framing of an answer without a length."""
+        if self._knows_chunks:
+            return messages.Framing.CHUNKED
+        return messages.Framing.CLOSE
+
+    def begin_unframed(self) -> None:
+        """Prepare for an answer that ends with the connection.
+
+        If it is not finished, also if the process is killed, the connection is
+        reset: an orderly close would make it look complete.
+        """
+        self.closing = True
+        self._is_unframed = True
+        self._set_linger(_RESET_ON_CLOSE)
+
     def write(self, data: bytes) -> None:
         """Write to the client if it is still connected."""
         if self._transport is not None:
@@ -254,7 +294,15 @@
         """Answer a request that can't be read, and close the connection."""
         self._fault = self._fault or status
         self.closing = True
-        self.write(messages.format_head(status, (), length=0, close=True))
+        self.write(
+            messages.format_head(
+                status,
+                (),
+                framing=messages.Framing.LENGTH,
+                length=0,
+                close=True,
+            )
+        )
         self.close()
 
     def _feed(self, data: bytes) -> None:
@@ -292,6 +340,12 @@
         if error is not None or self._task is task:
             self.abort()
 
+    def _set_linger(self, linger: bytes) -> None:
+        if self._transport is not None:
+            self._transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+
     def _pause(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
--- a/tests/rawreplica.py
+++ b/tests/rawreplica.py
@@ -72,7 +72,9 @@
 
 
 def reset(writer):
-    """Close a connection with a reset instead of an orderly end."""
+    """Close a connection with a reset, unless the other side has closed it."""
+    if writer.is_closing():
+        return
     raw_socket = writer.get_extra_info('socket')
     no_linger = struct.pack('ii', 1, 0)
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 connections: framing, limits and reuse."""
 
 import asyncio
+import subprocess
+import sys
 
 import hypothesis
 import pytest
@@ -224,3 +226,18 @@
         'a/1',
         'a/2',
     ]
+
+
+async def test_an_unframed_answer_is_reset_if_its_process_is_killed():
+    # A kernel closes the sockets of a killed process in an orderly way.
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-m', 'tests.endlessserver', stdout=subprocess.PIPE
+    )
+    port = int(await process.stdout.readline())
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(b'GET /x HTTP/1.0\r\nHost: x\r\n\r\n')
+    await reader.readuntil(b'part')
+    process.kill()
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    await process.wait()
