Answer HEAD with a head alone, and with the replica's length

What callers would see: HEAD on a stream's route got the last chunk's bytes after the head, which belong to no answer on a kept connection; without framing it got 502; on a plain route its length was 0.

Cause: neither side of an exchange knew that the answer has no body. The reply now sends none, and a successful head is relayed with its length.

test_a_head_request_gets_a_head_and_nothing_else: 20 of 20 cases failed before, 20 pass.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -24,11 +24,15 @@
 class Reply:
     """Sends the answer to one request."""
 
-    __slots__ = ('_chunked', '_connection', 'ended', 'started')
+    __slots__ = ('_bodiless', '_chunked', '_connection', 'ended', 'started')
 
-    def __init__(self, connection: 'Connection') -> None:
-        """Answer the request that ``connection`` has read."""
+    def __init__(self, connection: 'Connection', *, bodiless: bool) -> None:
+        """Answer the request that ``connection`` has read.
+
+        ``bodiless`` means that only the head is sent, as for HEAD.
+        """
         self._connection = connection
+        self._bodiless = bodiless
         self._chunked = False
         self.started = False
         self.ended = False
@@ -59,10 +63,8 @@
         """
         connection = self._connection
         self.started = True
-        framing = messages.Framing.LENGTH
-        if length is None:
-            framing = connection.choose_framing()
-        if framing is messages.Framing.CLOSE:
+        framing = self._choose_framing(length)
+        if framing is messages.Framing.CLOSE and not self._bodiless:
             connection.begin_unframed()
         self._chunked = framing is messages.Framing.CHUNKED
         connection.write(
@@ -77,7 +79,7 @@
 
     def write(self, body: bytes) -> None:
         """Send a part of the body."""
-        if not body:
+        if not body or self._bodiless:
             return
         if self._chunked:
             body = b'%x\r\n%b\r\n' % (len(body), body)
@@ -95,6 +97,13 @@
         self.ended = True
         self._connection.abort()
 
+    def _choose_framing(self, length: int | None) -> messages.Framing:
+        if length is not None:
+            return messages.Framing.LENGTH
+        if self._bodiless:
+            return messages.Framing.CLOSE
+        return self._connection.choose_framing()
+
 
 Handle: typing.TypeAlias = abc.Callable[
     [messages.Request, Reply], abc.Coroutine[typing.Any, typing.Any, None]
@@ -326,7 +335,9 @@
         )
         self._body = []
         self._task = asyncio.get_running_loop().create_task(
-            self._handle(request, Reply(self))
+            self._handle(
+                request, Reply(self, bodiless=request.method == b'HEAD')
+            )
         )
         self._task.add_done_callback(self._check_task)
 
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -79,9 +79,10 @@
         header_codec: headercodec.HeaderCodec,
         relay: ResponseRelay,
         is_stream: bool,
+        bodiless: bool,
         clock: clocks.Clock,
     ) -> None:
-        """Wait for the response's head."""
+        """Wait for the response's head; ``bodiless`` means nothing else."""
         self.done: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
         )
@@ -98,6 +99,7 @@
         self._header_codec = header_codec
         self._relay = relay
         self._is_stream = is_stream
+        self._bodiless = bodiless
         self._clock = clock
         self._head: messages.ResponseHead | None = None
         self._parsed: headercodec.ParsedResponse | None = None
@@ -123,7 +125,9 @@
         self.status = head.status
         self.slowness = parsed.slowness
         self.first_byte_delay_s = self._clock.read_monotonic() - self.started_s
-        self._is_relaying = self._is_stream and self._is_success()
+        self._is_relaying = self._is_success() and (
+            self._is_stream or self._bodiless
+        )
 
     def receive_body(self, body: bytes) -> None:
         """Relay or buffer a part of the body."""
@@ -197,7 +201,8 @@
         """
         if self._is_stream and not self._stream_end.is_complete:
             return Result.LOST
-        if not self.has_body and not head.is_framed:
+        is_cut = not self.has_body and not head.is_framed
+        if is_cut and not self._bodiless:
             return Result.LOST
         self._relay.begin(head, is_stream=self._is_stream)
         self._relay.finish()
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -378,11 +378,13 @@
         if splitter is not None:
             splitter.discard_partial()
             last_id = splitter.last_id
+        bodiless = self._request.method == b'HEAD'
         attempt = attempts.Attempt(
             request=self._parsed,
             header_codec=self._deps.header_codec,
             relay=self._relay,
             is_stream=self._get_match().route.route_type.is_stream,
+            bodiless=bodiless,
             clock=self._deps.clock,
         )
         context = headercodec.ForwardContext(
@@ -397,7 +399,7 @@
                 self._request, context
             ),
             attempt,
-            bodiless=self._request.method == b'HEAD',
+            bodiless=bodiless,
         )
         return attempt
 
