--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -159,11 +159,12 @@
     def cut_store(self, name, *, is_cut=True):
         self._store_links[name].is_cut = is_cut
 
-    async def add_instance(self, name, **changes):
-        while not await self._try_instance(name, changes):
+    async def add_instance(self, name, *, is_ready=True, **changes):
+        """Start an instance and wait until it is ready, or until it listens."""
+        while not await self._try_instance(name, changes, is_ready=is_ready):
             await asyncio.sleep(0.01)
 
-    async def _try_instance(self, name, changes):
+    async def _try_instance(self, name, changes, *, is_ready):
         """Start an instance; return False if a port was taken meanwhile."""
         ports = [formats.Address('127.0.0.1', find_port()) for _ in range(4)]
         instance_settings = settings.Settings(
@@ -196,7 +197,13 @@
         self.instances[name] = running
         self.instance_ports[name] = ports
         self.tasks[name] = asyncio.create_task(running.run())
-        await wait_until(lambda: running.is_ready or self.tasks[name].done())
+        await wait_until(
+            lambda: (
+                (running.is_ready or not is_ready)
+                and running._link is not None
+                or self.tasks[name].done()
+            )
+        )
         return not self.tasks[name].done()
 
     async def stop_instance(self, name):
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import base64
-import itertools
 import json
+import typing
 import urllib.parse
 
 from lavenderledge import clock as clocks
@@ -12,6 +12,16 @@
 BOUNDS = bounds.Bounds(65536, 1 << 22, 5, 60)
 
 
+class Copy(typing.NamedTuple):
+    """What a store held at one time."""
+
+    revision: int
+    keys: dict
+    events: list
+    leases: dict
+    next_lease: int
+
+
 class Store:
     """Keys with revisions and leases; ``mode`` selects a fault.
 
@@ -28,13 +38,14 @@
         self.leases = {}
         self.compact_revision = 0
         self.calls = 0
-        self._ids = itertools.count(100)
+        self.era = 1
+        self.next_lease = 100
         self._changed = asyncio.Event()
 
     async def handle(self, request, reply):
         self.calls += 1
         if self.mode == 'busy':
-            reply.send(503, (), b'')
+            reply.send(503, self._list_fields(), b'')
             return
         if self.mode == 'reset':
             reply.abort()
@@ -48,7 +59,7 @@
         status, document = await self._respond(name, path, query, request.body)
         if self.mode == 'lost' and request.method != b'GET':
             await asyncio.Event().wait()
-        reply.send(status, (), json.dumps(document).encode())
+        reply.send(status, self._list_fields(), json.dumps(document).encode())
 
     def write(self, key, document):
         """Write a key as the operator or a replica does."""
@@ -72,6 +83,32 @@
         for lease in tuple(self.leases):
             self._end_lease(lease)
 
+    def take_copy(self):
+        return Copy(
+            self.revision,
+            dict(self.keys),
+            list(self.events),
+            dict(self.leases),
+            self.next_lease,
+        )
+
+    def restore(self, copy):
+        """Come back from a copy; revisions and leases are given out again."""
+        self.revision = copy.revision
+        self.keys = dict(copy.keys)
+        self.events = list(copy.events)
+        now_s = self.clock.read_monotonic()
+        self.leases = {
+            lease: (now_s + ttl_s, ttl_s)
+            for lease, (_, ttl_s) in copy.leases.items()
+        }
+        self.next_lease = copy.next_lease
+        self.era += 1
+        self._notify_watchers()
+
+    def _list_fields(self):
+        return ((b'Store-Era', b'%d' % self.era),)
+
     async def _respond(self, name, path, query, body):
         if name == 'kv-range':
             return 200, self._list(query['path_prefix'], query.get('after', ''))
@@ -80,7 +117,8 @@
         document = json.loads(body or b'{}')
         lease_id = path.rpartition('/')[2]
         if name == 'kv-lease':
-            lease = next(self._ids)
+            lease = self.next_lease
+            self.next_lease += 1
             ttl_s = document['ttl_ms'] / 1000
             self.leases[lease] = (self.clock.read_monotonic() + ttl_s, ttl_s)
             return 200, {'lease_id': lease, 'ttl_ms': document['ttl_ms']}
@@ -107,7 +145,7 @@
         after = int(query['after'])
         end_s = self.clock.read_monotonic() + int(query['wait_ms']) / 1000
         while True:
-            if after < self.compact_revision:
+            if not self.compact_revision <= after <= self.revision:
                 return 410, {}
             # Only the newest event of each key, as on the platform.
             newest = {
