Log that the store was restored, and its era

A follower of the store logs store_restored once an answer is of another era than the one before, and counts store_restores. Nothing in the logs told a watch that goes on across a restore from one within an era.

--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -48,10 +48,12 @@
         rng: random.Random,
         on_failure: abc.Callable[[stores.StoreFailure, bool], None],
         on_regained: abc.Callable[[], None],
+        on_restored: abc.Callable[[int], None],
     ) -> None:
         """Start without a revision.
 
         ``on_failure`` also gets whether the failure is the first in a row.
+        ``on_restored`` gets the store's new era.
         """
         self._subscription = subscription
         self._store = store
@@ -59,7 +61,9 @@
         self._rng = rng
         self._on_failure = on_failure
         self._on_regained = on_regained
+        self._on_restored = on_restored
         self._revision: int | None = None
+        self._era: int | None = None
         self._pause_s = float(0)
 
     @property
@@ -87,6 +91,7 @@
         if self._pause_s:
             self._pause_s = 0
             self._on_regained()
+        self._note_era(answer.ok.era)
         self._revision = answer.ok.revision
         self._subscription.on_confirmed(requested_s)
         if listing:
@@ -106,6 +111,11 @@
             wait_s=0 if self.is_failing else self._subscription.wait_s,
         )
 
+    def _note_era(self, era: int) -> None:
+        if self._era not in {None, era}:
+            self._on_restored(era)
+        self._era = era
+
     def _note_failure(self, failure: stores.StoreFailure) -> datetime.timedelta:
         if failure.fault is stores.Fault.COMPACTED:
             self._revision = None
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -40,6 +40,7 @@
         # Availability of the store, peers and upstreams.
         'store_lost': _list_fields('instance prefix fault detail'),
         'store_regained': _list_fields('instance prefix'),
+        'store_restored': _list_fields('instance prefix era'),
         'allocator_changed': _list_fields('instance before after'),
         'peer_silent': _list_fields('instance peer'),
         'peer_heard': _list_fields('instance peer'),
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -19,6 +19,7 @@
 _MILLISECONDS: typing.Final = 1000
 _COMPACTED: typing.Final = 410
 _CONFLICT: typing.Final = 412
+_ERA: typing.Final = b'store-era'
 
 _STATUS_FAULTS: typing.Final = {
     messages.NOT_FOUND: stores.Fault.NO_LEASE,
@@ -60,6 +61,7 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.era = 0
         self.body: list[bytes] = []
         self.ended: asyncio.Future[messages.Ending] = (
             asyncio.get_running_loop().create_future()
@@ -70,6 +72,8 @@
 
     def receive_head(self, head: messages.ResponseHead) -> None:
         self.status = head.status
+        era = head.fields.find(_ERA) or b''
+        self.era = int(era) if era.isdigit() else 0
 
     def receive_body(self, body: bytes) -> None:
         self.body.append(body)
@@ -79,7 +83,16 @@
             self.ended.set_result(ending)
 
 
-_ResponseBody: typing.TypeAlias = expression.Result[bytes, stores.StoreFailure]
+class _Response(typing.NamedTuple):
+    """The body of a successful response, and the service's era."""
+
+    body: bytes
+    era: int
+
+
+_CallResult: typing.TypeAlias = expression.Result[
+    _Response, stores.StoreFailure
+]
 
 
 class PlatformStore:
@@ -108,10 +121,13 @@
             page = _decode(response, _RangePage)
             if page.is_error():
                 return expression.Error(page.error)
+            era = response.ok.era
             revision = page.ok.at if revision is None else revision
             entries += [_parse_entry(entry) for entry in page.ok.entries]
             if not page.ok.has_more or not page.ok.entries:
-                return expression.Ok(stores.Listing(tuple(entries), revision))
+                return expression.Ok(
+                    stores.Listing(tuple(entries), revision, era)
+                )
             after = page.ok.entries[-1].key
 
     async def watch(
@@ -130,7 +146,9 @@
         if watched.is_error():
             return expression.Error(watched.error)
         changes = tuple(_parse_entry(entry) for entry in watched.ok.events)
-        return expression.Ok(stores.Listing(changes, watched.ok.at))
+        return expression.Ok(
+            stores.Listing(changes, watched.ok.at, response.ok.era)
+        )
 
     async def create(
         self, key: str, content: bytes
@@ -196,7 +214,7 @@
         query: dict[str, str],
         *,
         timeout_s: float = _REQUEST_TIMEOUT_S,
-    ) -> _ResponseBody:
+    ) -> _CallResult:
         target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
         return await self._request(b'GET', target, timeout_s=timeout_s)
 
@@ -207,7 +225,7 @@
         body: bytes = b'',
         *,
         timeout_s: float = _REQUEST_TIMEOUT_S,
-    ) -> _ResponseBody:
+    ) -> _CallResult:
         opened = await self._pool.open(
             self._address,
             timeout_s=_CONNECT_TIMEOUT_S,
@@ -239,7 +257,7 @@
         if response.status != messages.OK:
             fault = _STATUS_FAULTS.get(response.status, stores.Fault.MALFORMED)
             return _fail(fault, f'status {response.status}')
-        return expression.Ok(b''.join(response.body))
+        return expression.Ok(_Response(b''.join(response.body), response.era))
 
 
 def _parse_entry(entry: _Entry) -> stores.Change:
@@ -258,12 +276,12 @@
 
 
 def _decode(
-    response: _ResponseBody, schema: type[_Decoded]
+    response: _CallResult, schema: type[_Decoded]
 ) -> expression.Result[_Decoded, stores.StoreFailure]:
     if response.is_error():
         return expression.Error(response.error)
     try:
-        return expression.Ok(msgspec.json.decode(response.ok, type=schema))
+        return expression.Ok(msgspec.json.decode(response.ok.body, type=schema))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return _fail(stores.Fault.MALFORMED, str(error))
 
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -290,6 +290,10 @@
             self._note_outage()
             self._log('store_regained', prefix=prefix)
 
+        def report_restored(era: int) -> None:
+            self._metrics.count('store_restores')
+            self._log('store_restored', prefix=prefix, era=era)
+
         return follower.Follower(
             subscription=subscription,
             store=self._store,
@@ -297,6 +301,7 @@
             rng=self._rng,
             on_failure=report_failure,
             on_regained=report_regained,
+            on_restored=report_restored,
         )
 
     def _note_outage(self) -> None:
--- a/lavenderledge/registry/store.py
+++ b/lavenderledge/registry/store.py
@@ -34,10 +34,15 @@
 
 
 class Listing(typing.NamedTuple):
-    """The keys of a prefix, or their changes, up to a revision."""
+    """The keys of a prefix, or their changes, up to a revision.
+
+    ``era`` rises when the service comes back from an older copy of its
+    content. Revisions and leases are comparable within one era only.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 ListResult: typing.TypeAlias = expression.Result[Listing, StoreFailure]
