List anew when the store was restored from a copy

Cause: a watch goes on from a revision. After a restore the store gives out revisions again, so that a watch from one of them gets nothing of what was written below it.

A follower that gets one of another era drops the answer and lists anew; a listing whose pages are of two eras fails. Entries that the copy lacks are kept as after an outage.

--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -1,4 +1,7 @@
-"""Follows a prefix of the store: lists it once, then watches it."""
+"""Follows a prefix of the store: lists it once, then watches it.
+
+It lists anew if the history is gone or the store was restored from a copy.
+"""
 
 import datetime
 import random
@@ -91,7 +94,11 @@
         if self._pause_s:
             self._pause_s = 0
             self._on_regained()
-        self._note_era(answer.ok.era)
+        is_restored = self._note_era(answer.ok.era)
+        if is_restored and not listing:
+            # Its revision, and so the changes after it, may be of another era.
+            self._revision = None
+            return timing.seconds(0)
         self._revision = answer.ok.revision
         self._subscription.on_confirmed(requested_s)
         if listing:
@@ -111,13 +118,16 @@
             wait_s=0 if self.is_failing else self._subscription.wait_s,
         )
 
-    def _note_era(self, era: int) -> None:
-        if self._era not in {None, era}:
-            self._on_restored(era)
+    def _note_era(self, era: int) -> bool:
+        """Record an answer's era; return whether it is another one."""
+        is_restored = self._era not in {None, era}
         self._era = era
+        if is_restored:
+            self._on_restored(era)
+        return is_restored
 
     def _note_failure(self, failure: stores.StoreFailure) -> datetime.timedelta:
-        if failure.fault is stores.Fault.COMPACTED:
+        if failure.fault in {stores.Fault.COMPACTED, stores.Fault.RESTORED}:
             self._revision = None
             return timing.seconds(0)
         self._on_failure(failure, not self.is_failing)
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -112,6 +112,7 @@
         """
         entries: list[stores.Change] = []
         revision: int | None = None
+        era: int | None = None
         after = ''
         while True:
             query = {'path_prefix': prefix}
@@ -121,6 +122,11 @@
             page = _decode(response, _RangePage)
             if page.is_error():
                 return expression.Error(page.error)
+            if era not in {None, response.ok.era}:
+                return _fail(
+                    stores.Fault.RESTORED,
+                    f'era {era} at the first page, then {response.ok.era}',
+                )
             era = response.ok.era
             revision = page.ok.at if revision is None else revision
             entries += [_parse_entry(entry) for entry in page.ok.entries]
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -291,6 +291,8 @@
             self._log('store_regained', prefix=prefix)
 
         def report_restored(era: int) -> None:
+            # Entries that the copy lacks are written again.
+            self._note_outage()
             self._metrics.count('store_restores')
             self._log('store_restored', prefix=prefix, era=era)
 
--- a/lavenderledge/registry/store.py
+++ b/lavenderledge/registry/store.py
@@ -16,10 +16,14 @@
     CONFLICT = 'conflict'
     NO_LEASE = 'no_lease'
     MALFORMED = 'malformed'
+    RESTORED = 'restored'
 
 
 class StoreFailure(typing.NamedTuple):
-    """A failed call; with REFUSED and CONFLICT nothing took effect."""
+    """A failed call; with REFUSED and CONFLICT nothing took effect.
+
+    RESTORED means that the service came back from an older copy meanwhile.
+    """
 
     fault: Fault
     detail: str
@@ -49,7 +53,7 @@
 
 
 class Store(typing.Protocol):
-    """A service that never loses an acknowledged write."""
+    """A service that loses acknowledged writes only where its era rises."""
 
     async def list_keys(self, prefix: str) -> ListResult:
         """Return the keys of a prefix."""
