Hold a lease together with the era of the store that granted it

What operators would see: an instance that is missing in the list of instances until it restarts, although it renews its lease; or one that disappears when another one stops.

Cause: a lease was held by its number. A restored store gives out the numbers again, so that the instance renews or ends the lease of another, while its own entry is gone.

A lease now bears its era. Once any answer is of another era, the instance gives its lease up and registers again.

--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -19,6 +19,9 @@
 _RENEW_INTERVAL_S: typing.Final = 1.3
 _RENEW_INTERVAL: typing.Final = datetime.timedelta(seconds=_RENEW_INTERVAL_S)
 _RETRY_INTERVAL: typing.Final = datetime.timedelta(seconds=1)
+_LOST_LEASE_FAULTS: typing.Final = frozenset(
+    (stores.Fault.NO_LEASE, stores.Fault.RESTORED)
+)
 _ALLOCATOR_KEY: typing.Final = 'slots'
 # An instance is strong if it has this fraction of the largest processor.
 _STRONG_RATIO: typing.Final = 0.7
@@ -51,7 +54,7 @@
         self._members: caches.EntryCache[Member] = caches.EntryCache(
             clock=clock
         )
-        self._lease: int | None = None
+        self._lease: stores.Lease | None = None
         self._ranked: tuple[str, ...] = (own.instance,)
         self._last_entries: abc.Mapping[str, Member] | None = None
         self._leaving = False
@@ -75,6 +78,11 @@
         """Keep instances that expire during an outage of the store."""
         self._members.note_outage()
 
+    def note_era(self, era: int) -> None:
+        """Give up a lease of another era than the store's."""
+        if self._lease is not None and self._lease.era != era:
+            self._lease = None
+
     def apply_list(
         self, changes: abc.Sequence[stores.Change], requested_s: float
     ) -> None:
@@ -116,7 +124,7 @@
         if self._lease is None:
             return await self._register()
         renewed = await self._store.keep_lease(self._lease)
-        if renewed.is_error() and renewed.error.fault is stores.Fault.NO_LEASE:
+        if renewed.is_error() and renewed.error.fault in _LOST_LEASE_FAULTS:
             self._lease = None
             return await self._register()
         return bool(renewed.is_ok())
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -170,48 +170,61 @@
         )
 
     async def put(
-        self, key: str, content: bytes, *, lease: int
+        self, key: str, content: bytes, *, lease: stores.Lease
     ) -> expression.Result[None, stores.StoreFailure]:
         """Write a key that is deleted when its lease ends."""
+        entry = {**_build_entry(key, content), 'lease_id': lease.number}
         return await self._post(
             '/api/kv-txn',
-            {
-                'expected_revision': [],
-                'write': [{**_build_entry(key, content), 'lease_id': lease}],
-                'remove': [],
-            },
+            {'expected_revision': [], 'write': [entry], 'remove': []},
+            era=lease.era,
         )
 
     async def open_lease(
         self, ttl_s: float
-    ) -> expression.Result[int, stores.StoreFailure]:
-        """Create a lease; return its id."""
+    ) -> expression.Result[stores.Lease, stores.StoreFailure]:
+        """Create a lease."""
         response = await self._request(
             b'POST',
             '/api/kv-lease',
             msgspec.json.encode({'ttl_ms': int(ttl_s * _MILLISECONDS)}),
         )
         lease = _decode(response, _Lease)
-        return lease.map(lambda opened: opened.lease_id)
+        return lease.map(
+            lambda opened: stores.Lease(opened.lease_id, response.ok.era)
+        )
 
     async def keep_lease(
-        self, lease: int
+        self, lease: stores.Lease
     ) -> expression.Result[None, stores.StoreFailure]:
         """Renew a lease."""
-        return await self._post(f'/api/kv-keep/{lease}', {})
+        return await self._post(
+            f'/api/kv-keep/{lease.number}', {}, era=lease.era
+        )
 
     async def end_lease(
-        self, lease: int
+        self, lease: stores.Lease
     ) -> expression.Result[None, stores.StoreFailure]:
         """End a lease, which deletes its keys."""
-        response = await self._request(b'DELETE', f'/api/kv-lease-end/{lease}')
+        target = f'/api/kv-lease-end/{lease.number}'
+        response = await self._request(b'DELETE', target)
         return response.map(lambda _: None)
 
     async def _post(
-        self, path: str, document: dict[str, typing.Any]
+        self,
+        path: str,
+        document: dict[str, typing.Any],
+        *,
+        era: int | None = None,
     ) -> expression.Result[None, stores.StoreFailure]:
+        """Send a document; with ``era``, fail in any other one."""
         body = msgspec.json.encode(document)
         response = await self._request(b'POST', path, body)
+        if response.is_ok() and era not in {None, response.ok.era}:
+            return _fail(
+                stores.Fault.RESTORED,
+                f'era {era} expected, got {response.ok.era}',
+            )
         return response.map(lambda _: None)
 
     async def _get(
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -293,6 +293,7 @@
         def report_restored(era: int) -> None:
             # Entries that the copy lacks are written again.
             self._note_outage()
+            self._members.note_era(era)
             self._metrics.count('store_restores')
             self._log('store_restored', prefix=prefix, era=era)
 
--- a/lavenderledge/registry/store.py
+++ b/lavenderledge/registry/store.py
@@ -49,6 +49,13 @@
     era: int = 0
 
 
+class Lease(typing.NamedTuple):
+    """A lease. In another ``era`` its number may be another holder's."""
+
+    number: int
+    era: int
+
+
 ListResult: typing.TypeAlias = expression.Result[Listing, StoreFailure]
 
 
@@ -69,21 +76,27 @@
         """Write a key; CONFLICT if it exists."""
 
     async def put(
-        self, key: str, content: bytes, *, lease: int
+        self, key: str, content: bytes, *, lease: Lease
     ) -> expression.Result[None, StoreFailure]:
-        """Write a key that is deleted with its lease."""
+        """Write a key that is deleted with its lease.
+
+        RESTORED if the lease is of another era; the key was written then.
+        """
 
     async def open_lease(
         self, ttl_s: float
-    ) -> expression.Result[int, StoreFailure]:
-        """Grant a lease and return its id."""
+    ) -> expression.Result[Lease, StoreFailure]:
+        """Grant a lease and return it."""
 
     async def keep_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> expression.Result[None, StoreFailure]:
-        """Renew a lease; NO_LEASE if it has expired or been revoked."""
+        """Renew a lease; NO_LEASE if it has expired or been revoked.
+
+        RESTORED if it is of another era.
+        """
 
     async def end_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> expression.Result[None, StoreFailure]:
         """Revoke a lease, which deletes its keys."""
--- a/lavenderledge/registry/timedstore.py
+++ b/lavenderledge/registry/timedstore.py
@@ -50,22 +50,22 @@
         return await self._time('create', self._store.create(key, content))
 
     async def put(
-        self, key: str, content: bytes, *, lease: int
+        self, key: str, content: bytes, *, lease: stores.Lease
     ) -> _Outcome[None]:
         """Write a key that is deleted with its lease."""
         return await self._time(
             'put', self._store.put(key, content, lease=lease)
         )
 
-    async def open_lease(self, ttl_s: float) -> _Outcome[int]:
-        """Grant a lease and return its id."""
+    async def open_lease(self, ttl_s: float) -> _Outcome[stores.Lease]:
+        """Grant a lease and return it."""
         return await self._time('open_lease', self._store.open_lease(ttl_s))
 
-    async def keep_lease(self, lease: int) -> _Outcome[None]:
+    async def keep_lease(self, lease: stores.Lease) -> _Outcome[None]:
         """Renew a lease."""
         return await self._time('keep_lease', self._store.keep_lease(lease))
 
-    async def end_lease(self, lease: int) -> _Outcome[None]:
+    async def end_lease(self, lease: stores.Lease) -> _Outcome[None]:
         """Revoke a lease, which deletes its keys."""
         return await self._time('end_lease', self._store.end_lease(lease))
 
