Write the fleet's peer secret again after a restore, or adopt another

What operators would see: after a restore to a copy from before the secret was written, an instance that starts makes another one and can talk to nobody; each part of the fleet grants all slots and gives out all quotas.

Cause: the secret was written once, under the condition that it is absent, and read once; nobody looked whether it is still there. After a restore each instance reads it again, writes its own if there is none, and opens its link anew if another one was first. Loading it moves to a module of its own.

--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -52,6 +52,7 @@
         # Start, reload, stop and internal failures.
         'instance_started': _list_fields('instance listen'),
         'instance_joined': _list_fields('instance incarnation'),
+        'peer_secret_changed': _list_fields('instance'),
         'link_failed': _list_fields('instance detail'),
         'reloaded': _list_fields('instance log_level'),
         'reload_failed': _list_fields('instance problems'),
--- a/lavenderledge/peers/link.py
+++ b/lavenderledge/peers/link.py
@@ -76,7 +76,7 @@
         """
         self._instance = instance
         self._listen = listen
-        self._pair = pair
+        self.pair = pair
         self._public_keys = tuple(dict.fromkeys((pair.public, *accepted_keys)))
         self._on_message = on_message
         self._count = count
@@ -100,7 +100,7 @@
     def start(self) -> expression.Result[str, ListenFailure]:
         """Bind the socket and receive on the running loop."""
         pull: zmq.Socket[bytes] = zmq.Socket(self._context, zmq.PULL)
-        sockets.configure_server(pull, self._pair)
+        sockets.configure_server(pull, self.pair)
         self._pull = pull
         authenticator = authentication.Authenticator(
             context=self._context,
@@ -156,7 +156,7 @@
             instance=instance,
             address=address,
             context=self._context,
-            pair=self._pair,
+            pair=self.pair,
             server_keys=self._public_keys,
             count=self._count,
             on_sent=self._note_sent,
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -9,6 +9,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
+    peersecret,
     registration,
     slotallocator,
     slotrequester,
@@ -23,7 +24,6 @@
 from lavenderledge.proxy import settings as proxysettings
 from lavenderledge.registry import timedstore
 
-PEER_SECRET_STORE_KEY: typing.Final = 'lavenderledge/peer-secret'
 
 # Keys are used until this long before the limit for revoked keys: the request
 # still has to reach its replica, and a watch may lag by a second.
@@ -80,6 +80,7 @@
         )
         self._incarnation = 0
         self._link: link.PeerLink | None = None
+        self._secret_doubted = asyncio.Event()
         self._registration = self._build_registration()
         self._watcher = watching.StoreWatcher(
             instance=settings.instance,
@@ -93,6 +94,7 @@
                 on_configuration=self._on_configuration,
                 on_replica_removed=self._pool.close_address,
                 is_allocator=self._is_allocator,
+                on_restored=lambda: self._secret_doubted.set(),
             ),
         )
         self._requester = slotrequester.SlotRequester(
@@ -207,6 +209,7 @@
         self._watcher.start(self._tasks)
         for name, loop in (
             ('join', self._join),
+            ('secret', self._keep_secret),
             ('requester', self._requester.run),
             ('allocator', self._allocator.run),
             ('sweep', self._enforce_timeouts),
@@ -264,42 +267,59 @@
 
     async def _join(self) -> None:
         """Load the fleet's key pair, open the peer link and register."""
-        key_pair = await self._load_key_pair()
-        peer_link = link.PeerLink(
-            instance=self._settings.instance,
-            listen=str(self._settings.peer_listen),
-            pair=key_pair,
-            on_message=self._receive,
-            count=self._metrics.count,
-            clock=self._clock,
+        loaded = await peersecret.load(
+            self._store, self._clock, own_secret=keys.generate_pair().secret
         )
-        started = peer_link.start()
-        if started.is_error():
-            self._log('link_failed', detail=started.error.detail)
+        self._incarnation = loaded.incarnation
+        if not self._open_link(loaded.key_pair):
             self._stop_requested.set()
             return
-        self._link = peer_link
         self._registration.notify_addresses()
         self._log('instance_joined', incarnation=self._incarnation)
         await self._registration.run()
         await asyncio.Event().wait()
 
-    async def _load_key_pair(self) -> keys.KeyPair:
-        """Return the key pair in the store; create it if there is none."""
+    async def _keep_secret(self) -> None:
+        """After a restore of the store, write the secret again or adopt it."""
         while True:
-            listing = await self._store.list_keys(PEER_SECRET_STORE_KEY)
-            if listing.is_error():
+            await self._secret_doubted.wait()
+            if self._link is None:
                 await self._clock.sleep(_STARTUP_RETRY_INTERVAL)
                 continue
-            # The store's revision never decreases, but clocks may.
-            self._incarnation = listing.ok.revision
-            for change in listing.ok.changes:
-                parsed = keys.parse_secret((change.content or b'').decode())
-                if parsed.is_ok():
-                    return parsed.ok
-            await self._store.create(
-                PEER_SECRET_STORE_KEY, keys.generate_pair().secret
+            self._secret_doubted.clear()
+            pair = self._link.pair
+            loaded = await peersecret.load(
+                self._store, self._clock, own_secret=pair.secret
             )
+            if loaded.key_pair != pair:
+                await self._replace_link(loaded.key_pair)
+
+    async def _replace_link(self, key_pair: keys.KeyPair) -> None:
+        self._log('peer_secret_changed')
+        former = self._link
+        self._link = None
+        if former is not None:
+            await former.close()
+        while not self._open_link(key_pair):
+            await self._clock.sleep(_STARTUP_RETRY_INTERVAL)
+        self._registration.notify_addresses()
+
+    def _open_link(self, key_pair: keys.KeyPair) -> bool:
+        """Open the peer link; return False if its address can't be bound."""
+        peer_link = link.PeerLink(
+            instance=self._settings.instance,
+            listen=str(self._settings.peer_listen),
+            pair=key_pair,
+            on_message=self._receive,
+            count=self._metrics.count,
+            clock=self._clock,
+        )
+        started = peer_link.start()
+        if started.is_error():
+            self._log('link_failed', detail=started.error.detail)
+            return False
+        self._link = peer_link
+        return True
 
     async def _enforce_timeouts(self) -> None:
         while True:
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -72,12 +72,14 @@
     """Functions that a watcher calls.
 
     ``on_replica_removed`` gets the address of a replica that is not usable
-    any more.
+    any more. ``on_restored`` is called when the store was restored from a
+    copy, possibly several times.
     """
 
     on_configuration: abc.Callable[[routes.Configuration], None]
     on_replica_removed: abc.Callable[[str], None]
     is_allocator: abc.Callable[[], bool]
+    on_restored: abc.Callable[[], None]
 
 
 class StoreWatcher:
@@ -294,6 +296,7 @@
             # Entries that the copy lacks are written again.
             self._note_outage()
             self._members.note_era(era)
+            self._callbacks.on_restored()
             self._metrics.count('store_restores')
             self._log('store_restored', prefix=prefix, era=era)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,7 +12,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import core, environment, logevents, logs, status
-from lavenderledge.proxy import instance as instances
+from lavenderledge.controllers import peersecret
 from tests import platformfleet, processes
 
 
@@ -212,7 +212,7 @@
     output = '\n'.join(
         [formatter.format(record) for record in records] + metrics
     )
-    secret = fleet.store.keys[instances.PEER_SECRET_STORE_KEY][0].decode()
+    secret = fleet.store.keys[peersecret.STORE_KEY][0].decode()
     assert len(secret) > 20
     for hidden in (platformfleet.KEY, 'key-of-nobody', secret):
         assert hidden not in output
