Number incarnations by the store's era and revision

What callers would see: 0.2 s more for each request at an instance that restarted after a restore, until its revisions exceed the former ones: its peers take its messages for those of an earlier incarnation and drop them.

Cause: an incarnation was the store's revision at the start, which goes back in a restore. The era now stands above it. Members that run on keep theirs.

test_an_instance_that_restarts_after_a_restore_is_heard fails with the revision alone and passes now.

--- a/lavenderledge/controllers/peersecret.py
+++ b/lavenderledge/controllers/peersecret.py
@@ -11,6 +11,8 @@
 
 _RETRY_INTERVAL_S: typing.Final = 0.2
 _RETRY_INTERVAL: typing.Final = timing.seconds(_RETRY_INTERVAL_S)
+# Bits of an incarnation for the revision; the era stands above them.
+_REVISION_BITS: typing.Final = 40
 
 
 class Loaded(typing.NamedTuple):
@@ -38,5 +40,9 @@
         for change in listing.ok.changes:
             parsed = keys.parse_secret((change.content or b'').decode())
             if parsed.is_ok():
-                return Loaded(parsed.ok, listing.ok.revision)
+                return Loaded(parsed.ok, _compute_incarnation(listing.ok))
         await store.create(STORE_KEY, own_secret)
+
+
+def _compute_incarnation(listing: stores.Listing) -> int:
+    return (listing.era << _REVISION_BITS) + listing.revision
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -195,3 +195,31 @@
             assert response.status == 503
             await asyncio.sleep(0.02)
         assert not newcomer.is_ready
+
+
+async def test_an_instance_that_restarts_after_a_restore_is_heard():
+    # Its incarnation must be higher than before, although revisions are lower.
+    async with platformfleet.running(instances=3) as fleet:
+        copy = fleet.store.take_copy()
+        await platformfleet.wait_until(
+            lambda: fleet.instances['entry-0']._registration.count_alive() == 3
+        )
+        ranked = fleet.instances['entry-0']._registration.rank_allocators()
+        allocator, name = ranked[:2]
+        await fleet.stop_instance(name)
+        fleet.store.revision += 100
+        await fleet.add_instance(name)
+        response = await fleet.send('/safe/x', instance=name)
+        assert response.status == 200
+        await restart_store(fleet, copy)
+        fleet.store.mode = 'ok'
+        await fleet.stop_instance(name)
+        await fleet.add_instance(name)
+        requester = fleet.instances[name]._requester
+        await platformfleet.wait_until(
+            lambda: requester.allocator == allocator
+        )
+        for _ in range(5):
+            response = await fleet.send('/safe/x', instance=name)
+            assert response.status == 200
+        assert requester.allocator == allocator
