Do not use a configuration that the store has again after a newer one

What callers would see: an instance that starts after a restore reads the older version from the copy and, until the operator has written the newer one again, serves with its keys, also revoked ones, and answers 404 for its lacking routes.

Cause: what the store says counted as confirmed, whatever peers had already. A version counts as never confirmed now if a store's answer, requested after a peer's newer version was heard of, still has it: without a restore that answer would have the newer one. A store out of reach confirms nothing and denies nothing, so that the age limit applies as before. Reports bear the sender's version, so that an instance that becomes the allocator hears of it too; the field is optional on the wire.

--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -45,13 +45,17 @@
 class ConfigurationCache:
     """The newest configuration, and when it was last confirmed.
 
-    A version is never replaced by a lower one.
+    A version is never replaced by a lower one. If the store still has it after
+    a peer had a newer one, the store was restored from an older copy, and the
+    current version counts as never confirmed.
     """
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         """Create an empty cache."""
         self._clock = clock
         self._current: routes.Configuration | None = None
+        self._newest_version = 0
+        self._newest_heard_s = float('-inf')
         self._confirmed_s = float('-inf')
         self._store_confirmed_s = float('-inf')
 
@@ -60,6 +64,11 @@
         """Return the configuration in force, or None before the first one."""
         return self._current
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether a peer has a newer version."""
+        return self._newest_version > self._current_version
+
     def age_s(self) -> float:
         """Return the seconds since the last confirming answer was requested.
 
@@ -78,25 +87,40 @@
         current = self._current
         if current is not None and configuration.version < current.version:
             return False
-        self.confirm(requested_s)
         newer = current is None or configuration.version > current.version
         self._current = configuration
+        self.confirm(requested_s)
         return newer
 
     def confirm(self, requested_s: float) -> None:
         """Record that the store had nothing newer at ``requested_s``."""
+        if self.is_outdated:
+            if requested_s > self._newest_heard_s:
+                self._confirmed_s = float('-inf')
+                self._store_confirmed_s = float('-inf')
+            return
         self._store_confirmed_s = max(self._store_confirmed_s, requested_s)
         self._confirmed_s = max(self._confirmed_s, requested_s)
 
+    def note_peer_version(self, version: int) -> None:
+        """Record a version that a peer has."""
+        if version > self._newest_version:
+            self._newest_version = version
+            self._newest_heard_s = self._clock.read_monotonic()
+
     def apply_peer_confirmation(self, version: int, confirmed_s: float) -> bool:
         """Merge a peer's version; return False if it is newer."""
-        current = self._current
-        if current is None or version > current.version:
+        self.note_peer_version(version)
+        if version > self._current_version:
             return False
-        if version == current.version:
+        if version == self._current_version and not self.is_outdated:
             self._confirmed_s = max(self._confirmed_s, confirmed_s)
         return True
 
+    @property
+    def _current_version(self) -> int:
+        return 0 if self._current is None else self._current.version
+
 
 class EntryCache(typing.Generic[_Entry]):
     """Entries under a prefix; those that expire in an outage are kept a while.
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -61,13 +61,15 @@
 class StateReader(typing.NamedTuple):
     """Functions that read cached state of the store.
 
-    Nothing is granted while ``is_catching_up`` returns True.
+    Nothing is granted while ``is_catching_up`` returns True. ``note_version``
+    gets the versions of the configuration that other instances have.
     """
 
     list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
     find_quota: FindQuota
     read_freshness: abc.Callable[[], Freshness]
     is_catching_up: abc.Callable[[], bool]
+    note_version: abc.Callable[[int], None]
 
 
 class _Sender:
@@ -255,6 +257,7 @@
         sender.sequence = report.sequence
         sender.received_s = now_s
         sender.note_stamp(report.stamp_s)
+        self._state_reader.note_version(report.version)
         held = {slot.request_id: slot for slot in report.held}
         waiting = set(report.waiting)
         self._remove_other_requests(
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -113,6 +113,7 @@
         instance: str,
         address: str,
         read_incarnation: abc.Callable[[], int],
+        read_version: abc.Callable[[], int],
         clock: clocks.Clock,
         send: Send,
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
@@ -122,6 +123,7 @@
         self._instance = instance
         self._address = address
         self._read_incarnation = read_incarnation
+        self._read_version = read_version
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
@@ -346,6 +348,7 @@
                 )
                 for quarantine in self._quarantines
             ),
+            self._read_version(),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -149,7 +149,7 @@
     ``stamp_s`` is the sender's clock. Replies go to ``address``, which the
     allocator may not have read from the store yet. ``lost_runs`` and
     ``quarantines`` are what a new allocator has to know about prompts that
-    crash replicas.
+    crash replicas. ``version`` is the sender's configuration, 0 without one.
     """
 
     sender: bounds.Name
@@ -167,6 +167,7 @@
         tuple[LostRun, ...], msgspec.Meta(max_length=MAX_LOST_RUNS)
     ] = ()
     quarantines: _Quarantines = ()
+    version: bounds.Count = 0
 
 
 class Beat(typing.NamedTuple):
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -101,6 +101,7 @@
             instance=settings.instance,
             address=str(settings.peer_listen),
             read_incarnation=lambda: self._incarnation,
+            read_version=self._watcher.read_version,
             clock=clock,
             send=self._send,
             rank_allocators=self._registration.rank_allocators,
@@ -123,6 +124,7 @@
                 find_quota=self._watcher.find_quota,
                 read_freshness=self._watcher.read_freshness,
                 is_catching_up=self._watcher.is_catching_up,
+                note_version=self._watcher.configuration.note_peer_version,
             ),
             count_alive=self._registration.count_alive,
             tolerance=tokenbuckets.Tolerance(
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -122,7 +122,6 @@
         )
         self._replicas_needed_until_s = float('-inf')
         self._replica_follower: follower.Follower | None = None
-        self._newest_peer_version = 0
 
     @property
     def is_synced(self) -> bool:
@@ -147,15 +146,19 @@
     def read_freshness(self) -> slotallocator.Freshness:
         """Return the version and the ages of the cached state."""
         return slotallocator.Freshness(
-            self._current_version,
+            self.read_version(),
             self.configuration.store_age_s(),
             self.replicas.reported_age_s(),
         )
 
+    def read_version(self) -> int:
+        """Return the version of the configuration, 0 without one."""
+        current = self.configuration.current
+        return 0 if current is None else current.version
+
     def note_peer_freshness(self, version: int, confirmed_s: float) -> None:
         """Record the version that an allocator has and when it was right."""
-        if not self.configuration.apply_peer_confirmation(version, confirmed_s):
-            self._newest_peer_version = max(self._newest_peer_version, version)
+        self.configuration.apply_peer_confirmation(version, confirmed_s)
 
     def list_replicas(self) -> abc.Sequence[slots.ReplicaInfo]:
         """Return the replicas that take new requests."""
@@ -263,13 +266,8 @@
         return self._allocates() or self._lacks_configuration()
 
     def _lacks_configuration(self) -> bool:
-        has_newer = self._newest_peer_version > self._current_version
-        return has_newer or self.configuration.age_s() > _MAX_RECEIVED_AGE_S
-
-    @property
-    def _current_version(self) -> int:
-        current = self.configuration.current
-        return 0 if current is None else current.version
+        is_old = self.configuration.age_s() > _MAX_RECEIVED_AGE_S
+        return is_old or self.configuration.is_outdated
 
     def _build_follower(
         self, subscription: follower.Subscription
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -164,3 +164,20 @@
     clock.now_s += caches.RELIST_GRACE_S + 0.1
     cache.confirm(clock.now_s)
     assert cache.judge('b', **granted) is caches.Standing.LEFT
+
+
+def test_an_older_store_does_not_confirm_a_version_that_a_peer_has_outdated():
+    clock = serving.ManualClock()
+    cache = caches.ConfigurationCache(clock=clock)
+    start_s = clock.now_s
+    cache.accept(make_configuration(1), start_s)
+    clock.now_s += 1
+    cache.apply_peer_confirmation(2, start_s)
+    # This may have been answered before version 2 was written.
+    cache.confirm(start_s + 0.5)
+    assert cache.age_s() == 1
+    clock.now_s += 1
+    cache.confirm(clock.now_s)
+    assert cache.age_s() == float('inf')
+    cache.accept(make_configuration(2), clock.now_s)
+    assert cache.age_s() == 0
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -40,6 +40,7 @@
         self.requester = slotrequester.SlotRequester(
             instance=name,
             address=f'{name}:1',
+            read_version=lambda: 1,
             read_incarnation=lambda: incarnation,
             clock=machine.clock,
             send=self.send,
@@ -63,6 +64,7 @@
                     1, self.age_s, self.age_s
                 ),
                 is_catching_up=lambda: False,
+                note_version=lambda version: None,
             ),
             count_alive=lambda: len(machine.ranked),
             tolerance=tokenbuckets.Tolerance(8, 0, 0),
