Keep replicas that left out when a restored store lists them again

What callers would see: requests sent to a replica that had said it leaves, and that the copy lists as ready (DRAIN).

Cause: an entry in a list meant that the replica is ready now; in a restored store it means that it was when the copy was made. Replicas seen leaving or gone are taken as leaving until they write an entry again, for five seconds at most; then the list is read once more.

--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -238,6 +238,13 @@
         self.list_usable()
         return name in self._left and self.age_s() < _LEFT_RETENTION_S
 
+    def list_left(self) -> abc.Set[str]:
+        """Return the replicas that left, or were leaving, when last seen."""
+        self.list_usable()
+        entries = self.entry_cache.entries
+        leaving = {name for name in entries if not entries[name].is_ready}
+        return self._left | leaving
+
     def judge(
         self, name: str, *, listed_s: float, max_age_s: float
     ) -> Standing:
--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -74,6 +74,10 @@
         """Return whether the last call failed."""
         return self._pause_s > 0
 
+    def list_again(self) -> None:
+        """List the prefix in the next call."""
+        self._revision = None
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -39,6 +39,9 @@
 # An instance whose configuration is older reads the store itself: a
 # configuration must be applied within two seconds.
 _MAX_RECEIVED_AGE_S: typing.Final = 1.8
+# A restored store may list replicas again that had left. Those that live write
+# their entry again within two seconds; the others' entries expire later.
+_LEFT_HOLD_S: typing.Final = 5.0
 # The timeout of one watch of a prefix, and the pause after changes, which
 # combines several changes into one call.
 _CONFIGURATION_WAIT_S: typing.Final = 0.5
@@ -122,6 +125,8 @@
         )
         self._replicas_needed_until_s = float('-inf')
         self._replica_follower: follower.Follower | None = None
+        self._held_left: abc.Set[str] = frozenset()
+        self._held_until_s = float('-inf')
 
     @property
     def is_synced(self) -> bool:
@@ -229,7 +234,7 @@
                 read_pause_s=lambda: _REPLICAS_PAUSE_S,
                 on_list=self._replace_replicas,
                 on_changes=self._update_replicas,
-                on_confirmed=self.replicas.confirm,
+                on_confirmed=self._confirm_replicas,
                 is_needed=self._must_watch_replicas,
             ),
             follower.Subscription(
@@ -294,6 +299,8 @@
             # Entries that the copy lacks are written again.
             self._note_outage()
             self._members.note_era(era)
+            if prefix == self._platform.replicas_prefix:
+                self._hold_left_replicas()
             self._callbacks.on_restored()
             self._metrics.count('store_restores')
             self._log('store_restored', prefix=prefix, era=era)
@@ -308,6 +315,18 @@
             on_restored=report_restored,
         )
 
+    def _hold_left_replicas(self) -> None:
+        """Treat replicas that left as leaving until they write an entry."""
+        self._held_left = self.replicas.list_left()
+        self._held_until_s = self._clock.read_monotonic() + _LEFT_HOLD_S
+
+    def _confirm_replicas(self, requested_s: float) -> None:
+        self.replicas.confirm(requested_s)
+        if self._held_left and requested_s > self._held_until_s:
+            self._held_left = frozenset()
+            if self._replica_follower is not None:
+                self._replica_follower.list_again()
+
     def _note_outage(self) -> None:
         """Keep entries that expire in the next seconds because of an outage."""
         self.replicas.entry_cache.note_outage()
@@ -342,7 +361,9 @@
         replicas = dict(self._read_replicas(changes))
         self.replicas.entry_cache.replace(
             {
-                name: entry
+                name: entry._replace(is_ready=False)
+                if name in self._held_left
+                else entry
                 for name, entry in replicas.items()
                 if entry is not None
             }
