Do not reuse a connection after a refusal without a request id

Reported by other operators: a faulty replica writes an earlier refusal once more on a kept connection. Here, if the refusal bears no id, the next request on that connection was taken as not run while the replica ran it, and went to a second replica (TWICE), or its caller was told to try again (REFUSED). A refusal with an id was told apart already.

Cause: a refusal without an id belongs to whatever request waits. Only on a connection that never carried one is that known. Such a connection is now closed after its refusal, which a replica that names ids never costs.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -112,6 +112,10 @@
         else:
             self._transport.pause_reading()
 
+    def prevent_reuse(self) -> None:
+        """Send no further request on this connection."""
+        self._not_reusable = True
+
     def abort(self) -> None:
         """Abort the connection; the receiver is not called again."""
         self._receiver = None
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -119,6 +119,7 @@
         matches_request = _read_text(echoed_id) == parsed.request_id
     return headercodec.ParsedResponse(
         matches_request=matches_request,
+        has_id=echoed_id is not None,
         is_signed=fields.find(_RESPONSE_SEAL) is not None,
         has_not_run=not_run or misdirected,
         is_encoded=fields.find(b'content-encoding') is not None,
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -112,6 +112,11 @@
         """Return how the response is framed, None before its head."""
         return None if self._head is None else self._head.framing
 
+    @property
+    def is_identified(self) -> bool:
+        """Return whether the response names the request that it belongs to."""
+        return self._parsed is not None and self._parsed.has_id
+
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether the response belongs to this request."""
         self._parsed = self._header_codec.parse_response(head, self._request)
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -336,6 +336,9 @@
         finally:
             if not attempt.done.done():
                 connection.abort()
+            if not attempt.is_identified:
+                # Its refusal, if repeated, would be taken for the next one's.
+                connection.prevent_reuse()
         return self._handle_result(attempt, outcome)
 
     def _may_send(self, slot: slotrequester.Slot) -> bool:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -46,12 +46,14 @@
 class ParsedResponse(typing.NamedTuple):
     """The head of a replica's response, parsed.
 
-    ``matches_request`` is False for the response to another request.
+    ``matches_request`` is False for the response to another request. Without
+    ``has_id`` it can't be told from an earlier one on the same connection.
     ``slowness`` is the factor by which work takes longer on the replica's
     machine now: 1 is normal, 0 unknown.
     """
 
     matches_request: bool
+    has_id: bool
     is_signed: bool
     has_not_run: bool
     is_encoded: bool
