--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import collections
+import functools
 import random
 import shutil
 import signal
@@ -18,6 +20,10 @@
 MAX_TRANSIT_S = 0.5
 # The longest time from a stop signal until the process runs again.
 MAX_RESTART_S = 8.0
+# What the operator and the replicas wrote is written again this long after the
+# store was restored, at most.
+MAX_REWRITE_S = 0.5
+MAX_COPIES = 12
 PATHS = ('/once/x', '/safe/x', '/stream/x', '/stream/resumable/x')
 KEYS = ('key-0', 'key-1', 'key-2')
 
@@ -42,10 +48,11 @@
 class Soak:
     """One soak run of a seed."""
 
-    def __init__(self, *, seed, seconds, size, directory):
+    def __init__(self, *, seed, seconds, size, directory, restores=False):
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.size = size
+        self.restores = restores
         self.directory = directory
         self.store = platformstore.Store()
         self.listener = platformstore.build_listener(self.store.handle)
@@ -53,6 +60,8 @@
         self.daemons = []
         # The daemons that receive requests; all of them if empty.
         self.targets = []
+        self.written = {}
+        self.copies = collections.deque(maxlen=MAX_COPIES)
         self.replicas = {}
         self.history = checks.History([], [], {}, {}, {}, EVENTS)
         self.keys = list(KEYS)
@@ -72,6 +81,7 @@
             ]
             while loop.time() < end_s - 3:
                 await asyncio.sleep(self.rng.uniform(0.1, 0.9))
+                self.copies.append(self.store.take_copy())
                 await self.inject_fault()
             self.clear_faults()
             await asyncio.gather(*callers)
@@ -119,18 +129,23 @@
         await link.start()
         self.proxies.append(link)
         self.replicas[name] = replica
-        self.store.write(
+        self.write_last(
             f'servers/{name}', replica.describe(address=link.address)
         )
 
     def write_configuration(self):
         self.version += self.rng.randint(1, 5)
         tenant = {'name': 'dealer', 'api_keys': list(self.keys)}
-        self.store.write(
+        self.write_last(
             'op/config',
             platformfleet.make_configuration(self.version, tenants=[tenant]),
         )
 
+    def write_last(self, key, document):
+        """Write a key as the operator or a replica does, and remember it."""
+        self.written[key] = document
+        self.store.write(key, document)
+
     async def call_until(self, end_s):
         loop = asyncio.get_running_loop()
         pool = platformfleet.make_pool()
@@ -184,8 +199,11 @@
 
     async def inject_fault(self):
         """Inject a random fault or change."""
+        # Without restores, seeds select the faults that they always did.
+        restore = (self.restore_store,) * self.restores
         action = self.rng.choice(
             (
+                *restore,
                 self.inject_replica_faults,
                 self.inject_replica_faults,
                 self.inject_link_fault,
@@ -242,6 +260,25 @@
         self.note_disturbance('', duration_s)
         self.call_later(duration_s, self.clear_store_fault)
 
+    async def restore_store(self):
+        """Bring the store back from an older copy, after it was away."""
+        if self.store.mode != 'ok':
+            return
+        self.store.mode = self.rng.choice(('busy', 'reset', 'silent'))
+        away_s = self.rng.uniform(0, 2)
+        self.note_disturbance('', away_s + MAX_REWRITE_S)
+        await asyncio.sleep(away_s)
+        self.store.restore(self.rng.choice(self.copies))
+        self.clear_store_fault()
+        for key in tuple(self.written):
+            self.call_later(
+                self.rng.uniform(0, MAX_REWRITE_S),
+                functools.partial(self.write_again, key),
+            )
+
+    def write_again(self, key):
+        self.store.write(key, self.written[key])
+
     def note_disturbance(self, name, seconds):
         """Record a disturbance of the store ('') or an instance from now."""
         now_s = asyncio.get_running_loop().time()
@@ -289,7 +326,7 @@
         name = self.rng.choice(serving)
         await self.add_replica()
         entry = self.replicas[name].describe(state='draining')
-        self.store.write(f'servers/{name}', entry)
+        self.write_last(f'servers/{name}', entry)
         self.history.draining[name] = asyncio.get_running_loop().time()
 
     def call_later(self, delay_s, action):
@@ -338,10 +375,16 @@
         self.listener.stop()
 
 
-async def run_seed(seed, *, seconds, size, log_folder=None):
+async def run_seed(seed, *, seconds, size, log_folder=None, restores=False):
     """Run one seed; return its violations and a summary."""
     with daemons.make_directory() as directory:
-        soak = Soak(seed=seed, seconds=seconds, size=size, directory=directory)
+        soak = Soak(
+            seed=seed,
+            seconds=seconds,
+            size=size,
+            directory=directory,
+            restores=restores,
+        )
         violations = await soak.run()
         if violations and log_folder:
             shutil.copytree(directory, f'{log_folder}/seed-{seed}')
@@ -359,6 +402,11 @@
     parser.add_argument('--seeds', type=int, nargs='+', default=[1])
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--size', type=int, default=4, help='daemons')
+    parser.add_argument(
+        '--restores',
+        action='store_true',
+        help='the store also comes back from older copies',
+    )
     parser.add_argument('--keep', help='folder for the logs of failed seeds')
     arguments = parser.parse_args()
     # SIGTERM raises KeyboardInterrupt, so that the daemons are stopped.
@@ -371,6 +419,7 @@
                 seconds=arguments.seconds,
                 size=arguments.size,
                 log_folder=arguments.keep,
+                restores=arguments.restores,
             )
         )
         sys.stdout.write(f'{summary}\n')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -104,6 +104,13 @@
     assert not violations, summary
 
 
+async def test_a_run_with_restored_stores_has_no_violations():
+    violations, summary = await run.run_seed(
+        101, seconds=15, size=4, restores=True
+    )
+    assert not violations, summary
+
+
 @pytest.mark.parametrize('fault', ['killed', 'frozen', 'store-silent'])
 async def test_a_lost_allocator_costs_callers_less_than_a_second(fault):
     outcome = await takeover.run_fault(fault)
