--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -100,9 +100,9 @@
     def _choose_framing(self, length: int | None) -> messages.Framing:
         if length is not None:
             return messages.Framing.LENGTH
-        if self._bodiless:
+        if self._bodiless or not self._connection.knows_chunks:
             return messages.Framing.CLOSE
-        return self._connection.choose_framing()
+        return messages.Framing.CHUNKED
 
 
 Handle: typing.TypeAlias = abc.Callable[
@@ -144,10 +144,10 @@
         self._reading = False
         self._fault = 0
         self._complete = False
-        self._knows_chunks = True
         self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
+        self.knows_chunks = True
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
     @property
@@ -232,7 +232,7 @@
         # The parser no longer has this when the message is complete.
         if not self._parser.should_keep_alive():
             self.closing = True
-        self._knows_chunks = self._parser.get_http_version() != '1.0'
+        self.knows_chunks = self._parser.get_http_version() != '1.0'
         if not is_framing_unambiguous(self._fields):
             self._fault = messages.BAD_REQUEST
         elif self._fields.find(b'expect') and self._transport is not None:
@@ -250,12 +250,6 @@
         """Mark the request as complete; ``_feed`` then handles it."""
         self._complete = True
 
-    def choose_framing(self) -> messages.Framing:
-        """Return the framing of an answer without a length."""
-        if self._knows_chunks:
-            return messages.Framing.CHUNKED
-        return messages.Framing.CLOSE
-
     def begin_unframed(self) -> None:
         """Prepare for an answer that ends with the connection.
 
