--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -93,8 +93,12 @@
         return newer
 
     def confirm(self, requested_s: float) -> None:
-        """Record that the store had nothing newer at ``requested_s``."""
+        """Record that the store had nothing newer at ``requested_s``.
+
+        If a peer had something newer before, the store is not believed.
+        """
         if self.is_outdated:
+            # An answer to an earlier request may be older than the version.
             if requested_s > self._newest_heard_s:
                 self._confirmed_s = float('-inf')
                 self._store_confirmed_s = float('-inf')
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -171,6 +171,7 @@
         """Cancel the request of a client that has disconnected."""
         self._listener.connections.discard(self)
         if self._is_unframed and exc is None and self._task is None:
+            # Not earlier: until now, buffered bytes may have been unsent.
             self._set_linger(_ORDERLY_CLOSE)
         self._transport = None
         self.notify_writable = None
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -24,7 +24,6 @@
 from lavenderledge.proxy import settings as proxysettings
 from lavenderledge.registry import timedstore
 
-
 # Keys are used until this long before the limit for revoked keys: the request
 # still has to reach its replica, and a watch may lag by a second.
 _REVOCATION_MARGIN_S: typing.Final = 1.0
@@ -94,7 +93,7 @@
                 on_configuration=self._on_configuration,
                 on_replica_removed=self._pool.close_address,
                 is_allocator=self._is_allocator,
-                on_restored=lambda: self._secret_doubted.set(),
+                on_restored=self._secret_doubted.set,
             ),
         )
         self._requester = slotrequester.SlotRequester(
