Test a listing across a restore, and stricter premises of three tests

The test of a newcomer waits until it has heard of the newer version, instead of for a passing choice of its allocator. The harness of broken answers asserts that no handler raised; it collected such errors unread.

--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -104,7 +104,6 @@
 
     def __init__(self, replicas, clock):
         self.allocator = 'a'
-        self.readings = []
         self._replicas = replicas
         self._clock = clock
 
@@ -119,7 +118,7 @@
         return expression.Error(slotrequester.Refusal('unavailable', 1))
 
     def release(self, request_id, *, reading):
-        self.readings.append(reading)
+        """Ignore a released slot."""
 
     def find_quarantine_s(self, service, parts):
         return 0
@@ -296,3 +295,4 @@
         yield instance
     finally:
         await instance.stop()
+    assert not instance.errors
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -5,7 +5,9 @@
 import pytest
 
 from lavenderledge.controllers import registration
-from tests import platformfleet
+from lavenderledge.platform import store as stores
+from lavenderledge.registry import store as registry
+from tests import platformfleet, platformstore
 
 SECRET = 'lavenderledge/peer-secret'
 
@@ -184,10 +186,7 @@
         end_s = asyncio.get_running_loop().time() + 3
         newcomer = fleet.instances['entry-2']
         await platformfleet.wait_until(
-            lambda: (
-                newcomer._watcher.configuration.current is not None
-                and newcomer._requester.allocator in {'entry-0', 'entry-1'}
-            )
+            lambda: newcomer._watcher.configuration.is_outdated
         )
         # Two watches: the first one began before the peers were heard.
         await asyncio.sleep(1.2)
@@ -222,3 +221,27 @@
             response = await fleet.send('/safe/x', instance=name)
             assert response.status == 200
         assert requester.allocator == allocator
+
+
+async def test_a_listing_whose_pages_are_of_two_eras_fails():
+    store = platformstore.Store()
+    for number in range(60):
+        store.write(f'key/{number:02}', b'')
+
+    async def serve(request, reply):
+        await store.handle(request, reply)
+        if store.calls == 1:
+            store.restore(store.take_copy())
+
+    listener = platformstore.build_listener(serve)
+    await listener.listen('127.0.0.1', 0)
+    pool = platformfleet.make_pool()
+    client = stores.PlatformStore(
+        address=f'127.0.0.1:{listener.port}', pool=pool
+    )
+    torn = await client.list_keys('key/')
+    listing = await client.list_keys('key/')
+    pool.close()
+    listener.stop()
+    assert torn.error.fault is registry.Fault.RESTORED
+    assert (len(listing.ok.changes), listing.ok.era) == (60, 2)
