--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -50,12 +50,13 @@
         clock: clocks.Clock,
         rng: random.Random,
         on_failure: abc.Callable[[stores.StoreFailure, bool], None],
-        on_regained: abc.Callable[[], None],
+        on_regained: abc.Callable[[int], None],
         on_restored: abc.Callable[[int], None],
     ) -> None:
         """Start without a revision.
 
-        ``on_failure`` also gets whether the failure is the first in a row.
+        ``on_failure`` also gets whether the failure is the first in a row,
+        ``on_regained`` how many failed in a row.
         ``on_restored`` gets the store's new era.
         """
         self._subscription = subscription
@@ -68,6 +69,7 @@
         self._revision: int | None = None
         self._era: int | None = None
         self._pause_s = float(0)
+        self._failures = 0
 
     @property
     def is_failing(self) -> bool:
@@ -97,7 +99,8 @@
             return self._note_failure(answer.error)
         if self._pause_s:
             self._pause_s = 0
-            self._on_regained()
+            self._on_regained(self._failures)
+        self._failures = 0
         is_restored = self._note_era(answer.ok.era)
         if is_restored and not listing:
             # Its revision, and so the changes after it, may be of another era.
@@ -134,6 +137,7 @@
         if failure.fault in {stores.Fault.COMPACTED, stores.Fault.RESTORED}:
             self._revision = None
             return timing.seconds(0)
+        self._failures += 1
         self._on_failure(failure, not self.is_failing)
         self._pause_s = self._pause_s or _FIRST_PAUSE_S
         pause_s = self._pause_s * (0.5 + self._rng.random())
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -33,13 +33,18 @@
         ),
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         # State read from the store.
-        'configuration_accepted': _list_fields('instance version revision'),
+        'configuration_accepted': _list_fields(
+            'instance version revision size_bytes read_ms'
+        ),
+        # A peer has the version ``newest``.
+        'configuration_outdated': _list_fields('instance version newest'),
         'configuration_unreadable': _list_fields('instance detail'),
         'replicas_listed': _list_fields('instance count'),
         'replicas_changed': _list_fields('instance gone new usable'),
         # Availability of the store, peers and upstreams.
         'store_lost': _list_fields('instance prefix fault detail'),
-        'store_regained': _list_fields('instance prefix'),
+        # ``failures`` is the number of calls that failed in a row.
+        'store_regained': _list_fields('instance prefix failures'),
         'store_restored': _list_fields('instance prefix era'),
         'allocator_changed': _list_fields('instance before after'),
         'peer_silent': _list_fields('instance peer'),
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -51,6 +51,8 @@
     idle_timeout_s=_INITIAL_IDLE_TIMEOUT_S,
 )
 _MILLISECONDS: typing.Final = 1000
+# The gauge of an age that is not known, seconds.
+_MAX_AGE_S: typing.Final = 1e6
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -385,6 +387,13 @@
         self._metrics.set_gauge(
             'alive_instances', self._registration.count_alive()
         )
+        self._metrics.set_gauge(
+            'configuration_version', self._watcher.read_version()
+        )
+        self._metrics.set_gauge(
+            'configuration_age_seconds',
+            min(self._watcher.configuration.age_s(), _MAX_AGE_S),
+        )
         body, _ = self._metrics.render(())
         reply.send(messages.OK, ((b'Content-Type', b'text/plain'),), body)
 
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -55,6 +55,7 @@
 _MEMBERS_CALL_INTERVAL_S: typing.Final = 0.02
 _MIN_MEMBERS_PAUSE_S: typing.Final = 0.5
 _MAX_MEMBERS_PAUSE_S: typing.Final = 3.0
+_MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
 
 ReadConfiguration: typing.TypeAlias = abc.Callable[[bytes], typing.Any]
@@ -163,7 +164,14 @@
 
     def note_peer_freshness(self, version: int, confirmed_s: float) -> None:
         """Record the version that an allocator has and when it was right."""
+        was_outdated = self.configuration.is_outdated
         self.configuration.apply_peer_confirmation(version, confirmed_s)
+        if self.configuration.is_outdated and not was_outdated:
+            self._log(
+                'configuration_outdated',
+                version=self.read_version(),
+                newest=version,
+            )
 
     def list_replicas(self) -> abc.Sequence[slots.ReplicaInfo]:
         """Return the replicas that take new requests."""
@@ -291,9 +299,9 @@
                     detail=failure.detail,
                 )
 
-        def report_regained() -> None:
+        def report_regained(failures: int) -> None:
             self._note_outage()
-            self._log('store_regained', prefix=prefix)
+            self._log('store_regained', prefix=prefix, failures=failures)
 
         def report_restored(era: int) -> None:
             # Entries that the copy lacks are written again.
@@ -353,6 +361,8 @@
                     'configuration_accepted',
                     version=parsed.ok.version,
                     revision=change.revision,
+                    size_bytes=len(change.content),
+                    read_ms=self._measure_ms(requested_s),
                 )
 
     def _replace_replicas(
@@ -398,6 +408,9 @@
             usable=len(usable),
         )
 
+    def _measure_ms(self, since_s: float) -> int:
+        return round((self._clock.read_monotonic() - since_s) * _MILLISECONDS)
+
     def _log(self, event: str, **fields: typing.Any) -> None:
         logs.write_event(_LOGGER, event, instance=self._instance, **fields)
 
