--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -12,7 +12,10 @@
 from lavenderledge.registry import store as stores
 
 # Requests take milliseconds, and a hundred times that when the service is slow.
+# A long answer on a slow link takes longer; it may not stop for this long.
 _REQUEST_TIMEOUT_S: typing.Final = 1.0
+# The timeout of a whole answer from its first byte.
+_TRANSFER_TIMEOUT_S: typing.Final = 10.0
 _CONNECT_TIMEOUT_S: typing.Final = 0.5
 # Short, because the service does not state its idle timeout.
 _MAX_IDLE_S: typing.Final = 3.0
@@ -57,10 +60,12 @@
 
 
 class _ResponseCollector:
-    """Collects one response."""
+    """Collects one response; each part of it extends the timeout."""
 
     def __init__(self) -> None:
         self.status = 0
+        self.timeout: asyncio.Timeout | None = None
+        self._end_s: float | None = None
         self.era = 0
         self.body: list[bytes] = []
         self.ended: asyncio.Future[messages.Ending] = (
@@ -74,14 +79,24 @@
         self.status = head.status
         era = head.fields.find(_ERA) or b''
         self.era = int(era) if era.isdigit() else 0
+        self._extend_timeout()
 
     def receive_body(self, body: bytes) -> None:
         self.body.append(body)
+        self._extend_timeout()
 
     def receive_end(self, ending: messages.Ending) -> None:
         if not self.ended.done():
             self.ended.set_result(ending)
 
+    def _extend_timeout(self) -> None:
+        if self.timeout is None or self.timeout.expired():
+            return
+        now_s = asyncio.get_running_loop().time()
+        if self._end_s is None:
+            self._end_s = now_s + _TRANSFER_TIMEOUT_S
+        self.timeout.reschedule(min(now_s + _REQUEST_TIMEOUT_S, self._end_s))
+
 
 class _Response(typing.NamedTuple):
     """The body of a successful response, and the service's era."""
@@ -263,11 +278,14 @@
             response,
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                response.timeout = timeout
                 ending = await response.ended
         except TimeoutError:
+            received_bytes = sum(map(len, response.body))
             return _fail(
-                stores.Fault.UNREACHABLE, f'no response within {timeout_s} s'
+                stores.Fault.UNREACHABLE,
+                f'timed out after {received_bytes} bytes of a response',
             )
         finally:
             self._pool.release(connection)
--- a/tests/test_largeconfigurations.py
+++ b/tests/test_largeconfigurations.py
@@ -1,10 +1,13 @@
 """Configurations that take long to read on links of little bandwidth."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from lavenderledge.http1 import messages
+from lavenderledge.platform import store
+from lavenderledge.registry import store as stores
 from tests import platformfleet
 
 # The bounds of the grown deployments: a version is in force this long after its
@@ -38,9 +41,42 @@
     bytes_per_s,
 ):
     async with platformfleet.running(instances=0) as fleet:
-        store = await fleet.add_store_link('entry-0', bytes_per_s=bytes_per_s)
-        await fleet.add_instance('entry-0', store=store, apply_ms=3000)
+        link = await fleet.add_store_link('entry-0', bytes_per_s=bytes_per_s)
+        await fleet.add_instance('entry-0', store=link, apply_ms=3000)
         fleet.store.write('op/config', make_large_configuration(2))
         await wait_for_status(
             fleet, 'entry-0', '/added-0/x', messages.OK, within_s=APPLY_S
         )
+
+
+@contextlib.asynccontextmanager
+async def serving_answers(pauses_s):
+    """Serve an answer part by part, with these pauses; yield a client."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n')
+            for pause_s in pauses_s:
+                writer.write(b' ' * 100)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server:
+        yield store.PlatformStore(
+            address=f'127.0.0.1:{port}', pool=platformfleet.make_pool()
+        )
+
+
+@pytest.mark.parametrize(
+    'pauses_s', [[30.0], [0.2] * 150], ids=['stops', 'never-ends']
+)
+async def test_an_answer_that_stops_or_never_ends_is_given_up(
+    pauses_s, monkeypatch
+):
+    monkeypatch.setattr(store, '_TRANSFER_TIMEOUT_S', 2.0)
+    async with serving_answers(pauses_s) as client, asyncio.timeout(4):
+        listed = await client.list_keys('op/config')
+    assert listed.error.fault is stores.Fault.UNREACHABLE
