--- a/tests/test_largeconfigurations.py
+++ b/tests/test_largeconfigurations.py
@@ -54,7 +54,7 @@
     """Serve an answer part by part, with these pauses; yield a client."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(ConnectionError), contextlib.closing(writer):
             await reader.readuntil(b'\r\n\r\n')
             writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n')
             for pause_s in pauses_s:
