--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,77 @@
+"""What a follower of a prefix asks the store after each answer."""
+
+import random
+
+import expression
+
+from lavenderledge.controllers import follower
+from lavenderledge.registry import store as stores
+from tests import virtualtime
+
+
+class ScriptedStore:
+    """Answers from a script and records the revisions that watches name."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def list_keys(self, prefix):
+        self.asked.append('list')
+        return self.answers.pop(0)
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        self.asked.append(after_revision)
+        return self.answers.pop(0)
+
+
+def answer(revision, *contents):
+    changes = tuple(
+        stores.Change('op/config', content, revision) for content in contents
+    )
+    return expression.Ok(stores.Listing(changes, revision))
+
+
+def follow(*answers):
+    """Return what a follower asked, and the contents that it passed on."""
+    store = ScriptedStore(*answers)
+    received = []
+
+    def keep(changes, requested_s):
+        received.extend(change.content for change in changes)
+
+    async def run():
+        followed = follower.Follower(
+            subscription=follower.Subscription(
+                prefix='op/config',
+                wait_s=0.5,
+                read_pause_s=lambda: 0,
+                on_list=keep,
+                on_changes=keep,
+                on_confirmed=lambda requested_s: None,
+                is_needed=lambda: True,
+            ),
+            store=store,
+            clock=virtualtime.Clock(),
+            rng=random.Random(1),
+            on_failure=lambda failure, is_first: None,
+            on_regained=lambda failures: None,
+            on_restored=lambda era: None,
+        )
+        while store.answers:
+            await followed.step()
+
+    virtualtime.run(run)
+    return store.asked, received
+
+
+def test_an_answer_without_changes_does_not_move_past_an_unheard_change():
+    asked, received = follow(
+        answer(3, b'v1'),
+        # Revision 7 includes a change that this watch did not hear.
+        answer(7),
+        answer(8, b'v2'),
+        answer(8),
+    )
+    assert asked == ['list', 3, 3, 8]
+    assert received == [b'v1', b'v2']
