--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -69,6 +69,13 @@
         """Return whether a peer has a newer version."""
         return self._newest_version > self._current_version
 
+    def is_superseded(self, max_age_s: float) -> bool:
+        """Return whether a newer version may have been written that long ago.
+
+        It is False while no newer version is known, as in an outage.
+        """
+        return self.is_outdated and self.age_s() > max_age_s
+
     def age_s(self) -> float:
         """Return the seconds since the last confirming answer was requested.
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -47,11 +47,12 @@
     """Maximum ages of the configuration, in seconds since its confirmation.
 
     Up to ``max_key_age_s``, requests that need a key are sent. Up to
-    ``max_reject_age_s``, requests are rejected for their key or route.
+    ``max_apply_age_s``, requests are rejected for their key or route, and are
+    sent although a newer version is known to exist.
     """
 
     max_key_age_s: float
-    max_reject_age_s: float
+    max_apply_age_s: float
 
 
 class Dependencies(typing.NamedTuple):
@@ -178,11 +179,11 @@
                 self._reject(outcome)
                 return False
             self._set_match(outcome)
-        return self._check_key_age()
+        return self._check_age()
 
     def _reject(self, rejection: routes.Rejection) -> None:
         age_s = self._deps.configuration.age_s()
-        if age_s > self._deps.age_limits.max_reject_age_s:
+        if age_s > self._deps.age_limits.max_apply_age_s:
             self.refuse(messages.UNAVAILABLE, 'stale_configuration', None)
         elif rejection is routes.Rejection.NO_ROUTE:
             self.refuse(messages.NOT_FOUND, rejection.value, None)
@@ -201,14 +202,18 @@
         if match.customer is not None:
             record.customer = match.customer.name
 
-    def _check_key_age(self) -> bool:
-        if self._get_match().customer is None:
-            return True
-        age_s = self._deps.configuration.age_s()
-        if age_s <= self._deps.age_limits.max_key_age_s:
-            return True
-        self.refuse(messages.UNAVAILABLE, 'stale_configuration', None)
-        return False
+    def _check_age(self) -> bool:
+        """Refuse a request that the configuration is too old to send."""
+        cache = self._deps.configuration
+        limits = self._deps.age_limits
+        needs_key = self._get_match().customer is not None
+        if cache.is_superseded(limits.max_apply_age_s):
+            self.refuse(messages.UNAVAILABLE, 'superseded_configuration', None)
+            return False
+        if needs_key and cache.age_s() > limits.max_key_age_s:
+            self.refuse(messages.UNAVAILABLE, 'stale_configuration', None)
+            return False
+        return True
 
     def _check_quarantine(self) -> bool:
         """Refuse a prompt that crashes replicas; return whether it may run."""
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -226,8 +226,11 @@
         """Return whether the load balancer should send requests here."""
         if self._stop_requested.is_set():
             return False
-        age_s = self._watcher.configuration.age_s()
-        fresh = age_s <= self._settings.revocation_s - _REVOCATION_MARGIN_S
+        cache = self._watcher.configuration
+        limits = _build_age_limits(self._settings)
+        if cache.is_superseded(limits.max_apply_age_s):
+            return False
+        fresh = cache.age_s() <= limits.max_key_age_s
         return fresh and self._watcher.is_synced
 
     async def _drain(self) -> None:
@@ -447,5 +450,5 @@
 def _build_age_limits(settings: proxysettings.Settings) -> exchange.AgeLimits:
     return exchange.AgeLimits(
         max_key_age_s=settings.revocation_s - _REVOCATION_MARGIN_S,
-        max_reject_age_s=settings.apply_s,
+        max_apply_age_s=settings.apply_s,
     )
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -166,6 +166,23 @@
     assert cache.judge('b', **granted) is caches.Standing.LEFT
 
 
+def test_a_version_is_superseded_once_a_newer_one_may_be_in_force():
+    clock = serving.ManualClock()
+    cache = caches.ConfigurationCache(clock=clock)
+    cache.accept(make_configuration(5), clock.now_s)
+    clock.now_s += 60
+    # An outage: nothing newer is known.
+    assert not cache.is_superseded(3)
+    cache.confirm(clock.now_s)
+    clock.now_s += 2.9
+    cache.note_peer_version(7)
+    assert not cache.is_superseded(3)
+    clock.now_s += 0.2
+    assert cache.is_superseded(3)
+    cache.accept(make_configuration(7), clock.now_s)
+    assert not cache.is_superseded(3)
+
+
 def test_an_older_store_does_not_confirm_a_version_that_a_peer_has_outdated():
     clock = serving.ManualClock()
     cache = caches.ConfigurationCache(clock=clock)
