--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -122,11 +122,10 @@
             is_deaf = loop.time() < store.deaf_until_s
             changes = store.list_changes(prefix, after_revision)
             if changes and not is_deaf:
+                listing = stores.Listing(changes, store.revision)
                 if prefix == CONFIGURATION_KEY:
                     await asyncio.sleep(self.transfer_s)
-                return await self._answer(
-                    stores.Listing(changes, store.revision)
-                )
+                return await self._answer(listing)
             left_s = end_s - loop.time()
             if is_deaf and store.deaf_waits:
                 left_s = store.deaf_until_s - loop.time()
