--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -27,7 +27,8 @@
     ``wait_s`` bounds one watch. ``read_pause_s`` returns the pause after
     changes, which gathers several into one call. ``on_confirmed`` gets the
     time at which each successful call was sent. No calls are made while
-    ``is_needed`` returns False; afterwards the prefix is listed again.
+    ``is_needed`` returns False; afterwards only what has changed is read, if
+    the store still has that history.
     """
 
     prefix: str
@@ -70,6 +71,7 @@
         self._era: int | None = None
         self._pause_s = float(0)
         self._failures = 0
+        self._is_idle = True
 
     @property
     def is_failing(self) -> bool:
@@ -89,7 +91,7 @@
     async def step(self) -> datetime.timedelta:
         """List or watch once; return the pause before the next call."""
         if not self._subscription.is_needed():
-            self._revision = None
+            self._is_idle = True
             self._pause_s = 0
             return _IDLE_CHECK
         requested_s = self._clock.read_monotonic()
@@ -101,6 +103,7 @@
             self._pause_s = 0
             self._on_regained(self._failures)
         self._failures = 0
+        self._is_idle = False
         is_restored = self._note_era(answer.ok.era)
         if is_restored and not listing:
             # Its revision, and so the changes after it, may be of another era.
@@ -121,11 +124,13 @@
     async def _call(self) -> stores.ListResult:
         if self._revision is None:
             return await self._store.list_keys(self._subscription.prefix)
-        # After a failure, do not wait for changes: an answer ends the outage.
+        # After a failure or a pause, do not wait for changes: an answer ends
+        # the outage, or confirms what is known.
+        is_immediate = self.is_failing or self._is_idle
         return await self._store.watch(
             self._subscription.prefix,
             after_revision=self._revision,
-            wait_s=0 if self.is_failing else self._subscription.wait_s,
+            wait_s=0 if is_immediate else self._subscription.wait_s,
         )
 
     def _note_era(self, era: int) -> bool:
@@ -140,6 +145,9 @@
         if failure.fault in {stores.Fault.COMPACTED, stores.Fault.RESTORED}:
             self._revision = None
             return timing.seconds(0)
+        if self._is_idle:
+            # The store may answer listings, but no watches.
+            self._revision = None
         self._failures += 1
         self._on_failure(failure, not self.is_failing)
         self._pause_s = self._pause_s or _FIRST_PAUSE_S
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -125,6 +125,7 @@
             drain_s - _DRAIN_MARGIN_S, drain_s * _MIN_LIST_AGE_RATIO
         )
         self._replicas_needed_until_s = float('-inf')
+        self._configuration_follower: follower.Follower | None = None
         self._replica_follower: follower.Follower | None = None
         self._held_left: abc.Set[str] = frozenset()
         self._held_until_s = float('-inf')
@@ -145,6 +146,8 @@
             store_follower = self._build_follower(subscription)
             if subscription.prefix == self._platform.replicas_prefix:
                 self._replica_follower = store_follower
+            if subscription.prefix == self._platform.configuration_key:
+                self._configuration_follower = store_follower
             tasks.keep_running(
                 f'follow {subscription.prefix}', store_follower.run
             )
@@ -167,6 +170,8 @@
         was_outdated = self.configuration.is_outdated
         self.configuration.apply_peer_confirmation(version, confirmed_s)
         if self.configuration.is_outdated and not was_outdated:
+            if self._configuration_follower is not None:
+                self._configuration_follower.list_again()
             self._log(
                 'configuration_outdated',
                 version=self.read_version(),
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,7 +10,10 @@
 
 
 class ScriptedStore:
-    """Answers from a script and records the revisions that watches name."""
+    """Answers from a script and records the calls.
+
+    A watch is recorded as its revision and its wait in seconds.
+    """
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -21,7 +24,7 @@
         return self.answers.pop(0)
 
     async def watch(self, prefix, *, after_revision, wait_s):
-        self.asked.append(after_revision)
+        self.asked.append((after_revision, wait_s))
         return self.answers.pop(0)
 
 
@@ -32,7 +35,7 @@
     return expression.Ok(stores.Listing(changes, revision))
 
 
-def follow(*answers):
+def follow(*answers, is_needed=lambda: True):
     """Return what a follower asked, and the contents that it passed on."""
     store = ScriptedStore(*answers)
     received = []
@@ -49,7 +52,7 @@
                 on_list=keep,
                 on_changes=keep,
                 on_confirmed=lambda requested_s: None,
-                is_needed=lambda: True,
+                is_needed=is_needed,
             ),
             store=store,
             clock=virtualtime.Clock(),
@@ -73,5 +76,30 @@
         answer(8, b'v2'),
         answer(8),
     )
-    assert asked == ['list', 3, 3, 8]
+    assert asked == ['list', (3, 0.5), (3, 0.5), (8, 0.5)]
+    assert received == [b'v1', b'v2']
+
+
+def test_a_configuration_is_not_read_again_to_confirm_it():
+    needed = iter((True, False, True, True))
+    asked, received = follow(
+        answer(3, b'v1'),
+        answer(9),
+        answer(9),
+        is_needed=lambda: next(needed),
+    )
+    assert asked == ['list', (3, 0), (3, 0.5)]
+    assert received == [b'v1']
+
+
+def test_a_store_that_answers_no_watches_is_listed():
+    needed = iter((True, False, True, True))
+    failure = stores.StoreFailure(stores.Fault.UNREACHABLE, 'silent')
+    asked, received = follow(
+        answer(3, b'v1'),
+        expression.Error(failure),
+        answer(9, b'v2'),
+        is_needed=lambda: next(needed),
+    )
+    assert asked == ['list', (3, 0), 'list']
     assert received == [b'v1', b'v2']
