--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -17,7 +17,7 @@
     (sends a second response), ``promise`` (runs, but sends a 503 that means
     "not run"). With an empty script it does ``default_action``. A prompt with
     ``poison_part`` crashes it when it begins to answer; it is back after
-    ``DOWN_S``.
+    ``DOWN_S``. ``notices`` are header fields that it adds to its answers.
     """
 
     def __init__(self, name, *, default_action='ok', work_s=0.0, events=6):
@@ -35,6 +35,7 @@
         self.poison_part = b'(none)'
         self.poison_runs_s = []
         self.is_down = False
+        self.notices = ()
         self.address = ''
         self.listener = platformstore.build_listener(self.handle)
 
@@ -70,7 +71,7 @@
             return
         action = self.script.popleft() if self.script else self.default_action
         if action == 'full':
-            reply.send(503, ((b'Not-Executed', b'1'),), b'')
+            reply.send(503, ((b'Not-Executed', b'1'), *self.notices), b'')
             return
         if action == 'early':
             reply.abort()
@@ -92,6 +93,7 @@
             (b'Attempt-Id', request_id.encode()),
             (b'Response-Seal', f'seal-{self.name}'.encode()),
             (b'Server-Load', b'1,0,4,100'),
+            *self.notices,
         ]
         if action == 'hang':
             await asyncio.Event().wait()
--- /dev/null
+++ b/tests/test_upstreamnotices.py
@@ -0,0 +1,104 @@
+"""What a replica says of itself in its answers, and what instances make of it.
+
+Bounds are those of the users' pages.
+"""
+
+import asyncio
+import itertools
+
+import pytest
+
+from tests import platformfleet
+
+# From this long after a replica first named its limit, it may get one and a
+# half times what the limit allows in a window, and some requests more.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+EXTRA_REQUESTS = 5
+# The pause of a caller between two requests.
+CALL_PAUSE_S = 0.05
+
+
+def count_most(arrivals_s, *, from_s):
+    """Return the most arrivals within a window that starts later."""
+    late = [at_s for at_s in arrivals_s if at_s >= from_s]
+    return max(
+        (
+            sum(1 for at_s in late if first_s <= at_s <= first_s + WINDOW_S)
+            for first_s in late
+        ),
+        default=0,
+    )
+
+
+class Callers:
+    """Send requests through all instances in turn until they are stopped."""
+
+    def __init__(self, fleet, *, path='/once/x', count=12):
+        self.fleet = fleet
+        self.statuses = []
+        self._path = path
+        self._tasks = [
+            asyncio.create_task(self._run(number)) for number in range(count)
+        ]
+
+    async def _run(self, first):
+        for number in itertools.count(first):
+            names = sorted(self.fleet.instances)
+            try:
+                response = await self.fleet.send(
+                    self._path, instance=names[number % len(names)]
+                )
+            except (KeyError, AttributeError, asyncio.TimeoutError):
+                # An instance that was stopped meanwhile.
+                await asyncio.sleep(0.05)
+                continue
+            self.statuses.append(response.status)
+            await asyncio.sleep(CALL_PAUSE_S)
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def name_limit(replica, limit):
+    replica.notices = ((b'Server-Limit', b'%.1f' % limit),)
+
+
+@pytest.mark.parametrize('limit', [1.0, 2.5])
+@pytest.mark.parametrize('trouble', ['calm', 'allocator-lost', 'newcomers'])
+async def test_a_replica_gets_no_more_requests_than_the_limit_that_it_names(
+    limit, trouble
+):
+    async with platformfleet.running(replicas=3, instances=5) as fleet:
+        for replica in fleet.replicas.values():
+            replica.work_s = 0.02
+        limited = fleet.replicas['i-0']
+        callers = Callers(fleet)
+        await asyncio.sleep(0.5)
+        assert limited.runs
+        loop = asyncio.get_running_loop()
+        named_s = loop.time()
+        name_limit(limited, limit)
+        await asyncio.sleep(CONTACT_S + 1)
+        if trouble == 'allocator-lost':
+            await fleet.stop_instance(
+                fleet.instances['entry-0']._requester.allocator
+            )
+        if trouble == 'newcomers':
+            for number in range(5, 8):
+                await fleet.add_instance(f'entry-{number}')
+        await asyncio.sleep(WINDOW_S + 1)
+        most = count_most(limited.arrivals_s, from_s=named_s + CONTACT_S)
+        limited.notices = ()
+        ended_s = loop.time()
+        await asyncio.sleep(3)
+        await callers.stop()
+    assert most <= LIMIT_RATIO * limit * WINDOW_S + EXTRA_REQUESTS
+    # It still serves what it takes, and all that it can once it is well again.
+    assert most >= limit * WINDOW_S / 2
+    after = [at_s for at_s in limited.arrivals_s if at_s > ended_s + 1.5]
+    assert len(after) > 4 * limit
+    assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
