--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -10,7 +10,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import crashevidence
+from lavenderledge.policy import crashevidence, upstreamnotices
 
 _TICK_MS: typing.Final = 50
 TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
@@ -66,7 +66,8 @@
     ``freshness_received`` gets the allocator's configuration version and the
     time at which it was confirmed. ``report_echoed`` gets the seconds from a
     report to its first echo, ``peer_silent`` the name of an allocator that is
-    skipped, ``peer_heard`` that of one that answers again.
+    skipped, ``peer_heard`` that of one that answers again. ``notice_changed``
+    gets a replica that says something else of itself than before.
     """
 
     allocator_changed: abc.Callable[[str, str], None]
@@ -74,6 +75,15 @@
     report_echoed: abc.Callable[[float], None]
     peer_silent: abc.Callable[[str], None]
     peer_heard: abc.Callable[[str], None]
+    notice_changed: abc.Callable[[str, upstreamnotices.Notice], None]
+
+
+class OwnState(typing.NamedTuple):
+    """What an instance tells its allocator besides its requests."""
+
+    read_incarnation: abc.Callable[[], int]
+    read_version: abc.Callable[[], int]
+    notices: upstreamnotices.NoticeBoard
 
 
 class _Entry:
@@ -112,8 +122,7 @@
         *,
         instance: str,
         address: str,
-        read_incarnation: abc.Callable[[], int],
-        read_version: abc.Callable[[], int],
+        own_state: OwnState,
         clock: clocks.Clock,
         send: Send,
         rank_allocators: abc.Callable[[], abc.Sequence[str]],
@@ -122,8 +131,9 @@
         """Start without requests, with this instance as the allocator."""
         self._instance = instance
         self._address = address
-        self._read_incarnation = read_incarnation
-        self._read_version = read_version
+        self._read_incarnation = own_state.read_incarnation
+        self._read_version = own_state.read_version
+        self._notices = own_state.notices
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
@@ -151,6 +161,12 @@
         self._lost_runs.append(run)
         self._report(self._clock.read_monotonic())
 
+    def note_notice(self, replica: str, notice: upstreamnotices.Notice) -> None:
+        """Record what a replica says of itself in an answer."""
+        now_s = self._clock.read_monotonic()
+        if self._notices.note(replica, notice, now_s):
+            self._callbacks.notice_changed(replica, notice)
+
     def find_quarantine_s(self, service: str, parts: abc.Set[str]) -> float:
         """Return for how many seconds a prompt must not be sent, or 0."""
         if not self._quarantines:
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -3,6 +3,7 @@
 import typing
 
 from lavenderledge.http1 import messages
+from lavenderledge.policy import upstreamnotices
 from lavenderledge.proxy import headercodec
 
 _REQUEST_ID: typing.Final = b'attempt-id'
@@ -14,6 +15,8 @@
 _RESPONSE_SEAL: typing.Final = b'response-seal'
 _NOT_RUN: typing.Final = b'not-executed'
 _SERVER_LOAD: typing.Final = b'server-load'
+# Requests per second that a replica takes from all instances together.
+_SERVER_LIMIT: typing.Final = b'server-limit'
 _BEARER_PREFIX: typing.Final = b'bearer '
 _SERVER_LOAD_COUNT: typing.Final = 4
 _NORMAL_SLOWNESS: typing.Final = 100
@@ -124,6 +127,9 @@
         has_not_run=not_run or misdirected,
         is_encoded=fields.find(b'content-encoding') is not None,
         slowness=_read_slowness(fields.find(_SERVER_LOAD)),
+        notice=upstreamnotices.Notice(
+            limit_per_s=_read_number(fields.find(_SERVER_LIMIT)),
+        ),
     )
 
 
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import typing
+from collections import abc
 
 from lavenderledge import clock as clocks
 from lavenderledge.http1 import client, messages, server
@@ -81,8 +82,12 @@
         is_stream: bool,
         bodiless: bool,
         clock: clocks.Clock,
+        on_head: abc.Callable[[headercodec.ParsedResponse], None],
     ) -> None:
-        """Wait for the response's head; ``bodiless`` means nothing else."""
+        """Wait for the response's head; ``bodiless`` means nothing else.
+
+        ``on_head`` gets the head of a response to this request.
+        """
         self.done: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
         )
@@ -101,6 +106,7 @@
         self._is_stream = is_stream
         self._bodiless = bodiless
         self._clock = clock
+        self._on_head = on_head
         self._head: messages.ResponseHead | None = None
         self._parsed: headercodec.ParsedResponse | None = None
         self._is_relaying = False
@@ -128,6 +134,7 @@
         assert parsed is not None
         self._head = head
         self.status = head.status
+        self._on_head(parsed)
         self.slowness = parsed.slowness
         self.first_byte_delay_s = self._clock.read_monotonic() - self.started_s
         self._is_relaying = self._is_success() and (
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -394,6 +394,7 @@
             is_stream=self._get_match().route.route_type.is_stream,
             bodiless=bodiless,
             clock=self._deps.clock,
+            on_head=lambda response: self._note_head(slot.replica, response),
         )
         context = headercodec.ForwardContext(
             replica=slot.replica,
@@ -411,6 +412,17 @@
         )
         return attempt
 
+    def _note_head(
+        self, replica: str, response: headercodec.ParsedResponse
+    ) -> None:
+        """Pass on what a replica says of itself.
+
+        A refusal that names no limit does not end one.
+        """
+        notice = response.notice
+        if not response.has_not_run or notice.limit_per_s is not None:
+            self._deps.requester.note_notice(replica, notice)
+
     async def _wait_for_result(
         self, attempt: attempts.Attempt
     ) -> attempts.Result | None:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 from lavenderledge.http1 import messages
+from lavenderledge.policy import upstreamnotices
 
 
 class ParsedRequest(typing.NamedTuple):
@@ -49,7 +50,8 @@
     ``matches_request`` is False for the response to another request. Without
     ``has_id`` it can't be told from an earlier one on the same connection.
     ``slowness`` is the factor by which work takes longer on the replica's
-    machine now: 1 is normal, 0 unknown.
+    machine now: 1 is normal, 0 unknown. ``notice`` is what the replica says of
+    itself.
     """
 
     matches_request: bool
@@ -58,6 +60,7 @@
     has_not_run: bool
     is_encoded: bool
     slowness: float
+    notice: upstreamnotices.Notice
 
 
 class HeaderCodec(typing.NamedTuple):
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -19,7 +19,12 @@
 from lavenderledge.http1 import bounds, client, listener, messages, server
 from lavenderledge.peers import keys, link, slotmessages
 from lavenderledge.peers import messages as peermessages
-from lavenderledge.policy import retrybudget, routes, tokenbuckets
+from lavenderledge.policy import (
+    retrybudget,
+    routes,
+    tokenbuckets,
+    upstreamnotices,
+)
 from lavenderledge.proxy import exchange, forwarding, watching
 from lavenderledge.proxy import settings as proxysettings
 from lavenderledge.registry import timedstore
@@ -79,6 +84,7 @@
             clock=clock,
             note_call=self._note_store_call,
         )
+        self._notices = upstreamnotices.NoticeBoard()
         self._incarnation = 0
         self._link: link.PeerLink | None = None
         self._secret_doubted = asyncio.Event()
@@ -101,8 +107,11 @@
         self._requester = slotrequester.SlotRequester(
             instance=settings.instance,
             address=str(settings.peer_listen),
-            read_incarnation=lambda: self._incarnation,
-            read_version=self._watcher.read_version,
+            own_state=slotrequester.OwnState(
+                read_incarnation=lambda: self._incarnation,
+                read_version=self._watcher.read_version,
+                notices=self._notices,
+            ),
             clock=clock,
             send=self._send,
             rank_allocators=self._registration.rank_allocators,
@@ -114,6 +123,7 @@
                 ),
                 lambda peer: self._log('peer_silent', peer=peer),
                 lambda peer: self._log('peer_heard', peer=peer),
+                self._note_notice,
             ),
         )
         self._allocator = slotallocator.SlotAllocator(
@@ -441,6 +451,17 @@
         self._metrics.count('allocator_changes')
         self._log('allocator_changed', before=before, after=after)
 
+    def _note_notice(
+        self, replica: str, notice: upstreamnotices.Notice
+    ) -> None:
+        limit = notice.limit_per_s
+        self._metrics.count('upstream_notices')
+        self._log(
+            'upstream_notice',
+            replica=replica,
+            limit_per_s='' if limit is None else limit,
+        )
+
     def _log(self, event: str, **fields: typing.Any) -> None:
         logs.write_event(
             _LOGGER, event, instance=self._settings.instance, **fields
--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -123,6 +123,9 @@
     def find_quarantine_s(self, service, parts):
         return 0
 
+    def note_notice(self, replica, notice):
+        """Ignore what a replica says of itself."""
+
     def note_lost(self, run):
         """Ignore a lost run."""
 
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -12,7 +12,12 @@
     slotrequester,
 )
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import rendezvous, slots, tokenbuckets
+from lavenderledge.policy import (
+    rendezvous,
+    slots,
+    tokenbuckets,
+    upstreamnotices,
+)
 from tests import serving
 
 NAMES = ('a', 'b', 'c')
@@ -37,11 +42,15 @@
         self.peer_addresses = set()
         self.running = {}
         self.waiting = {}
+        self.notices = upstreamnotices.NoticeBoard()
         self.requester = slotrequester.SlotRequester(
             instance=name,
             address=f'{name}:1',
-            read_version=lambda: 1,
-            read_incarnation=lambda: incarnation,
+            own_state=slotrequester.OwnState(
+                read_incarnation=lambda: incarnation,
+                read_version=lambda: 1,
+                notices=self.notices,
+            ),
             clock=machine.clock,
             send=self.send,
             rank_allocators=lambda: machine.ranked,
@@ -51,6 +60,7 @@
                 self.round_trips.append,
                 lambda peer: None,
                 lambda peer: None,
+                lambda replica, notice: None,
             ),
         )
         self.allocator = slotallocator.SlotAllocator(
