--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -8,6 +8,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
+from lavenderledge.controllers import upstreamlimits
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
     crashevidence,
@@ -16,6 +17,7 @@
     slotgrants,
     slots,
     tokenbuckets,
+    upstreamnotices,
 )
 
 _TICK_MS: typing.Final = 50
@@ -63,6 +65,8 @@
 
     Nothing is granted while ``is_catching_up`` returns True. ``note_version``
     gets the versions of the configuration that other instances have.
+    ``notices`` holds what replicas say of themselves, to this instance or to
+    others.
     """
 
     list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
@@ -70,6 +74,7 @@
     read_freshness: abc.Callable[[], Freshness]
     is_catching_up: abc.Callable[[], bool]
     note_version: abc.Callable[[int], None]
+    notices: upstreamnotices.NoticeBoard
 
 
 class _Sender:
@@ -258,6 +263,7 @@
         sender.received_s = now_s
         sender.note_stamp(report.stamp_s)
         self._state_reader.note_version(report.version)
+        upstreamlimits.merge(self._state_reader.notices, report.limits, now_s)
         held = {slot.request_id: slot for slot in report.held}
         waiting = set(report.waiting)
         self._remove_other_requests(
@@ -337,6 +343,9 @@
                 min(freshness.age_s, _MAX_REPORTED_AGE_S),
                 min(freshness.list_age_s, _MAX_REPORTED_AGE_S),
                 self._list_quarantines(),
+                upstreamlimits.encode(
+                    self._state_reader.notices, self._clock.read_monotonic()
+                ),
             ),
         )
 
@@ -380,9 +389,17 @@
         self._decision_scheduled = False
         if self._state_reader.is_catching_up():
             return
-        granted, refused = slotgrants.decide(
-            self.slot_state, self._clock.read_monotonic()
+        now_s = self._clock.read_monotonic()
+        limits = self._state_reader.notices.list_limits(now_s)
+        self.slot_state.set_limits(
+            {
+                upstream: limit.limit_per_s
+                for upstream, limit in limits.items()
+                if limit.limit_per_s is not None
+            },
+            now_s,
         )
+        granted, refused = slotgrants.decide(self.slot_state, now_s)
         for grant in granted:
             self._log_decision(
                 'slot_granted',
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -9,6 +9,7 @@
 import expression
 
 from lavenderledge import clock as clocks
+from lavenderledge.controllers import upstreamlimits
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import crashevidence, upstreamnotices
 
@@ -166,6 +167,7 @@
         now_s = self._clock.read_monotonic()
         if self._notices.note(replica, notice, now_s):
             self._callbacks.notice_changed(replica, notice)
+            self._report(now_s)
 
     def find_quarantine_s(self, service: str, parts: abc.Set[str]) -> float:
         """Return for how many seconds a prompt must not be sent, or 0."""
@@ -365,6 +367,7 @@
                 for quarantine in self._quarantines
             ),
             self._read_version(),
+            upstreamlimits.encode(self._notices, now_s),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -407,6 +410,7 @@
             self._apply_quarantines(beat)
         if beat.stamp_s is None:
             return
+        upstreamlimits.merge(self._notices, beat.limits, beat.stamp_s)
         # Counted from the echoed stamp: a beat may arrive long after it was
         # sent.
         confirmed_s = beat.stamp_s - beat.list_age_s
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -15,6 +15,7 @@
 _MAX_PARTS = 32
 MAX_LOST_RUNS: typing.Final = 32
 MAX_QUARANTINES: typing.Final = 32
+MAX_UPSTREAM_LIMITS: typing.Final = 1024
 
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIER)]
 
@@ -89,6 +90,21 @@
     left_s: bounds.NonNegative
 
 
+class UpstreamLimit(typing.NamedTuple):
+    """The limit that a replica named in an answer ``age_s`` ago.
+
+    ``limit_per_s`` is in requests per second from all instances together, None
+    if the replica names no limit any more.
+    """
+
+    replica: bounds.Name
+    limit_per_s: bounds.NonNegative | None
+    age_s: bounds.NonNegative
+
+
+UpstreamLimits: typing.TypeAlias = typing.Annotated[
+    tuple[UpstreamLimit, ...], msgspec.Meta(max_length=MAX_UPSTREAM_LIMITS)
+]
 _Quarantines: typing.TypeAlias = typing.Annotated[
     tuple[Quarantine, ...], msgspec.Meta(max_length=MAX_QUARANTINES)
 ]
@@ -149,7 +165,8 @@
     ``stamp_s`` is the sender's clock. Replies go to ``address``, which the
     allocator may not have read from the store yet. ``lost_runs`` and
     ``quarantines`` are what a new allocator has to know about prompts that
-    crash replicas. ``version`` is the sender's configuration, 0 without one.
+    crash replicas, ``limits`` what it has to know about the limits that
+    replicas name. ``version`` is the sender's configuration, 0 without one.
     """
 
     sender: bounds.Name
@@ -168,6 +185,7 @@
     ] = ()
     quarantines: _Quarantines = ()
     version: bounds.Count = 0
+    limits: UpstreamLimits = ()
 
 
 class Beat(typing.NamedTuple):
@@ -176,6 +194,7 @@
     ``stamp_s`` echoes that report's, None without one. The store confirmed
     the allocator's configuration ``version`` ``age_s`` ago and its list of
     replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
+    ``limits`` are those that any instance was told.
     """
 
     sender: bounds.Name
@@ -184,6 +203,7 @@
     age_s: bounds.NonNegative
     list_age_s: bounds.NonNegative
     quarantines: _Quarantines = ()
+    limits: UpstreamLimits = ()
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -222,6 +222,7 @@
 ) -> None:
     spec = waiting.spec
     replica.health.note_granted(now_s)
+    replica.pace.take(now_s)
     prefill_wait_s = replica.estimate_prefill_wait_s(now_s)
     state.services[name].note_prefill(replica, spec.prompt_tokens, now_s)
     state.hold(
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from lavenderledge.policy import replicahealth, slotqueue
+from lavenderledge.policy import replicahealth, requestpace, slotqueue
 
 # How long a slot is assumed to be held until requests have ended.
 _DEFAULT_HOLD_S: typing.Final = 0.5
@@ -55,6 +55,8 @@
             cold_until_s=now_s + info.cold_s
         )
         self.prefill_until_s = now_s
+        self.pace = requestpace.RequestPace()
+        self.limit_per_s: float | None = None
 
     def estimate_prefill_wait_s(self, now_s: float) -> float:
         """Return the seconds until all prompts sent here have been read."""
@@ -63,7 +65,16 @@
     def has_free_slot(self, *, share: float, now_s: float) -> bool:
         """Return whether a slot of this allocator's share may be granted."""
         limit = max(1, math.floor(self.info.slots * share))
-        return self.held < limit and self.health.is_available(now_s)
+        has_slot = self.held < limit and self.health.is_available(now_s)
+        return has_slot and self.pace.allows(now_s)
+
+    def estimate_throughput(self, service_hold_s: float) -> float:
+        """Return how many requests per second all its slots can serve."""
+        hold_s = max(self.health.hold_s.read(service_hold_s), _EPSILON)
+        throughput = self.info.slots / hold_s
+        if self.limit_per_s is None:
+            return throughput
+        return min(throughput, requestpace.bound_rate(self.limit_per_s))
 
 
 class Service:
@@ -117,8 +128,7 @@
         if not service_hold_s:
             return float('inf')
         rate = sum(
-            replica.info.slots
-            / max(replica.health.hold_s.read(service_hold_s), _EPSILON)
+            replica.estimate_throughput(service_hold_s)
             for replica in self.replicas.values()
         )
         return max(rate * share, _EPSILON)
@@ -137,6 +147,7 @@
         self.share = 1.0
         self.has_replica_list = False
         self._infos: abc.Sequence[ReplicaInfo] = ()
+        self._has_limits = False
 
     def set_replicas(
         self, infos: abc.Sequence[ReplicaInfo], now_s: float
@@ -154,6 +165,19 @@
         for name, service in self.services.items():
             self._update_replicas(service, listed.get(name, {}), now_s)
 
+    def set_limits(self, limits: abc.Mapping[str, float], now_s: float) -> None:
+        """Set the requests per second that replicas take, by their names."""
+        if not limits and not self._has_limits:
+            return
+        self._has_limits = bool(limits)
+        for service in self.services.values():
+            for name, replica in service.replicas.items():
+                replica.limit_per_s = limits.get(name)
+                rate_per_s = replica.limit_per_s
+                if rate_per_s is not None:
+                    rate_per_s = requestpace.bound_rate(rate_per_s) * self.share
+                replica.pace.set_rate(rate_per_s, now_s)
+
     def hold(self, request_id: str, slot: HeldSlot, *, service: str) -> None:
         """Record a held slot, unless the request holds one already."""
         if request_id in self.held_slots:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -136,6 +136,7 @@
                 read_freshness=self._watcher.read_freshness,
                 is_catching_up=self._watcher.is_catching_up,
                 note_version=self._watcher.configuration.note_peer_version,
+                notices=self._notices,
             ),
             count_alive=self._registration.count_alive,
             tolerance=tokenbuckets.Tolerance(
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -75,6 +75,7 @@
                 ),
                 is_catching_up=lambda: False,
                 note_version=lambda version: None,
+                notices=self.notices,
             ),
             count_alive=lambda: len(machine.ranked),
             tolerance=tokenbuckets.Tolerance(8, 0, 0),
--- a/tests/test_upstreamnotices.py
+++ b/tests/test_upstreamnotices.py
@@ -39,12 +39,15 @@
         self.fleet = fleet
         self.statuses = []
         self._path = path
+        self._stopped = False
         self._tasks = [
             asyncio.create_task(self._run(number)) for number in range(count)
         ]
 
     async def _run(self, first):
         for number in itertools.count(first):
+            if self._stopped:
+                return
             names = sorted(self.fleet.instances)
             try:
                 response = await self.fleet.send(
@@ -58,9 +61,9 @@
             await asyncio.sleep(CALL_PAUSE_S)
 
     async def stop(self):
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # wait_for of Python 3.11 may swallow a cancellation.
+        self._stopped = True
+        await asyncio.gather(*self._tasks)
 
 
 def name_limit(replica, limit):
