--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -8,7 +8,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
-from lavenderledge.controllers import upstreamlimits
+from lavenderledge.controllers import noticecodec
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
     crashevidence,
@@ -263,7 +263,7 @@
         sender.received_s = now_s
         sender.note_stamp(report.stamp_s)
         self._state_reader.note_version(report.version)
-        upstreamlimits.merge(self._state_reader.notices, report.limits, now_s)
+        noticecodec.merge(self._state_reader.notices, report.notices, now_s)
         held = {slot.request_id: slot for slot in report.held}
         waiting = set(report.waiting)
         self._remove_other_requests(
@@ -343,7 +343,7 @@
                 min(freshness.age_s, _MAX_REPORTED_AGE_S),
                 min(freshness.list_age_s, _MAX_REPORTED_AGE_S),
                 self._list_quarantines(),
-                upstreamlimits.encode(
+                noticecodec.encode(
                     self._state_reader.notices, self._clock.read_monotonic()
                 ),
             ),
@@ -390,15 +390,7 @@
         if self._state_reader.is_catching_up():
             return
         now_s = self._clock.read_monotonic()
-        limits = self._state_reader.notices.list_limits(now_s)
-        self.slot_state.set_limits(
-            {
-                upstream: limit.limit_per_s
-                for upstream, limit in limits.items()
-                if limit.limit_per_s is not None
-            },
-            now_s,
-        )
+        self.slot_state.apply_notices(self._state_reader.notices, now_s)
         granted, refused = slotgrants.decide(self.slot_state, now_s)
         for grant in granted:
             self._log_decision(
@@ -424,6 +416,7 @@
                 grant.address,
                 stamp_s,
                 min(list_age_s, _MAX_REPORTED_AGE_S),
+                grant.started_ms,
             ),
         )
 
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -9,7 +9,7 @@
 import expression
 
 from lavenderledge import clock as clocks
-from lavenderledge.controllers import upstreamlimits
+from lavenderledge.controllers import noticecodec
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import crashevidence, upstreamnotices
 
@@ -48,13 +48,20 @@
     """A replica's slot.
 
     ``granted_s`` is when the grant arrived. The store confirmed the list that
-    it is based on at ``list_confirmed_s`` or later.
+    it is based on at ``list_confirmed_s`` or later. ``started_ms`` is when the
+    replica started, 0 if it is not known.
     """
 
     replica: str
     address: str
     granted_s: float
     list_confirmed_s: float
+    started_ms: int = 0
+
+    @property
+    def upstream(self) -> upstreamnotices.Upstream:
+        """Return the replica's identity."""
+        return upstreamnotices.Upstream(self.replica, self.started_ms)
 
 
 Decision: typing.TypeAlias = expression.Result[Slot, Refusal]
@@ -162,13 +169,22 @@
         self._lost_runs.append(run)
         self._report(self._clock.read_monotonic())
 
-    def note_notice(self, replica: str, notice: upstreamnotices.Notice) -> None:
+    def note_notice(
+        self,
+        upstream: upstreamnotices.Upstream,
+        notice: upstreamnotices.Notice,
+    ) -> None:
         """Record what a replica says of itself in an answer."""
         now_s = self._clock.read_monotonic()
-        if self._notices.note(replica, notice, now_s):
-            self._callbacks.notice_changed(replica, notice)
+        if self._notices.note(upstream, notice, now_s):
+            self._callbacks.notice_changed(upstream.name, notice)
             self._report(now_s)
 
+    def must_avoid(self, upstream: upstreamnotices.Upstream) -> bool:
+        """Return whether a replica must not get a request from here now."""
+        now_s = self._clock.read_monotonic()
+        return self._notices.has_departed(upstream, now_s)
+
     def find_quarantine_s(self, service: str, parts: abc.Set[str]) -> float:
         """Return for how many seconds a prompt must not be sent, or 0."""
         if not self._quarantines:
@@ -367,7 +383,7 @@
                 for quarantine in self._quarantines
             ),
             self._read_version(),
-            upstreamlimits.encode(self._notices, now_s),
+            noticecodec.encode(self._notices, now_s),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -410,7 +426,7 @@
             self._apply_quarantines(beat)
         if beat.stamp_s is None:
             return
-        upstreamlimits.merge(self._notices, beat.limits, beat.stamp_s)
+        noticecodec.merge(self._notices, beat.notices, beat.stamp_s)
         # Counted from the echoed stamp: a beat may arrive long after it was
         # sent.
         confirmed_s = beat.stamp_s - beat.list_age_s
@@ -444,6 +460,7 @@
             grant.address,
             now_s,
             grant.stamp_s - grant.list_age_s,
+            grant.started_ms,
         )
         self._resolve(entry, expression.Ok(slot))
 
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -15,7 +15,7 @@
 _MAX_PARTS = 32
 MAX_LOST_RUNS: typing.Final = 32
 MAX_QUARANTINES: typing.Final = 32
-MAX_UPSTREAM_LIMITS: typing.Final = 1024
+MAX_UPSTREAM_NOTICES: typing.Final = 1024
 
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIER)]
 
@@ -102,9 +102,29 @@
     age_s: bounds.NonNegative
 
 
-UpstreamLimits: typing.TypeAlias = typing.Annotated[
-    tuple[UpstreamLimit, ...], msgspec.Meta(max_length=MAX_UPSTREAM_LIMITS)
-]
+class UpstreamDeparture(typing.NamedTuple):
+    """A replica that said ``age_s`` ago that it leaves.
+
+    ``started_ms`` tells it from a later one of the same name.
+    """
+
+    replica: bounds.Name
+    started_ms: bounds.Count
+    age_s: bounds.NonNegative
+
+
+class UpstreamNotices(typing.NamedTuple):
+    """What replicas said of themselves in answers to any instance."""
+
+    limits: typing.Annotated[
+        tuple[UpstreamLimit, ...], msgspec.Meta(max_length=MAX_UPSTREAM_NOTICES)
+    ] = ()
+    departures: typing.Annotated[
+        tuple[UpstreamDeparture, ...],
+        msgspec.Meta(max_length=MAX_UPSTREAM_NOTICES),
+    ] = ()
+
+
 _Quarantines: typing.TypeAlias = typing.Annotated[
     tuple[Quarantine, ...], msgspec.Meta(max_length=MAX_QUARANTINES)
 ]
@@ -127,6 +147,7 @@
 
     ``stamp_s`` echoes the newest stamp of the instance that asked. The store
     confirmed the allocator's list of replicas ``list_age_s`` before the grant.
+    ``started_ms`` is when the replica started, 0 if it is not known.
     """
 
     sender: bounds.Name
@@ -135,6 +156,7 @@
     address: bounds.Name
     stamp_s: bounds.Finite
     list_age_s: bounds.NonNegative
+    started_ms: bounds.Count = 0
 
 
 class Refusal(typing.NamedTuple):
@@ -165,8 +187,8 @@
     ``stamp_s`` is the sender's clock. Replies go to ``address``, which the
     allocator may not have read from the store yet. ``lost_runs`` and
     ``quarantines`` are what a new allocator has to know about prompts that
-    crash replicas, ``limits`` what it has to know about the limits that
-    replicas name. ``version`` is the sender's configuration, 0 without one.
+    crash replicas, ``notices`` what replicas say of themselves. ``version`` is
+    the sender's configuration, 0 without one.
     """
 
     sender: bounds.Name
@@ -185,7 +207,7 @@
     ] = ()
     quarantines: _Quarantines = ()
     version: bounds.Count = 0
-    limits: UpstreamLimits = ()
+    notices: UpstreamNotices = UpstreamNotices()
 
 
 class Beat(typing.NamedTuple):
@@ -194,7 +216,7 @@
     ``stamp_s`` echoes that report's, None without one. The store confirmed
     the allocator's configuration ``version`` ``age_s`` ago and its list of
     replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
-    ``limits`` are those that any instance was told.
+    ``notices`` are those that any instance was told.
     """
 
     sender: bounds.Name
@@ -203,7 +225,7 @@
     age_s: bounds.NonNegative
     list_age_s: bounds.NonNegative
     quarantines: _Quarantines = ()
-    limits: UpstreamLimits = ()
+    notices: UpstreamNotices = UpstreamNotices()
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -98,6 +98,8 @@
     zone: str = ''
     # Remaining time of its slow start.
     cold_remaining_ms: float = 0
+    # When it started, in Unix milliseconds.
+    born: int = 0
 
 
 def read_configuration(
@@ -156,6 +158,7 @@
             availability_zone=entry.zone,
             slots=entry.capacity,
             cold_s=max(0, entry.cold_remaining_ms) / _MILLISECONDS,
+            started_ms=max(0, entry.born),
         ),
         is_ready=entry.state == 'ready',
     )
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -17,6 +17,7 @@
 _SERVER_LOAD: typing.Final = b'server-load'
 # Requests per second that a replica takes from all instances together.
 _SERVER_LIMIT: typing.Final = b'server-limit'
+_SERVER_LEAVING: typing.Final = b'server-leaving'
 _BEARER_PREFIX: typing.Final = b'bearer '
 _SERVER_LOAD_COUNT: typing.Final = 4
 _NORMAL_SLOWNESS: typing.Final = 100
@@ -129,6 +130,7 @@
         slowness=_read_slowness(fields.find(_SERVER_LOAD)),
         notice=upstreamnotices.Notice(
             limit_per_s=_read_number(fields.find(_SERVER_LIMIT)),
+            is_leaving=fields.find(_SERVER_LEAVING) == b'1',
         ),
     )
 
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -26,12 +26,13 @@
 
 
 class Granted(typing.NamedTuple):
-    """A granted request, with its replica's name and ``host:port``."""
+    """A granted request, with its replica's name, ``host:port`` and start."""
 
     sender: str
     request_id: str
     replica: str
     address: str
+    started_ms: int
 
 
 class Refused(typing.NamedTuple):
@@ -206,6 +207,7 @@
                 waiting.request_id,
                 chosen.info.name,
                 chosen.info.address,
+                chosen.info.started_ms,
             )
         )
         if not chosen.has_free_slot(share=state.share, now_s=now_s):
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -4,7 +4,12 @@
 import typing
 from collections import abc
 
-from lavenderledge.policy import replicahealth, requestpace, slotqueue
+from lavenderledge.policy import (
+    replicahealth,
+    requestpace,
+    slotqueue,
+    upstreamnotices,
+)
 
 # How long a slot is assumed to be held until requests have ended.
 _DEFAULT_HOLD_S: typing.Final = 0.5
@@ -18,7 +23,10 @@
 
 
 class ReplicaInfo(typing.NamedTuple):
-    """One listed replica; it is slow after its start, for ``cold_s``."""
+    """One listed replica; it is slow after its start, for ``cold_s``.
+
+    ``started_ms`` is when it started, in Unix milliseconds, 0 if not known.
+    """
 
     name: str
     service: str
@@ -26,6 +34,12 @@
     availability_zone: str
     slots: int
     cold_s: float
+    started_ms: int = 0
+
+    @property
+    def upstream(self) -> upstreamnotices.Upstream:
+        """Return the replica's identity."""
+        return upstreamnotices.Upstream(self.name, self.started_ms)
 
 
 class HeldSlot(typing.NamedTuple):
@@ -57,6 +71,7 @@
         self.prefill_until_s = now_s
         self.pace = requestpace.RequestPace()
         self.limit_per_s: float | None = None
+        self.is_leaving = False
 
     def estimate_prefill_wait_s(self, now_s: float) -> float:
         """Return the seconds until all prompts sent here have been read."""
@@ -66,10 +81,22 @@
         """Return whether a slot of this allocator's share may be granted."""
         limit = max(1, math.floor(self.info.slots * share))
         has_slot = self.held < limit and self.health.is_available(now_s)
-        return has_slot and self.pace.allows(now_s)
+        return has_slot and not self.is_leaving and self.pace.allows(now_s)
+
+    def set_limit(
+        self, limit_per_s: float | None, *, share: float, now_s: float
+    ) -> None:
+        """Set the limit that it names, None without one."""
+        self.limit_per_s = limit_per_s
+        rate_per_s = None
+        if limit_per_s is not None:
+            rate_per_s = requestpace.bound_rate(limit_per_s) * share
+        self.pace.set_rate(rate_per_s, now_s)
 
     def estimate_throughput(self, service_hold_s: float) -> float:
         """Return how many requests per second all its slots can serve."""
+        if self.is_leaving:
+            return 0
         hold_s = max(self.health.hold_s.read(service_hold_s), _EPSILON)
         throughput = self.info.slots / hold_s
         if self.limit_per_s is None:
@@ -147,7 +174,7 @@
         self.share = 1.0
         self.has_replica_list = False
         self._infos: abc.Sequence[ReplicaInfo] = ()
-        self._has_limits = False
+        self._has_notices = False
 
     def set_replicas(
         self, infos: abc.Sequence[ReplicaInfo], now_s: float
@@ -165,18 +192,25 @@
         for name, service in self.services.items():
             self._update_replicas(service, listed.get(name, {}), now_s)
 
-    def set_limits(self, limits: abc.Mapping[str, float], now_s: float) -> None:
-        """Set the requests per second that replicas take, by their names."""
-        if not limits and not self._has_limits:
+    def apply_notices(
+        self, board: upstreamnotices.NoticeBoard, now_s: float
+    ) -> None:
+        """Apply what the replicas say of themselves."""
+        limits = board.list_limits(now_s)
+        departures = board.list_departures(now_s)
+        has_notices = bool(limits or departures)
+        if not has_notices and not self._has_notices:
             return
-        self._has_limits = bool(limits)
+        self._has_notices = has_notices
         for service in self.services.values():
             for name, replica in service.replicas.items():
-                replica.limit_per_s = limits.get(name)
-                rate_per_s = replica.limit_per_s
-                if rate_per_s is not None:
-                    rate_per_s = requestpace.bound_rate(rate_per_s) * self.share
-                replica.pace.set_rate(rate_per_s, now_s)
+                limit = limits.get(name)
+                replica.set_limit(
+                    None if limit is None else limit.limit_per_s,
+                    share=self.share,
+                    now_s=now_s,
+                )
+                replica.is_leaving = replica.info.upstream in departures
 
     def hold(self, request_id: str, slot: HeldSlot, *, service: str) -> None:
         """Record a held slot, unless the request holds one already."""
--- a/lavenderledge/policy/upstreamnotices.py
+++ b/lavenderledge/policy/upstreamnotices.py
@@ -7,20 +7,33 @@
 import typing
 from collections import abc
 
-# A limit that no answer has confirmed for this long is forgotten, seconds.
-_LIMIT_RETENTION_S: typing.Final = 30.0
+# A notice that no answer has confirmed for this long is forgotten, seconds. An
+# upstream that leaves has ended by then.
+_RETENTION_S: typing.Final = 30.0
 # A change of a limit by less than this ratio is not worth a message of its own.
 _MIN_CHANGE_RATIO: typing.Final = 0.1
 
 
+class Upstream(typing.NamedTuple):
+    """An upstream, told from a later one of its name by when it started.
+
+    ``started_ms`` is in Unix milliseconds, 0 if it is not known.
+    """
+
+    name: str
+    started_ms: int
+
+
 class Notice(typing.NamedTuple):
     """What an upstream says of itself in one answer.
 
     ``limit_per_s`` is how many requests per second it takes from all instances
-    together, None if it names no limit.
+    together, None if it names no limit. ``is_leaving`` means that it takes no
+    more requests soon.
     """
 
     limit_per_s: float | None
+    is_leaving: bool
 
 
 class Limit(typing.NamedTuple):
@@ -36,30 +49,58 @@
     def __init__(self) -> None:
         """Start without notices."""
         self._limits: dict[str, Limit] = {}
+        self._departures: dict[Upstream, float] = {}
 
-    def note(self, upstream: str, notice: Notice, now_s: float) -> bool:
+    def note(self, upstream: Upstream, notice: Notice, now_s: float) -> bool:
         """Record the notice of an answer; return whether it is news."""
-        former = self._limits.get(upstream)
-        if former is None and notice.limit_per_s is None:
-            return False
-        self._limits[upstream] = Limit(notice.limit_per_s, now_s)
-        return former is None or _differ(former.limit_per_s, notice.limit_per_s)
+        is_news = self._note_limit(upstream.name, notice.limit_per_s, now_s)
+        if notice.is_leaving:
+            is_news = is_news or upstream not in self._departures
+            self._departures[upstream] = now_s
+        return is_news
 
-    def merge(self, upstream: str, limit: Limit) -> None:
+    def merge_limit(self, name: str, limit: Limit) -> None:
         """Record what another instance was told, unless newer is known."""
-        former = self._limits.get(upstream)
+        former = self._limits.get(name)
         if former is None or limit.heard_s > former.heard_s:
-            self._limits[upstream] = limit
+            self._limits[name] = limit
+
+    def merge_departure(self, upstream: Upstream, heard_s: float) -> None:
+        """Record that an upstream said to another instance that it leaves."""
+        former_s = self._departures.get(upstream, heard_s)
+        self._departures[upstream] = max(former_s, heard_s)
 
     def list_limits(self, now_s: float) -> abc.Mapping[str, Limit]:
         """Return all limits, also ended ones, by the upstream's name."""
         self._limits = {
-            upstream: limit
-            for upstream, limit in self._limits.items()
-            if now_s - limit.heard_s < _LIMIT_RETENTION_S
+            name: limit
+            for name, limit in self._limits.items()
+            if now_s - limit.heard_s < _RETENTION_S
         }
         return self._limits
 
+    def list_departures(self, now_s: float) -> abc.Mapping[Upstream, float]:
+        """Return when each leaving upstream last said so (monotonic)."""
+        self._departures = {
+            upstream: heard_s
+            for upstream, heard_s in self._departures.items()
+            if now_s - heard_s < _RETENTION_S
+        }
+        return self._departures
+
+    def has_departed(self, upstream: Upstream, now_s: float) -> bool:
+        """Return whether an upstream said that it leaves."""
+        return upstream in self.list_departures(now_s)
+
+    def _note_limit(
+        self, name: str, limit_per_s: float | None, now_s: float
+    ) -> bool:
+        former = self._limits.get(name)
+        if former is None and limit_per_s is None:
+            return False
+        self._limits[name] = Limit(limit_per_s, now_s)
+        return former is None or _differ(former.limit_per_s, limit_per_s)
+
 
 def _differ(former: float | None, limit: float | None) -> bool:
     if former is None or limit is None:
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -9,7 +9,12 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
-from lavenderledge.policy import crashevidence, retrybudget, routes
+from lavenderledge.policy import (
+    crashevidence,
+    retrybudget,
+    routes,
+    upstreamnotices,
+)
 from lavenderledge.proxy import attempts, events, headercodec, requestrecord
 
 # A final response is sent this long before the request's deadline.
@@ -360,8 +365,7 @@
             return False
         if not self._check_quarantine():
             return False
-        if now_s - slot.granted_s > _GRANT_LIFETIME_S:
-            self._record.last_failure = 'grant_lapsed'
+        if not self._is_valid(slot, now_s):
             return False
         if self._record.sends and not self._may_retry(now_s):
             self._deps.metrics.count('retries_denied', reason='budget')
@@ -369,6 +373,16 @@
             return False
         return True
 
+    def _is_valid(self, slot: slotrequester.Slot, now_s: float) -> bool:
+        """Return whether the slot may still be used; another one is due."""
+        if self._deps.requester.must_avoid(slot.upstream):
+            self._record.last_failure = 'upstream_leaves'
+        elif now_s - slot.granted_s > _GRANT_LIFETIME_S:
+            self._record.last_failure = 'grant_lapsed'
+        else:
+            return True
+        return False
+
     def _may_retry(self, now_s: float) -> bool:
         """Return whether the instance's retry budget allows one; count it."""
         return self._deps.budgets.find(self._record.service).take(
@@ -394,7 +408,7 @@
             is_stream=self._get_match().route.route_type.is_stream,
             bodiless=bodiless,
             clock=self._deps.clock,
-            on_head=lambda response: self._note_head(slot.replica, response),
+            on_head=lambda response: self._note_head(slot.upstream, response),
         )
         context = headercodec.ForwardContext(
             replica=slot.replica,
@@ -413,15 +427,19 @@
         return attempt
 
     def _note_head(
-        self, replica: str, response: headercodec.ParsedResponse
+        self,
+        upstream: upstreamnotices.Upstream,
+        response: headercodec.ParsedResponse,
     ) -> None:
         """Pass on what a replica says of itself.
 
         A refusal that names no limit does not end one.
         """
         notice = response.notice
-        if not response.has_not_run or notice.limit_per_s is not None:
-            self._deps.requester.note_notice(replica, notice)
+        says_nothing = notice.limit_per_s is None and not notice.is_leaving
+        if response.has_not_run and says_nothing:
+            return
+        self._deps.requester.note_notice(upstream, notice)
 
     async def _wait_for_result(
         self, attempt: attempts.Attempt
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -461,6 +461,7 @@
             'upstream_notice',
             replica=replica,
             limit_per_s='' if limit is None else limit,
+            leaving=notice.is_leaving,
         )
 
     def _log(self, event: str, **fields: typing.Any) -> None:
--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -123,9 +123,12 @@
     def find_quarantine_s(self, service, parts):
         return 0
 
-    def note_notice(self, replica, notice):
+    def note_notice(self, upstream, notice):
         """Ignore what a replica says of itself."""
 
+    def must_avoid(self, upstream):
+        return False
+
     def note_lost(self, run):
         """Ignore a lost run."""
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -16,6 +16,7 @@
     )
     + (messages.Reading, messages.Member)
     + (slotmessages.RequestSpec, slotmessages.HeldSlot, slotmessages.Reading)
+    + (slotmessages.UpstreamNotices,)
     for name, value in peermessages.list_out_of_bounds(kind)
 ]
 OUTER_FIELDS = {
@@ -26,8 +27,9 @@
     slotmessages.HeldSlot: (slotmessages.Report, 'held'),
     slotmessages.RequestSpec: (slotmessages.Ask, 'spec'),
     slotmessages.Reading: (slotmessages.Release, 'reading'),
+    slotmessages.UpstreamNotices: (slotmessages.Beat, 'notices'),
 }
-SINGLE_FIELDS = {'spec', 'reading'}
+SINGLE_FIELDS = {'spec', 'reading', 'notices'}
 
 
 def test_every_field_but_digests_flags_and_bodies_is_bounded():
@@ -49,6 +51,8 @@
         # The fields of these types are checked separately.
         ('Ask', 'spec'),
         ('Release', 'reading'),
+        ('Report', 'notices'),
+        ('Beat', 'notices'),
     }
 
 
--- a/tests/test_requestpace.py
+++ b/tests/test_requestpace.py
@@ -33,24 +33,33 @@
     state = slots.SlotState()
     info = slots.ReplicaInfo('i-0', 'model', 'h:1', 'z', 4, 0)
     state.set_replicas((info,), 0)
-    state.set_limits({'i-0': 0.0}, 0)
+    board = upstreamnotices.NoticeBoard()
+    board.merge_limit('i-0', upstreamnotices.Limit(0.0, 0))
+    state.apply_notices(board, 0)
     replica = state.find_replica('i-0')
     assert not replica.has_free_slot(share=1, now_s=1)
     assert replica.has_free_slot(share=1, now_s=6)
     replica.pace.take(6)
     assert not replica.has_free_slot(share=1, now_s=7)
-    state.set_limits({}, 7)
+    board.note(info.upstream, upstreamnotices.Notice(None, False), 7)
+    state.apply_notices(board, 7)
     assert replica.has_free_slot(share=1, now_s=7)
 
 
 def test_the_newest_answer_of_any_instance_decides():
     board = upstreamnotices.NoticeBoard()
-    assert not board.note('i-0', upstreamnotices.Notice(None), 1)
-    assert board.note('i-0', upstreamnotices.Notice(2.0), 2)
-    assert not board.note('i-0', upstreamnotices.Notice(2.1), 3)
-    board.merge('i-0', upstreamnotices.Limit(9.0, 1.5))
+    upstream = upstreamnotices.Upstream('i-0', 0)
+
+    def note(limit_per_s, now_s):
+        notice = upstreamnotices.Notice(limit_per_s, False)
+        return board.note(upstream, notice, now_s)
+
+    assert not note(None, 1)
+    assert note(2.0, 2)
+    assert not note(2.1, 3)
+    board.merge_limit('i-0', upstreamnotices.Limit(9.0, 1.5))
     assert board.list_limits(4)['i-0'].limit_per_s == 2.1
-    board.merge('i-0', upstreamnotices.Limit(None, 3.5))
+    board.merge_limit('i-0', upstreamnotices.Limit(None, 3.5))
     assert board.list_limits(4)['i-0'].limit_per_s is None
     # Nothing confirms it any more.
     assert not board.list_limits(60)
--- a/tests/test_upstreamnotices.py
+++ b/tests/test_upstreamnotices.py
@@ -16,6 +16,8 @@
 WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 EXTRA_REQUESTS = 5
+# A replica gets no requests this long after it said that it leaves.
+DRAIN_S = 2.0
 # The pause of a caller between two requests.
 CALL_PAUSE_S = 0.05
 
@@ -105,3 +107,35 @@
     after = [at_s for at_s in limited.arrivals_s if at_s > ended_s + 1.5]
     assert len(after) > 4 * limit
     assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
+
+
+@pytest.mark.parametrize('trouble', ['calm', 'allocator-lost'])
+async def test_a_replica_that_says_it_leaves_gets_no_more_requests(trouble):
+    async with platformfleet.running(replicas=3, instances=4) as fleet:
+        for replica in fleet.replicas.values():
+            replica.work_s = 0.02
+        leaving = fleet.replicas['i-0']
+        callers = Callers(fleet)
+        await asyncio.sleep(0.5)
+        assert leaving.runs
+        # Its entry in the store does not say so.
+        leaving.notices = ((b'Server-Leaving', b'1'),)
+        named_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(DRAIN_S / 2)
+        if trouble == 'allocator-lost':
+            await fleet.stop_instance(
+                fleet.instances['entry-0']._requester.allocator
+            )
+        await asyncio.sleep(DRAIN_S / 2 + 3)
+        late = [at_s for at_s in leaving.arrivals_s if at_s > named_s + DRAIN_S]
+        # It starts again under its name.
+        leaving.notices = ()
+        fleet.store.delete('servers/i-0')
+        await asyncio.sleep(0.5)
+        fleet.store.write('servers/i-0', leaving.describe(born=1777703291000))
+        before = len(leaving.runs)
+        await asyncio.sleep(2)
+        await callers.stop()
+    assert not late
+    assert len(leaving.runs) > before
+    assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
