--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -108,10 +108,13 @@
         self.expires_s = now_s + spec.remaining_s
         self.charged = False
         self.replica = ''
+        self.paused: frozenset[str] = frozenset()
 
     def renew(self, now_s: float) -> messages.RequestSpec:
         """Return the request's spec with its remaining times updated."""
+        excluded = (*self.spec.excluded, *sorted(self.paused))
         return self.spec._replace(
+            excluded=excluded[: messages.MAX_EXCLUDED],
             objective_left_s=self.objective_s - now_s,
             remaining_s=self.expires_s - now_s,
             cost=0 if self.charged else self.spec.cost,
@@ -183,7 +186,8 @@
     def must_avoid(self, upstream: upstreamnotices.Upstream) -> bool:
         """Return whether a replica must not get a request from here now."""
         now_s = self._clock.read_monotonic()
-        return self._notices.has_departed(upstream, now_s)
+        has_departed = self._notices.has_departed(upstream, now_s)
+        return has_departed or upstream.name in self._notices.list_paused(now_s)
 
     def find_quarantine_s(self, service: str, parts: abc.Set[str]) -> float:
         """Return for how many seconds a prompt must not be sent, or 0."""
@@ -264,11 +268,30 @@
         self._select_allocator()
         if now_s - self._reported_s >= REPORT_INTERVAL_S:
             self._report(now_s)
+        self._renew_exclusions(now_s)
         for entry in tuple(self._entries.values()):
             if entry.expires_s <= now_s and not entry.waiter.done():
                 self._resolve(entry, expression.Error(Refusal('deadline', 0)))
                 self.release(entry.spec.request_id)
 
+    def _renew_exclusions(self, now_s: float) -> None:
+        """Ask again for requests that a pause excluded from a replica."""
+        paused = self._notices.list_paused(now_s)
+        for entry in self._entries.values():
+            if entry.waiter.done() or entry.paused <= paused:
+                continue
+            self._send(
+                self._allocator,
+                messages.Release(
+                    self._instance,
+                    self._read_incarnation(),
+                    entry.spec.request_id,
+                    0 if entry.charged else entry.spec.cost,
+                    None,
+                ),
+            )
+            self._send_request(entry, now_s)
+
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
@@ -338,6 +361,7 @@
     def _send_request(self, entry: _Entry, now_s: float) -> None:
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
+        entry.paused = self._notices.list_paused(now_s)
         self._send(
             self._allocator,
             messages.Ask(
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -10,7 +10,7 @@
 from lavenderledge.peers import bounds
 
 _MAX_REQUESTS = 20_000
-_MAX_EXCLUDED = 64
+MAX_EXCLUDED: typing.Final = 64
 _MAX_TIER = 1000
 _MAX_PARTS = 32
 MAX_LOST_RUNS: typing.Final = 32
@@ -44,7 +44,7 @@
     remaining_s: bounds.Finite
     cost: bounds.NonNegative
     excluded: typing.Annotated[
-        tuple[bounds.Name, ...], msgspec.Meta(max_length=_MAX_EXCLUDED)
+        tuple[bounds.Name, ...], msgspec.Meta(max_length=MAX_EXCLUDED)
     ] = ()
     parts: PromptParts = ()
 
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -18,6 +18,7 @@
 # Requests per second that a replica takes from all instances together.
 _SERVER_LIMIT: typing.Final = b'server-limit'
 _SERVER_LEAVING: typing.Final = b'server-leaving'
+_RETRY_AFTER: typing.Final = b'retry-after'
 _BEARER_PREFIX: typing.Final = b'bearer '
 _SERVER_LOAD_COUNT: typing.Final = 4
 _NORMAL_SLOWNESS: typing.Final = 100
@@ -131,6 +132,8 @@
         notice=upstreamnotices.Notice(
             limit_per_s=_read_number(fields.find(_SERVER_LIMIT)),
             is_leaving=fields.find(_SERVER_LEAVING) == b'1',
+            is_refusal=not_run or misdirected,
+            pause_s=_read_pause(head),
         ),
     )
 
@@ -197,6 +200,13 @@
     )
 
 
+def _read_pause(head: messages.ResponseHead) -> float:
+    """Return for how many seconds a replica that is full wants no requests."""
+    if head.status != messages.UNAVAILABLE:
+        return 0
+    return _read_number(head.fields.find(_RETRY_AFTER)) or 0
+
+
 def _read_slowness(text: bytes | None) -> float:
     """Return the fourth number of a server load as a ratio, 0 if unknown."""
     if text is None:
--- a/lavenderledge/policy/upstreamnotices.py
+++ b/lavenderledge/policy/upstreamnotices.py
@@ -10,6 +10,8 @@
 # A notice that no answer has confirmed for this long is forgotten, seconds. An
 # upstream that leaves has ended by then.
 _RETENTION_S: typing.Final = 30.0
+# Longer pauses are cut to this, seconds.
+_MAX_PAUSE_S: typing.Final = 300.0
 # A change of a limit by less than this ratio is not worth a message of its own.
 _MIN_CHANGE_RATIO: typing.Final = 0.1
 
@@ -29,11 +31,14 @@
 
     ``limit_per_s`` is how many requests per second it takes from all instances
     together, None if it names no limit. ``is_leaving`` means that it takes no
-    more requests soon.
+    more requests soon. For ``pause_s`` from a refusal on, it wants no requests
+    from the instance that it refused.
     """
 
     limit_per_s: float | None
     is_leaving: bool
+    is_refusal: bool
+    pause_s: float
 
 
 class Limit(typing.NamedTuple):
@@ -50,10 +55,15 @@
         """Start without notices."""
         self._limits: dict[str, Limit] = {}
         self._departures: dict[Upstream, float] = {}
+        self._paused_until_s: dict[str, float] = {}
 
     def note(self, upstream: Upstream, notice: Notice, now_s: float) -> bool:
-        """Record the notice of an answer; return whether it is news."""
-        is_news = self._note_limit(upstream.name, notice.limit_per_s, now_s)
+        """Record an answer's notice; return whether it is news for others."""
+        is_news = self._note_limit(upstream.name, notice, now_s)
+        if notice.pause_s > 0:
+            until_s = now_s + min(notice.pause_s, _MAX_PAUSE_S)
+            former_s = self._paused_until_s.get(upstream.name, until_s)
+            self._paused_until_s[upstream.name] = max(until_s, former_s)
         if notice.is_leaving:
             is_news = is_news or upstream not in self._departures
             self._departures[upstream] = now_s
@@ -92,11 +102,20 @@
         """Return whether an upstream said that it leaves."""
         return upstream in self.list_departures(now_s)
 
-    def _note_limit(
-        self, name: str, limit_per_s: float | None, now_s: float
-    ) -> bool:
+    def list_paused(self, now_s: float) -> frozenset[str]:
+        """Return the upstreams that want no requests from this instance."""
+        self._paused_until_s = {
+            name: until_s
+            for name, until_s in self._paused_until_s.items()
+            if now_s < until_s
+        }
+        return frozenset(self._paused_until_s)
+
+    def _note_limit(self, name: str, notice: Notice, now_s: float) -> bool:
+        """Record a limit, or its end; a refusal does not end one."""
         former = self._limits.get(name)
-        if former is None and limit_per_s is None:
+        limit_per_s = notice.limit_per_s
+        if limit_per_s is None and (former is None or notice.is_refusal):
             return False
         self._limits[name] = Limit(limit_per_s, now_s)
         return former is None or _differ(former.limit_per_s, limit_per_s)
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -9,12 +9,7 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
-from lavenderledge.policy import (
-    crashevidence,
-    retrybudget,
-    routes,
-    upstreamnotices,
-)
+from lavenderledge.policy import crashevidence, retrybudget, routes
 from lavenderledge.proxy import attempts, events, headercodec, requestrecord
 
 # A final response is sent this long before the request's deadline.
@@ -376,7 +371,7 @@
     def _is_valid(self, slot: slotrequester.Slot, now_s: float) -> bool:
         """Return whether the slot may still be used; another one is due."""
         if self._deps.requester.must_avoid(slot.upstream):
-            self._record.last_failure = 'upstream_leaves'
+            self._record.last_failure = 'upstream_avoided'
         elif now_s - slot.granted_s > _GRANT_LIFETIME_S:
             self._record.last_failure = 'grant_lapsed'
         else:
@@ -408,7 +403,9 @@
             is_stream=self._get_match().route.route_type.is_stream,
             bodiless=bodiless,
             clock=self._deps.clock,
-            on_head=lambda response: self._note_head(slot.upstream, response),
+            on_head=lambda response: self._deps.requester.note_notice(
+                slot.upstream, response.notice
+            ),
         )
         context = headercodec.ForwardContext(
             replica=slot.replica,
@@ -426,21 +423,6 @@
         )
         return attempt
 
-    def _note_head(
-        self,
-        upstream: upstreamnotices.Upstream,
-        response: headercodec.ParsedResponse,
-    ) -> None:
-        """Pass on what a replica says of itself.
-
-        A refusal that names no limit does not end one.
-        """
-        notice = response.notice
-        says_nothing = notice.limit_per_s is None and not notice.is_leaving
-        if response.has_not_run and says_nothing:
-            return
-        self._deps.requester.note_notice(upstream, notice)
-
     async def _wait_for_result(
         self, attempt: attempts.Attempt
     ) -> attempts.Result | None:
--- a/tests/test_requestpace.py
+++ b/tests/test_requestpace.py
@@ -8,6 +8,13 @@
 WINDOW_S = 4.0
 
 
+def make_notice(limit_per_s, **changes):
+    notice = upstreamnotices.Notice(
+        limit_per_s, is_leaving=False, is_refusal=False, pause_s=0
+    )
+    return notice._replace(**changes)
+
+
 @hypothesis.given(
     st.floats(0.2, 50),
     st.lists(st.floats(0.001, 2), max_size=200),
@@ -41,7 +48,7 @@
     assert replica.has_free_slot(share=1, now_s=6)
     replica.pace.take(6)
     assert not replica.has_free_slot(share=1, now_s=7)
-    board.note(info.upstream, upstreamnotices.Notice(None, False), 7)
+    board.note(info.upstream, make_notice(None), 7)
     state.apply_notices(board, 7)
     assert replica.has_free_slot(share=1, now_s=7)
 
@@ -51,7 +58,7 @@
     upstream = upstreamnotices.Upstream('i-0', 0)
 
     def note(limit_per_s, now_s):
-        notice = upstreamnotices.Notice(limit_per_s, False)
+        notice = make_notice(limit_per_s)
         return board.note(upstream, notice, now_s)
 
     assert not note(None, 1)
@@ -59,6 +66,9 @@
     assert not note(2.1, 3)
     board.merge_limit('i-0', upstreamnotices.Limit(9.0, 1.5))
     assert board.list_limits(4)['i-0'].limit_per_s == 2.1
+    # A refusal that names no limit does not end one.
+    board.note(upstream, make_notice(None, is_refusal=True), 3)
+    assert board.list_limits(4)['i-0'].limit_per_s == 2.1
     board.merge_limit('i-0', upstreamnotices.Limit(None, 3.5))
     assert board.list_limits(4)['i-0'].limit_per_s is None
     # Nothing confirms it any more.
--- a/tests/test_upstreamnotices.py
+++ b/tests/test_upstreamnotices.py
@@ -16,6 +16,10 @@
 WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 EXTRA_REQUESTS = 5
+# A replica that turns a request away names a pause. The instance that it told
+# keeps to it after the grace.
+PAUSE_S = 2.0
+PAUSE_GRACE_S = 0.5
 # A replica gets no requests this long after it said that it leaves.
 DRAIN_S = 2.0
 # The pause of a caller between two requests.
@@ -139,3 +143,30 @@
     assert not late
     assert len(leaving.runs) > before
     assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
+
+
+async def test_a_replica_that_names_a_pause_gets_nothing_until_its_end():
+    async with platformfleet.running(replicas=3) as fleet:
+        for replica in fleet.replicas.values():
+            replica.work_s = 0.02
+        paused = fleet.replicas['i-0']
+        callers = Callers(fleet, count=6)
+        await asyncio.sleep(0.5)
+        paused.notices = ((b'Retry-After', b'%.1f' % PAUSE_S),)
+        paused.default_action = 'full'
+        refused_from = len(paused.arrivals_s)
+        await asyncio.sleep(2 * PAUSE_S)
+        refused_s = paused.arrivals_s[refused_from:]
+        paused.notices = ()
+        paused.default_action = 'ok'
+        before = len(paused.runs)
+        await asyncio.sleep(PAUSE_S + 1)
+        await callers.stop()
+    # At the start several requests may be on their way.
+    first_s = refused_s[0]
+    assert not [
+        at_s for at_s in refused_s if PAUSE_GRACE_S < at_s - first_s < PAUSE_S
+    ]
+    assert len(refused_s) > 2
+    assert len(paused.runs) > before
+    assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
