--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -1,5 +1,6 @@
 """Documents that operators and replicas write into the platform's store."""
 
+import re
 import typing
 
 import expression
@@ -24,6 +25,21 @@
 _DEFAULT_HEADER_MS: typing.Final = 3000
 _DEFAULT_IDLE_MS: typing.Final = 15000
 
+# Bounds of what a replica's entry says; another writer may have left anything.
+_MAX_NAME_LENGTH: typing.Final = 200
+_MAX_CAPACITY: typing.Final = 1_000_000
+_MAX_COLD_MS: typing.Final = 86_400_000
+_MAX_TIME_MS: typing.Final = 9_007_199_254_740_991
+_MAX_PORT: typing.Final = 65_535
+_Name: typing.TypeAlias = typing.Annotated[
+    str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)
+]
+_Address: typing.TypeAlias = typing.Annotated[
+    str, msgspec.Meta(pattern=r'\A[A-Za-z0-9_.:\[\]-]{1,200}:[0-9]{1,5}\Z')
+]
+# Names go into header fields.
+_PRINTABLE_NAME: typing.Final = re.compile('[!-~]{1,%d}' % _MAX_NAME_LENGTH)
+
 _ROUTE_TYPES: typing.Final = {
     ('safe', False): routes.RouteType.IDEMPOTENT,
     ('safe', True): routes.RouteType.IDEMPOTENT,
@@ -34,6 +50,9 @@
 }
 
 
+_Decoded = typing.TypeVar('_Decoded')
+
+
 class InvalidDocument(typing.NamedTuple):
     """Why a document does not match its schema."""
 
@@ -89,27 +108,29 @@
 
 
 class _Replica(msgspec.Struct):
-    service: str
+    service: _Name
     # host:port
-    address: str
+    address: _Address
     # Maximum number of concurrent requests.
-    capacity: int
+    capacity: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_CAPACITY)]
     state: typing.Literal['ready', 'draining']
-    zone: str = ''
+    zone: _Name = ''
     # Remaining time of its slow start.
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: typing.Annotated[
+        float, msgspec.Meta(le=_MAX_COLD_MS)
+    ] = 0
     # When it started, in Unix milliseconds.
-    born: int = 0
+    born: typing.Annotated[int, msgspec.Meta(le=_MAX_TIME_MS)] = 0
 
 
 def read_configuration(
     content: bytes,
 ) -> expression.Result[routes.Configuration, InvalidDocument]:
     """Return the parsed configuration, or why it is invalid."""
-    try:
-        document = msgspec.json.decode(content, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return expression.Error(InvalidDocument(str(error)))
+    decoded = _decode(content, _Configuration)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    document = decoded.ok
     tenants = document.tenants or []
     customers = {
         key: _build_customer(tenant)
@@ -141,14 +162,14 @@
 def read_replica(change: stores.Change) -> caches.ListedReplica | None:
     """Return a replica's entry, None if it is deleted or invalid."""
     name = change.key.removeprefix(REPLICAS_PREFIX)
-    if change.content is None or not name:
+    if change.content is None or not _PRINTABLE_NAME.fullmatch(name):
         return None
-    try:
-        entry = msgspec.json.decode(change.content, type=_Replica)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    decoded = _decode(change.content, _Replica)
+    if decoded.is_error():
         return None
-    _, separator, port = entry.address.rpartition(':')
-    if entry.capacity < 1 or not separator or not port.isdigit():
+    entry = decoded.ok
+    port = int(entry.address.rpartition(':')[2])
+    if not 0 < port <= _MAX_PORT:
         return None
     return caches.ListedReplica(
         slots.ReplicaInfo(
@@ -164,6 +185,20 @@
     )
 
 
+def _decode(
+    content: bytes, schema: type[_Decoded]
+) -> expression.Result[_Decoded, InvalidDocument]:
+    try:
+        return expression.Ok(msgspec.json.decode(content, type=schema))
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        # Fields that are not in the schema may be nested deeply.
+        RecursionError,
+    ) as error:
+        return expression.Error(InvalidDocument(str(error)))
+
+
 def _build_route(route: _Route) -> routes.Route:
     if route.backends:
         targets = tuple(
