--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -265,7 +265,7 @@
                     host,
                     int(port),
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             self._count('upstream_connections', outcome='failed')
             return expression.Error(ConnectFailure(address, repr(error)))
         self._count('upstream_connections', outcome='opened')
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -92,3 +92,12 @@
         ]
     assert {response.status for response in responses} == {200}
     assert new.runs
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:99999', 'a b\0:80', 'x' * 300 + ':80', ':-1']
+)
+async def test_a_connection_to_an_odd_address_fails(address):
+    pool = platformfleet.make_pool()
+    opened = await pool.open(address, timeout_s=1, max_idle_s=0)
+    assert opened.is_error()
