--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -172,6 +172,14 @@
         self._lost_runs.append(run)
         self._report(self._clock.read_monotonic())
 
+    def refuse_first_attempts(self, reason: str) -> None:
+        """Refuse the waiting requests that were never sent to a replica."""
+        for entry in tuple(self._entries.values()):
+            is_first = not entry.spec.excluded
+            if is_first and not entry.waiter.done():
+                self._resolve(entry, expression.Error(Refusal(reason, 0)))
+                self.release(entry.spec.request_id, refund=entry.spec.cost)
+
     def note_notice(
         self,
         upstream: upstreamnotices.Upstream,
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -11,13 +11,18 @@
 
     def __init__(self, *, deps: exchange.Dependencies) -> None:
         """Create a forwarder that accepts requests."""
-        self.refuses_all = False
+        self._refuses_all = False
         self._deps = deps
 
     def set_age_limits(self, age_limits: exchange.AgeLimits) -> None:
         """Set the age limits for new requests."""
         self._deps = self._deps._replace(age_limits=age_limits)
 
+    def refuse_all(self) -> None:
+        """Refuse new requests, and those that have not been sent yet."""
+        self._refuses_all = True
+        self._deps.requester.refuse_first_attempts('stopping')
+
     async def serve(
         self, request: messages.Request, reply: server.Reply
     ) -> None:
@@ -31,7 +36,7 @@
         current = exchange.Exchange(
             deps=deps, request=request, reply=reply, parsed=parsed
         )
-        if self.refuses_all:
+        if self._refuses_all:
             current.refuse(messages.UNAVAILABLE, 'stopping', 0)
             return
         try:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -258,7 +258,7 @@
         )
         while self._clock.read_monotonic() < min(refuse_at_s, abort_at_s):
             await self._clock.sleep(_IDLE_CHECK_INTERVAL)
-        self._forwarder.refuses_all = True
+        self._forwarder.refuse_all()
         while self._clock.read_monotonic() < abort_at_s:
             self._caller_listener.close_idle()
             if self._caller_listener.is_idle:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -105,3 +105,22 @@
     assert 'entry-9' not in known
     assert allocator in known
     assert response.status == messages.OK
+
+
+async def test_a_request_that_waits_when_an_instance_stops_is_not_cut_later():
+    route = platformfleet.make_route('once', 'unsafe', timeout_ms=9000)
+    async with platformfleet.running(replicas=0, routes=[route]) as fleet:
+        replica = await fleet.add_replica('i-0', slots=1, work_s=3.9)
+        await platformfleet.wait_until(
+            lambda: fleet.instances['entry-0']._watcher.list_replicas()
+        )
+        held, _ = await fleet.begin('/once/x', deadline_ms=9000)
+        await platformfleet.wait_until(lambda: replica.runs)
+        fleet.instances['entry-0'].request_stop()
+        # It arrives in time, and its slot is free only shortly before the end.
+        waiting = await fleet.send('/once/x', deadline_ms=9000)
+        await asyncio.wait_for(held.done, 10)
+        await asyncio.wait_for(fleet.tasks['entry-0'], 10)
+    assert waiting.status == messages.UNAVAILABLE
+    assert replica.runs == ['r-1']
+    assert held.status == messages.OK
