--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -160,6 +160,20 @@
         self.log(Ending(status, outcome, reason))
         self._relay.reply.send(status, fields, b'')
 
+    def abandon(self, reason: str) -> None:
+        """End the request now; whether it has run is not known."""
+        if self.is_finished:
+            return
+        if self._relay.reply.started:
+            self.refuse(messages.GATEWAY_TIMEOUT, reason, None)
+            return
+        fields = self._deps.header_codec.build_local_fields(
+            self._parsed.request_id, None
+        )
+        self._deps.metrics.count('refusals', reason=reason, outcome='unknown')
+        self.log(Ending(messages.GATEWAY_TIMEOUT, 'unknown', reason))
+        self._relay.reply.send(messages.GATEWAY_TIMEOUT, fields, b'')
+
     def _check_configuration(self) -> bool:
         """Check the request by the current configuration; False if refused."""
         cache = self._deps.configuration
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -13,6 +13,7 @@
         """Create a forwarder that accepts requests."""
         self._refuses_all = False
         self._deps = deps
+        self._running: set[exchange.Exchange] = set()
 
     def set_age_limits(self, age_limits: exchange.AgeLimits) -> None:
         """Set the age limits for new requests."""
@@ -23,6 +24,11 @@
         self._refuses_all = True
         self._deps.requester.refuse_first_attempts('stopping')
 
+    def abandon_all(self) -> None:
+        """Answer the requests that still run, without promising anything."""
+        for running in tuple(self._running):
+            running.abandon('stopping')
+
     async def serve(
         self, request: messages.Request, reply: server.Reply
     ) -> None:
@@ -39,8 +45,12 @@
         if self._refuses_all:
             current.refuse(messages.UNAVAILABLE, 'stopping', 0)
             return
+        self._running.add(current)
         try:
             await current.run()
         except asyncio.CancelledError:
-            current.log(exchange.Ending(0, 'caller_left', ''))
+            if not current.is_finished:
+                current.log(exchange.Ending(0, 'caller_left', ''))
             raise
+        finally:
+            self._running.discard(current)
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -268,6 +268,7 @@
             not connection.is_idle
             for connection in self._caller_listener.connections
         )
+        self._forwarder.abandon_all()
         self._log('instance_stopped', cut=cut)
         await self.close()
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -124,3 +124,24 @@
     assert waiting.status == messages.UNAVAILABLE
     assert replica.runs == ['r-1']
     assert held.status == messages.OK
+
+
+async def test_a_request_that_runs_at_the_end_of_a_stop_gets_an_answer():
+    routes = [
+        platformfleet.make_route(name, route_type, timeout_ms=20000)
+        for name, route_type in (('once', 'unsafe'), ('safe', 'safe'))
+    ]
+    async with platformfleet.running(replicas=1, routes=routes) as fleet:
+        fleet.replicas['i-0'].work_s = 15
+        begun = [
+            await fleet.begin(path, deadline_ms=20000)
+            for path in ('/once/x', '/safe/x')
+        ]
+        await platformfleet.wait_until(lambda: len(fleet.list_runs()) == 2)
+        fleet.instances['entry-0'].request_stop()
+        for response, _ in begun:
+            await asyncio.wait_for(response.done, 10)
+        await asyncio.wait_for(fleet.tasks['entry-0'], 10)
+    # It promises nothing: the requests may have run.
+    assert [response.status for response, _ in begun] == [504, 504]
+    assert all(response.is_complete for response, _ in begun)
