--- a/lavenderledge/controllers/caches.py
+++ b/lavenderledge/controllers/caches.py
@@ -99,6 +99,19 @@
         self.confirm(requested_s)
         return newer
 
+    def accept_from_peer(
+        self, configuration: routes.Configuration, confirmed_s: float
+    ) -> bool:
+        """Store a newer version that a peer has; return whether it is newer.
+
+        ``confirmed_s`` is when an answer was requested that confirmed it there.
+        """
+        if configuration.version <= self._current_version:
+            return False
+        self._current = configuration
+        self.apply_peer_confirmation(configuration.version, confirmed_s)
+        return True
+
     def confirm(self, requested_s: float) -> None:
         """Record that the store had nothing newer at ``requested_s``.
 
--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -78,6 +78,17 @@
         """Return whether the last call failed."""
         return self._pause_s > 0
 
+    @property
+    def era(self) -> int:
+        """Return the store's era, 0 before the first answer."""
+        return self._era or 0
+
+    def skip_to(self, revision: int, era: int) -> None:
+        """Do not read changes up to a revision that a peer has passed on."""
+        is_known = self._revision is not None and self._era == era
+        if is_known and revision > (self._revision or 0):
+            self._revision = revision
+
     def list_again(self) -> None:
         """List the prefix in the next call."""
         self._revision = None
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -66,7 +66,7 @@
     Nothing is granted while ``is_catching_up`` returns True. ``note_version``
     gets the versions of the configuration that other instances have.
     ``notices`` holds what replicas say of themselves, to this instance or to
-    others.
+    others. ``build_update`` gets the version that an instance has.
     """
 
     list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
@@ -75,6 +75,7 @@
     is_catching_up: abc.Callable[[], bool]
     note_version: abc.Callable[[int], None]
     notices: upstreamnotices.NoticeBoard
+    build_update: abc.Callable[[int], messages.ConfigurationUpdate | None]
 
 
 class _Sender:
@@ -83,6 +84,7 @@
         self.sequence = -1
         self.received_s = now_s
         self.stamp_s: float | None = None
+        self.version = 0
 
     def note_stamp(self, stamp_s: float) -> None:
         """Keep the newest stamp; messages may arrive out of order."""
@@ -262,6 +264,7 @@
         sender.sequence = report.sequence
         sender.received_s = now_s
         sender.note_stamp(report.stamp_s)
+        sender.version = report.version
         self._state_reader.note_version(report.version)
         noticecodec.merge(self._state_reader.notices, report.notices, now_s)
         held = {slot.request_id: slot for slot in report.held}
@@ -346,9 +349,23 @@
                 noticecodec.encode(
                     self._state_reader.notices, self._clock.read_monotonic()
                 ),
+                self._build_update(sender, freshness.version),
             ),
         )
 
+    def _build_update(
+        self, sender: _Sender | None, version: int
+    ) -> messages.ConfigurationUpdate | None:
+        """Return an update for an instance that reported an older version.
+
+        It is sent again if the next report still has that version.
+        """
+        if sender is None or sender.version >= version:
+            return None
+        update = self._state_reader.build_update(sender.version)
+        sender.version = version
+        return update
+
     def _remove_silent_senders(self, now_s: float) -> None:
         for name, sender in tuple(self._senders.items()):
             if now_s - sender.received_s > REPORT_TIMEOUT_S:
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -76,6 +76,8 @@
     report to its first echo, ``peer_silent`` the name of an allocator that is
     skipped, ``peer_heard`` that of one that answers again. ``notice_changed``
     gets a replica that says something else of itself than before.
+    ``update_received`` gets an update of the configuration and the time at
+    which its version was confirmed.
     """
 
     allocator_changed: abc.Callable[[str, str], None]
@@ -84,6 +86,7 @@
     peer_silent: abc.Callable[[str], None]
     peer_heard: abc.Callable[[str], None]
     notice_changed: abc.Callable[[str, upstreamnotices.Notice], None]
+    update_received: abc.Callable[[messages.ConfigurationUpdate, float], None]
 
 
 class OwnState(typing.NamedTuple):
@@ -466,9 +469,10 @@
             self._stale_confirmed_s[beat.sender] = confirmed_s
         else:
             self._stale_confirmed_s.pop(beat.sender, None)
-        self._callbacks.freshness_received(
-            beat.version, beat.stamp_s - beat.age_s
-        )
+        confirmed_s = beat.stamp_s - beat.age_s
+        if beat.update is not None:
+            self._callbacks.update_received(beat.update, confirmed_s)
+        self._callbacks.freshness_received(beat.version, confirmed_s)
         if beat.stamp_s > self._last_echo_s:
             self._last_echo_s = beat.stamp_s
             now_s = self._clock.read_monotonic()
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -34,7 +34,7 @@
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         # State read from the store.
         'configuration_accepted': _list_fields(
-            'instance version revision size_bytes read_ms'
+            'instance version revision source size_bytes read_ms'
         ),
         # A peer has the version ``newest``.
         'configuration_outdated': _list_fields('instance version newest'),
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -15,6 +15,7 @@
 _MAX_PARTS = 32
 MAX_LOST_RUNS: typing.Final = 32
 MAX_QUARANTINES: typing.Final = 32
+MAX_STEPS: typing.Final = 256
 MAX_UPSTREAM_NOTICES: typing.Final = 1024
 
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIER)]
@@ -210,13 +211,38 @@
     notices: UpstreamNotices = UpstreamNotices()
 
 
+class UpdateStep(typing.NamedTuple):
+    """Copies ``copied`` pieces of the base, then appends ``literal``."""
+
+    first: bounds.Count
+    copied: bounds.Count
+    literal: bytes
+
+
+class ConfigurationUpdate(typing.NamedTuple):
+    """How to get a version of the configuration from an earlier one.
+
+    ``digest`` is that of the result, ``revision`` and ``era`` are the store's.
+    """
+
+    base_version: bounds.Count
+    version: bounds.Count
+    revision: bounds.Count
+    era: bounds.Count
+    steps: typing.Annotated[
+        tuple[UpdateStep, ...], msgspec.Meta(max_length=MAX_STEPS)
+    ]
+    digest: bounds.Count
+
+
 class Beat(typing.NamedTuple):
     """An allocator's heartbeat, which acknowledges the latest report.
 
     ``stamp_s`` echoes that report's, None without one. The store confirmed
     the allocator's configuration ``version`` ``age_s`` ago and its list of
     replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
-    ``notices`` are those that any instance was told.
+    ``notices`` are those that any instance was told. ``update`` leads from the
+    version that the instance reported to ``version``.
     """
 
     sender: bounds.Name
@@ -226,6 +252,7 @@
     list_age_s: bounds.NonNegative
     quarantines: _Quarantines = ()
     notices: UpstreamNotices = UpstreamNotices()
+    update: ConfigurationUpdate | None = None
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -124,6 +124,7 @@
                 lambda peer: self._log('peer_silent', peer=peer),
                 lambda peer: self._log('peer_heard', peer=peer),
                 self._note_notice,
+                self._watcher.apply_update,
             ),
         )
         self._allocator = slotallocator.SlotAllocator(
@@ -137,6 +138,7 @@
                 is_catching_up=self._watcher.is_catching_up,
                 note_version=self._watcher.configuration.note_peer_version,
                 notices=self._notices,
+                build_update=self._watcher.history.build_update,
             ),
             count_alive=self._registration.count_alive,
             tolerance=tokenbuckets.Tolerance(
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -9,6 +9,7 @@
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
     caches,
+    configurationhistory,
     follower,
     registration,
     slotallocator,
@@ -17,6 +18,7 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.daemon import tasks as background
 from lavenderledge.http1 import client
+from lavenderledge.peers import slotmessages
 from lavenderledge.policy import routes, slots
 from lavenderledge.proxy import headercodec
 from lavenderledge.registry import store as stores
@@ -112,6 +114,7 @@
         leaves.
         """
         self.configuration = caches.ConfigurationCache(clock=clock)
+        self.history = configurationhistory.ConfigurationHistory()
         self.replicas = caches.ReplicaCache(clock=clock)
         self._instance = instance
         self._platform = platform
@@ -178,6 +181,29 @@
                 newest=version,
             )
 
+    def apply_update(
+        self, update: slotmessages.ConfigurationUpdate, confirmed_s: float
+    ) -> None:
+        """Apply a peer's update of the configuration.
+
+        One that can't be applied is ignored: the store has the version too.
+        """
+        if update.version <= self.read_version():
+            return
+        stored = self.history.apply(update)
+        if stored is None:
+            self._metrics.count('configuration_updates_unusable')
+            return
+        parsed = self._parse_configuration(stored.content)
+        if parsed is None:
+            return
+        if self.configuration.accept_from_peer(parsed, confirmed_s):
+            if self._configuration_follower is not None:
+                self._configuration_follower.skip_to(
+                    stored.revision, stored.era
+                )
+            self._note_accepted(parsed, stored, confirmed_s, source='peer')
+
     def list_replicas(self) -> abc.Sequence[slots.ReplicaInfo]:
         """Return the replicas that take new requests."""
         return self.replicas.list_usable()
@@ -349,27 +375,54 @@
         self, changes: abc.Sequence[stores.Change], requested_s: float
     ) -> None:
         for change in changes:
-            if change.key != self._platform.configuration_key:
-                continue
-            if change.content is None:
-                continue
-            parsed = self._platform.read_configuration(change.content)
-            if parsed.is_error():
-                self._metrics.count('configurations_unreadable')
-                self._log(
-                    'configuration_unreadable', detail=parsed.error.detail
-                )
-                continue
-            if self.configuration.accept(parsed.ok, requested_s):
-                self._callbacks.on_configuration(parsed.ok)
-                self._log(
-                    'configuration_accepted',
-                    version=parsed.ok.version,
-                    revision=change.revision,
-                    size_bytes=len(change.content),
-                    read_ms=self._measure_ms(requested_s),
+            is_configuration = change.key == self._platform.configuration_key
+            if is_configuration and change.content is not None:
+                self._accept_content(
+                    change.content, change.revision, requested_s
                 )
 
+    def _accept_content(
+        self, content: bytes, revision: int, requested_s: float
+    ) -> None:
+        parsed = self._parse_configuration(content)
+        if parsed is None or not self.configuration.accept(parsed, requested_s):
+            return
+        store_follower = self._configuration_follower
+        era = 0 if store_follower is None else store_follower.era
+        stored = configurationhistory.Stored(
+            parsed.version, revision, era, content
+        )
+        self._note_accepted(parsed, stored, requested_s, source='store')
+
+    def _parse_configuration(
+        self, content: bytes
+    ) -> routes.Configuration | None:
+        parsed = self._platform.read_configuration(content)
+        if parsed.is_error():
+            self._metrics.count('configurations_unreadable')
+            self._log('configuration_unreadable', detail=parsed.error.detail)
+            return None
+        return typing.cast(routes.Configuration, parsed.ok)
+
+    def _note_accepted(
+        self,
+        accepted: routes.Configuration,
+        stored: configurationhistory.Stored,
+        requested_s: float,
+        *,
+        source: str,
+    ) -> None:
+        self.history.add(stored)
+        self._callbacks.on_configuration(accepted)
+        self._log(
+            'configuration_accepted',
+            version=stored.version,
+            revision=stored.revision,
+            source=source,
+            size_bytes=len(stored.content),
+            read_ms=self._measure_ms(requested_s),
+        )
+
     def _replace_replicas(
         self, changes: abc.Sequence[stores.Change], requested_s: float
     ) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -16,7 +16,7 @@
     )
     + (messages.Reading, messages.Member)
     + (slotmessages.RequestSpec, slotmessages.HeldSlot, slotmessages.Reading)
-    + (slotmessages.UpstreamNotices,)
+    + (slotmessages.UpstreamNotices, slotmessages.ConfigurationUpdate)
     for name, value in peermessages.list_out_of_bounds(kind)
 ]
 OUTER_FIELDS = {
@@ -28,8 +28,9 @@
     slotmessages.RequestSpec: (slotmessages.Ask, 'spec'),
     slotmessages.Reading: (slotmessages.Release, 'reading'),
     slotmessages.UpstreamNotices: (slotmessages.Beat, 'notices'),
+    slotmessages.ConfigurationUpdate: (slotmessages.Beat, 'update'),
 }
-SINGLE_FIELDS = {'spec', 'reading', 'notices'}
+SINGLE_FIELDS = {'spec', 'reading', 'notices', 'update'}
 
 
 def test_every_field_but_digests_flags_and_bodies_is_bounded():
@@ -53,6 +54,7 @@
         ('Release', 'reading'),
         ('Report', 'notices'),
         ('Beat', 'notices'),
+        ('Beat', 'update'),
     }
 
 
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -180,6 +180,13 @@
             'op/config', platformfleet.make_configuration(2, tenants=[tenant])
         )
         await platformfleet.wait_until(lambda: list_versions(fleet) == {2})
+        for peer in fleet.instances.values():
+            # No peer can update it.
+            peer._allocator._state_reader = (
+                peer._allocator._state_reader._replace(
+                    build_update=lambda version: None
+                )
+            )
         await restart_store(fleet, copy)
         fleet.store.mode = 'ok'
         await fleet.add_instance('entry-2', is_ready=False)
@@ -197,6 +204,32 @@
         assert not newcomer.is_ready
 
 
+async def test_a_newcomer_gets_a_version_that_a_restored_store_lost():
+    async with platformfleet.running(instances=2) as fleet:
+        copy = fleet.store.take_copy()
+        tenant = {'name': 'dealer', 'api_keys': ['another-key']}
+        fleet.store.write(
+            'op/config', platformfleet.make_configuration(2, tenants=[tenant])
+        )
+        await platformfleet.wait_until(lambda: list_versions(fleet) == {2})
+        await restart_store(fleet, copy)
+        fleet.store.mode = 'ok'
+        await fleet.add_instance('entry-2', is_ready=False)
+        newcomer = fleet.instances['entry-2']
+        await platformfleet.wait_until(
+            lambda: newcomer._watcher.read_version() == 2
+        )
+        statuses = set()
+        end_s = asyncio.get_running_loop().time() + 3
+        while asyncio.get_running_loop().time() < end_s:
+            response = await fleet.send('/safe/x', instance='entry-2')
+            statuses.add(response.status)
+            await asyncio.sleep(0.02)
+        assert list_versions(fleet) == {2}
+    # As its peers, it does not know the key that version 2 took away.
+    assert statuses <= {401, 503}
+
+
 async def test_an_instance_that_restarts_after_a_restore_is_heard():
     # Its incarnation must be higher than before, although revisions are lower.
     async with platformfleet.running(instances=3) as fleet:
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -61,6 +61,7 @@
                 lambda peer: None,
                 lambda peer: None,
                 lambda replica, notice: None,
+                lambda update, confirmed_s: None,
             ),
         )
         self.allocator = slotallocator.SlotAllocator(
@@ -76,6 +77,7 @@
                 is_catching_up=lambda: False,
                 note_version=lambda version: None,
                 notices=self.notices,
+                build_update=lambda version: None,
             ),
             count_alive=lambda: len(machine.ranked),
             tolerance=tokenbuckets.Tolerance(8, 0, 0),
