--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -27,8 +27,8 @@
     ``wait_s`` bounds one watch. ``read_pause_s`` returns the pause after
     changes, which gathers several into one call. ``on_confirmed`` gets the
     time at which each successful call was sent. No calls are made while
-    ``is_needed`` returns False; afterwards only what has changed is read, if
-    the store still has that history.
+    ``is_needed`` returns False; afterwards the prefix is listed again, or only
+    its changes are read if ``is_large`` returns True.
     """
 
     prefix: str
@@ -38,6 +38,7 @@
     on_changes: abc.Callable[[tuple[stores.Change, ...], float], None]
     on_confirmed: abc.Callable[[float], None]
     is_needed: abc.Callable[[], bool]
+    is_large: abc.Callable[[], bool]
 
 
 class Follower:
@@ -103,6 +104,9 @@
         """List or watch once; return the pause before the next call."""
         if not self._subscription.is_needed():
             self._is_idle = True
+            if not self._subscription.is_large():
+                # A store may answer listings although it answers no watches.
+                self._revision = None
             self._pause_s = 0
             return _IDLE_CHECK
         requested_s = self._clock.read_monotonic()
@@ -157,7 +161,6 @@
             self._revision = None
             return timing.seconds(0)
         if self._is_idle:
-            # The store may answer listings, but no watches.
             self._revision = None
         self._failures += 1
         self._on_failure(failure, not self.is_failing)
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -57,6 +57,9 @@
 _MEMBERS_CALL_INTERVAL_S: typing.Final = 0.02
 _MIN_MEMBERS_PAUSE_S: typing.Final = 0.5
 _MAX_MEMBERS_PAUSE_S: typing.Final = 3.0
+# A larger configuration is not read again just to confirm it: on a slow link
+# that takes a tenth of a second or more.
+_LARGE_CONFIGURATION_BYTES: typing.Final = 65_536
 _MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
 
@@ -128,6 +131,7 @@
             drain_s - _DRAIN_MARGIN_S, drain_s * _MIN_LIST_AGE_RATIO
         )
         self._replicas_needed_until_s = float('-inf')
+        self._configuration_bytes = 0
         self._configuration_follower: follower.Follower | None = None
         self._replica_follower: follower.Follower | None = None
         self._held_left: abc.Set[str] = frozenset()
@@ -266,6 +270,7 @@
                 on_changes=self._accept_configuration,
                 on_confirmed=self.configuration.confirm,
                 is_needed=self._must_watch_configuration,
+                is_large=self._has_large_configuration,
             ),
             follower.Subscription(
                 prefix=platform.replicas_prefix,
@@ -275,6 +280,7 @@
                 on_changes=self._update_replicas,
                 on_confirmed=self._confirm_replicas,
                 is_needed=self._must_watch_replicas,
+                is_large=_is_never_large,
             ),
             follower.Subscription(
                 prefix=registration.PREFIX,
@@ -284,6 +290,7 @@
                 on_changes=self._members.apply_changes,
                 on_confirmed=_ignore_confirmation,
                 is_needed=_is_always_needed,
+                is_large=_is_never_large,
             ),
         ]
 
@@ -309,6 +316,9 @@
         """Return whether this instance reads the configuration's key."""
         return self._allocates() or self._lacks_configuration()
 
+    def _has_large_configuration(self) -> bool:
+        return self._configuration_bytes > _LARGE_CONFIGURATION_BYTES
+
     def _lacks_configuration(self) -> bool:
         is_old = self.configuration.age_s() > _MAX_RECEIVED_AGE_S
         return is_old or self.configuration.is_outdated
@@ -413,6 +423,7 @@
         source: str,
     ) -> None:
         self.history.add(stored)
+        self._configuration_bytes = len(stored.content)
         self._callbacks.on_configuration(accepted)
         self._log(
             'configuration_accepted',
@@ -479,3 +490,7 @@
 
 def _is_always_needed() -> bool:
     return True
+
+
+def _is_never_large() -> bool:
+    return False
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -284,6 +284,10 @@
         running = self.instance
         running._link = Link(self)
         running._incarnation = incarnation
+        # The documents are small; how long they take stands for their size.
+        running._watcher._has_large_configuration = lambda: (
+            self.client.transfer_s > 0
+        )
         running._watcher.start(running._tasks)
         for loop in (
             running._registration.run,
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -35,7 +35,7 @@
     return expression.Ok(stores.Listing(changes, revision))
 
 
-def follow(*answers, is_needed=lambda: True):
+def follow(*answers, is_needed=lambda: True, is_large=True):
     """Return what a follower asked, and the contents that it passed on."""
     store = ScriptedStore(*answers)
     received = []
@@ -53,6 +53,7 @@
                 on_changes=keep,
                 on_confirmed=lambda requested_s: None,
                 is_needed=is_needed,
+                is_large=lambda: is_large,
             ),
             store=store,
             clock=virtualtime.Clock(),
@@ -80,7 +81,20 @@
     assert received == [b'v1', b'v2']
 
 
-def test_a_configuration_is_not_read_again_to_confirm_it():
+def test_a_prefix_that_is_not_large_is_listed_after_a_pause():
+    # A store may answer listings, and leave watches without an answer.
+    needed = iter((True, False, True))
+    asked, received = follow(
+        answer(3, b'v1'),
+        answer(9, b'v2'),
+        is_needed=lambda: next(needed),
+        is_large=False,
+    )
+    assert asked == ['list', 'list']
+    assert received == [b'v1', b'v2']
+
+
+def test_a_large_configuration_is_not_read_again_to_confirm_it():
     needed = iter((True, False, True, True))
     asked, received = follow(
         answer(3, b'v1'),
