--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -172,14 +172,23 @@
         )
 
 
+async def write_lost_version(fleet):
+    """Have all instances accept version 2; return a copy from before.
+
+    Version 2 takes away the key that callers use.
+    """
+    copy = fleet.store.take_copy()
+    tenant = {'name': 'dealer', 'api_keys': ['another-key']}
+    fleet.store.write(
+        'op/config', platformfleet.make_configuration(2, tenants=[tenant])
+    )
+    await platformfleet.wait_until(lambda: list_versions(fleet) == {2})
+    return copy
+
+
 async def test_a_newcomer_does_not_use_a_version_that_peers_know_as_outdated():
     async with platformfleet.running(instances=2) as fleet:
-        copy = fleet.store.take_copy()
-        tenant = {'name': 'dealer', 'api_keys': ['another-key']}
-        fleet.store.write(
-            'op/config', platformfleet.make_configuration(2, tenants=[tenant])
-        )
-        await platformfleet.wait_until(lambda: list_versions(fleet) == {2})
+        copy = await write_lost_version(fleet)
         for peer in fleet.instances.values():
             # No peer can update it.
             peer._allocator._state_reader = (
@@ -206,12 +215,7 @@
 
 async def test_a_newcomer_gets_a_version_that_a_restored_store_lost():
     async with platformfleet.running(instances=2) as fleet:
-        copy = fleet.store.take_copy()
-        tenant = {'name': 'dealer', 'api_keys': ['another-key']}
-        fleet.store.write(
-            'op/config', platformfleet.make_configuration(2, tenants=[tenant])
-        )
-        await platformfleet.wait_until(lambda: list_versions(fleet) == {2})
+        copy = await write_lost_version(fleet)
         await restart_store(fleet, copy)
         fleet.store.mode = 'ok'
         await fleet.add_instance('entry-2', is_ready=False)
