--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -1,6 +1,5 @@
 """Entries among those of the replicas that another writer left."""
 
-import asyncio
 import json
 
 import pytest
@@ -85,13 +84,23 @@
         for number, odd in enumerate(ODD_ENTRIES.values()):
             fleet.store.write(f'servers/i-odd-{number}', odd)
         fleet.store.write('servers/i-new', new.describe())
-        await asyncio.sleep(2.5)
+        allocator = fleet.instances['entry-0']._requester.allocator
+        watcher = fleet.instances[allocator]._watcher
+        await platformfleet.wait_until(lambda: len(watcher.list_replicas()) > 1)
+        names = {info.name for info in watcher.list_replicas()}
+        # Only the new replica is left to serve.
+        former = fleet.replicas['i-0']
+        fleet.store.write('servers/i-0', former.describe(state='draining'))
+        await platformfleet.wait_until(
+            lambda: len(watcher.list_replicas()) == 1
+        )
         responses = [
             await fleet.send('/once/x', instance=f'entry-{number % 2}')
             for number in range(20)
         ]
+    assert names == {'i-0', 'i-new'}
     assert {response.status for response in responses} == {200}
-    assert new.runs
+    assert len(new.runs) == len(responses)
 
 
 @pytest.mark.parametrize(
