--- a/tests/test_largeconfigurations.py
+++ b/tests/test_largeconfigurations.py
@@ -52,8 +52,10 @@
 @contextlib.asynccontextmanager
 async def serving_answers(pauses_s):
     """Serve an answer part by part, with these pauses; yield a client."""
+    serving = set()
 
     async def serve(reader, writer):
+        serving.add(asyncio.current_task())
         with contextlib.suppress(ConnectionError), contextlib.closing(writer):
             await reader.readuntil(b'\r\n\r\n')
             writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n')
@@ -68,6 +70,9 @@
         yield store.PlatformStore(
             address=f'127.0.0.1:{port}', pool=platformfleet.make_pool()
         )
+        for task in serving:
+            task.cancel()
+        await asyncio.gather(*serving, return_exceptions=True)
 
 
 @pytest.mark.parametrize(
