--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -319,7 +319,12 @@
         return expression.Error(response.error)
     try:
         return expression.Ok(msgspec.json.decode(response.ok.body, type=schema))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        # Fields that are not in the schema may be nested deeply.
+        RecursionError,
+    ) as error:
         return _fail(stores.Fault.MALFORMED, str(error))
 
 
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from lavenderledge.platform import documents
+from lavenderledge.platform import documents, store
 from lavenderledge.registry import store as stores
-from tests import platformfleet, platformreplica
+from tests import platformfleet, platformreplica, platformstore
 
 DEPTH = 5000
 GOOD = {
@@ -75,6 +75,21 @@
     assert documents.read_configuration(nested).is_error()
 
 
+async def test_a_deep_answer_of_the_store_is_malformed():
+    async def answer(request, reply):
+        nested = b'[' * DEPTH + b']' * DEPTH
+        reply.send(200, (), b'{"at": 1, "other": ' + nested + b'}')
+
+    listener = platformstore.build_listener(answer)
+    await listener.listen('127.0.0.1', 0)
+    client = store.PlatformStore(
+        address=f'127.0.0.1:{listener.port}', pool=platformfleet.make_pool()
+    )
+    listed = await client.list_keys('servers/')
+    listener.stop()
+    assert listed.error.fault is stores.Fault.MALFORMED
+
+
 async def test_odd_entries_do_not_stop_an_instance_from_following():
     async with platformfleet.running(replicas=1, instances=2) as fleet:
         new = platformreplica.Replica('i-new')
