--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -124,16 +124,16 @@
             # Its revision, and so the changes after it, may be of another era.
             self._revision = None
             return timing.seconds(0)
+        # Without changes the revision stays: a store that lost its watches for
+        # a while reports no changes, up to a revision that includes some.
+        if listing or answer.ok.changes:
+            self._revision = answer.ok.revision
         self._subscription.on_confirmed(requested_s)
         if listing:
-            self._revision = answer.ok.revision
             self._subscription.on_list(answer.ok.changes, requested_s)
         elif answer.ok.changes:
-            self._revision = answer.ok.revision
             self._subscription.on_changes(answer.ok.changes, requested_s)
             return timing.seconds(self._subscription.read_pause_s())
-        # Without changes the revision stays: a store that lost its watches for
-        # a while reports no changes, up to a revision that includes some.
         return timing.seconds(0)
 
     async def _call(self) -> stores.ListResult:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -35,15 +35,27 @@
     return expression.Ok(stores.Listing(changes, revision))
 
 
-def follow(*answers, is_needed=lambda: True, is_large=True):
-    """Return what a follower asked, and the contents that it passed on."""
+def follow(
+    *answers, is_needed=lambda: True, is_large=True, lists_again_at=None
+):
+    """Return what a follower asked, and the contents that it passed on.
+
+    The confirmation with the number ``lists_again_at`` asks for a listing.
+    """
     store = ScriptedStore(*answers)
     received = []
+    confirmations = []
 
     def keep(changes, requested_s):
         received.extend(change.content for change in changes)
 
+    def confirm(requested_s):
+        confirmations.append(requested_s)
+        if len(confirmations) == lists_again_at:
+            followed.list_again()
+
     async def run():
+        nonlocal followed
         followed = follower.Follower(
             subscription=follower.Subscription(
                 prefix='op/config',
@@ -51,7 +63,7 @@
                 read_pause_s=lambda: 0,
                 on_list=keep,
                 on_changes=keep,
-                on_confirmed=lambda requested_s: None,
+                on_confirmed=confirm,
                 is_needed=is_needed,
                 is_large=lambda: is_large,
             ),
@@ -65,6 +77,7 @@
         while store.answers:
             await followed.step()
 
+    followed = None
     virtualtime.run(run)
     return store.asked, received
 
@@ -117,3 +130,14 @@
     )
     assert asked == ['list', (3, 0), 'list']
     assert received == [b'v1', b'v2']
+
+
+def test_a_listing_that_a_confirmation_asks_for_is_not_lost():
+    asked, received = follow(
+        answer(3, b'v1'),
+        answer(8, b'v2'),
+        answer(9, b'v3'),
+        lists_again_at=2,
+    )
+    assert asked == ['list', (3, 0.5), 'list']
+    assert received == [b'v1', b'v2', b'v3']
