--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -75,7 +75,8 @@
     time at which it was confirmed. ``report_echoed`` gets the seconds from a
     report to its first echo, ``peer_silent`` the name of an allocator that is
     skipped, ``peer_heard`` that of one that answers again. ``notice_changed``
-    gets a replica that says something else of itself than before.
+    gets a replica that says something else of itself than before, or names a
+    pause.
     ``update_received`` gets an update of the configuration and the time at
     which its version was confirmed.
     """
@@ -190,8 +191,10 @@
     ) -> None:
         """Record what a replica says of itself in an answer."""
         now_s = self._clock.read_monotonic()
-        if self._notices.note(upstream, notice, now_s):
+        is_news = self._notices.note(upstream, notice, now_s)
+        if is_news or notice.pause_s:
             self._callbacks.notice_changed(upstream.name, notice)
+        if is_news:
             self._report(now_s)
 
     def must_avoid(self, upstream: upstreamnotices.Upstream) -> bool:
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -51,8 +51,11 @@
         'peer_heard': _list_fields('instance peer'),
         'upstream_lost': _list_fields('instance replica failures'),
         'upstream_regained': _list_fields('instance replica'),
-        # A replica says something else of itself in its answers than before.
-        'upstream_notice': _list_fields('instance replica limit_per_s leaving'),
+        # A replica says something else of itself in its answers than before, or
+        # names a pause.
+        'upstream_notice': _list_fields(
+            'instance replica limit_per_s leaving pause_s'
+        ),
         'peer_address_invalid': _list_fields('instance address error'),
         'peer_handler_failed': _list_fields('kind exception'),
         'peer_key_unknown': _list_fields('address'),
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -465,6 +465,7 @@
             replica=replica,
             limit_per_s='' if limit is None else limit,
             leaving=notice.is_leaving,
+            pause_s=notice.pause_s,
         )
 
     def _log(self, event: str, **fields: typing.Any) -> None:
--- a/tests/test_upstreamnotices.py
+++ b/tests/test_upstreamnotices.py
@@ -145,7 +145,8 @@
     assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
 
 
-async def test_a_replica_that_names_a_pause_gets_nothing_until_its_end():
+async def test_a_replica_that_names_a_pause_gets_nothing_until_its_end(caplog):
+    caplog.set_level('INFO')
     async with platformfleet.running(replicas=3) as fleet:
         for replica in fleet.replicas.values():
             replica.work_s = 0.02
@@ -168,5 +169,12 @@
         at_s for at_s in refused_s if PAUSE_GRACE_S < at_s - first_s < PAUSE_S
     ]
     assert len(refused_s) > 2
+    notices = [
+        record.fields
+        for record in caplog.records
+        if record.getMessage() == 'upstream_notice'
+    ]
+    assert {notice['pause_s'] for notice in notices} == {PAUSE_S}
+    assert len(notices) == len(refused_s)
     assert len(paused.runs) > before
     assert callers.statuses.count(200) > 0.99 * len(callers.statuses)
