--- a/lavenderledge/policy/upstreamnotices.py
+++ b/lavenderledge/policy/upstreamnotices.py
@@ -31,8 +31,8 @@
 
     ``limit_per_s`` is how many requests per second it takes from all instances
     together, None if it names no limit. ``is_leaving`` means that it takes no
-    more requests soon. For ``pause_s`` from a refusal on, it wants no requests
-    from the instance that it refused.
+    more requests soon. With ``is_refusal`` it has not run the request; for
+    ``pause_s`` from then on, it wants none from the instance that it refused.
     """
 
     limit_per_s: float | None
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -243,7 +243,7 @@
 
 
 class Node:
-    """One instance; ``trouble_until_s`` is when it was last disturbed."""
+    """One instance, with its own clock and its own way to the store."""
 
     def __init__(self, fleet, name, incarnation):
         self.fleet = fleet
@@ -295,7 +295,6 @@
             running._allocator.run,
         ):
             running._tasks.keep_running('simulated', loop)
-        self.kept = []
 
     async def receive(self, message):
         await self.clock.wait_thawed()
