--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -18,11 +18,13 @@
     {
         # Requests. ``age_ms`` is the age of the configuration ``version`` that
         # the request was checked against, ``list_age_ms`` that of the list of
-        # replicas behind the last grant, when the request was sent.
+        # replicas behind the last grant, when the request was sent. The last
+        # attempt's response made progress at ``progress_ms``.
         REQUEST: _list_fields(
             'id route service customer rank status outcome reason replica '
             'sends runs excluded failure framing ending body_bytes '
-            'list_age_ms waited_ms first_ms total_ms version age_ms allocator'
+            'list_age_ms waited_ms first_ms progress_ms total_ms version '
+            'age_ms allocator'
         ),
         # Decisions of the allocator, at level DEBUG.
         'slot_granted': _list_fields(
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -24,6 +24,8 @@
     FAILED = 'failed'
     LOST = 'lost'
     INVALID = 'invalid'
+    SILENT = 'silent'
+    EXPIRED = 'deadline'
 
 
 class BufferedResponse(typing.NamedTuple):
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -446,16 +446,18 @@
 
     async def _wait_for_result(
         self, attempt: attempts.Attempt
-    ) -> attempts.Result | None:
-        """Return the result, None after the deadline or silence timeout."""
+    ) -> attempts.Result:
+        """Return the result, or that of a deadline or a silence."""
         while not attempt.done.done():
             silence_timeout_s = self._find_silence_timeout_s()
             now_s = self._deps.clock.read_monotonic()
             left_s = self._deadline_s - _RESPONSE_MARGIN_S - now_s
             silence_left_s = attempt.last_progress_s + silence_timeout_s - now_s
+            if left_s <= 0:
+                return attempts.Result.EXPIRED
+            if silence_left_s <= 0:
+                return attempts.Result.SILENT
             wait_s = min(left_s, silence_left_s)
-            if wait_s <= 0:
-                return None
             await asyncio.wait((attempt.done,), timeout=wait_s)
         return attempt.done.result()
 
@@ -473,7 +475,7 @@
         return max(route.objective_s, left_s * _PLAIN_SILENCE_RATIO)
 
     def _handle_result(
-        self, attempt: attempts.Attempt, outcome: attempts.Result | None
+        self, attempt: attempts.Attempt, outcome: attempts.Result
     ) -> slotmessages.Reading:
         record = self._record
         record.note_response(attempt)
@@ -498,7 +500,7 @@
                 attempt.first_byte_delay_s,
                 attempt.slowness,
             )
-        record.exclude(outcome.value if outcome else 'silent')
+        record.exclude(outcome.value)
         if outcome is attempts.Result.LOST and not attempt.has_body:
             self._note_lost()
         if outcome is attempts.Result.FAILED:
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -43,6 +43,7 @@
         self._framing = ''
         self._ending = ''
         self._body_bytes = 0
+        self._last_progress_s: float | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -59,6 +60,9 @@
         self._framing = attempt.framing.value if attempt.framing else ''
         self._ending = attempt.ending.value if attempt.ending else ''
         self._body_bytes = attempt.size_bytes
+        self._last_progress_s = (
+            attempt.last_progress_s if attempt.has_body else None
+        )
 
     def exclude(self, failure: str) -> None:
         """Exclude the current replica, which failed or rejected the request."""
@@ -93,6 +97,7 @@
             list_age_ms=_format_age(self.list_age_s),
             waited_ms=self._elapsed_ms(self.granted_s),
             first_ms=self._elapsed_ms(self.first_byte_s),
+            progress_ms=self._elapsed_ms(self._last_progress_s),
             total_ms=self._elapsed_ms(now_s),
             version=self.version,
             age_ms=_format_age(age_s),
--- a/tests/test_streampauses.py
+++ b/tests/test_streampauses.py
@@ -41,3 +41,29 @@
         runs = fleet.list_runs()
     assert response.is_complete
     assert len(runs) == 1
+
+
+@pytest.mark.parametrize(
+    ('attempts', 'failure'), [(1, 'deadline'), (2, 'silent')]
+)
+async def test_the_log_tells_a_deadline_from_a_silence(
+    attempts, failure, caplog
+):
+    caplog.set_level('INFO')
+    route = platformfleet.make_route(
+        'stream/short',
+        'streaming',
+        resumable=True,
+        max_attempts=attempts,
+        timeout_ms=2000,
+    )
+    async with platformfleet.running(replicas=1, routes=[route]) as fleet:
+        fleet.replicas['i-0'].event_gap_s = 3
+        await fleet.send('/stream/short/x', deadline_ms=2000)
+    (fields,) = [
+        record.fields
+        for record in caplog.records
+        if record.getMessage() == 'request'
+    ]
+    assert fields['failure'] == failure
+    assert 0 < fields['progress_ms'] < 1000 < fields['total_ms']
