--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -26,6 +26,11 @@
             'list_age_ms waited_ms first_ms progress_ms total_ms version '
             'age_ms allocator'
         ),
+        # A silent attempt is kept while another one is tried; the first of them
+        # to make progress ends the others.
+        'hedge_started': _list_fields('id replica silent_ms'),
+        'hedge_denied': _list_fields('id reason'),
+        'attempt_overtaken': _list_fields('id replica silent_ms'),
         # Decisions of the allocator, at level DEBUG.
         'slot_granted': _list_fields(
             'instance id sender replica share list_age_ms'
@@ -73,6 +78,7 @@
         'instance_stopped': _list_fields('instance cut'),
         'lines_dropped': _list_fields('count'),
         'handler_failed': _list_fields('exception'),
+        'hedge_failed': _list_fields('exception'),
         'loop_failed': _list_fields('loop exception'),
         'detached_failed': _list_fields('error'),
     }
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import client, messages, server
+from lavenderledge.http1 import messages, server
 from lavenderledge.proxy import events, headercodec
 
 # Plain responses up to this size are buffered until they are complete, so that
@@ -24,8 +24,8 @@
     FAILED = 'failed'
     LOST = 'lost'
     INVALID = 'invalid'
-    SILENT = 'silent'
     EXPIRED = 'deadline'
+    OVERTAKEN = 'overtaken'
 
 
 class BufferedResponse(typing.NamedTuple):
@@ -37,14 +37,18 @@
 
 
 class ResponseRelay:
-    """Relays the responses of all attempts of a request to its caller."""
+    """Relays the responses of all attempts of a request to its caller.
 
-    def __init__(
-        self, *, reply: server.Reply, splitter: events.EventSplitter | None
-    ) -> None:
-        """Relay to ``reply``; with a splitter, only complete events."""
+    If it is resumable, only complete events are relayed, and another attempt
+    may go on after ``last_event_id``.
+    """
+
+    def __init__(self, *, reply: server.Reply) -> None:
+        """Relay to ``reply``, as a response that can't be resumed."""
         self.reply = reply
-        self.splitter = splitter
+        self.is_resumable = False
+        self.last_event_id: str | None = None
+        self.source: Attempt | None = None
 
     def begin(self, head: messages.ResponseHead, *, is_stream: bool) -> None:
         """Relay the head of the first attempt.
@@ -59,21 +63,11 @@
             head.status, messages.list_end_to_end(head.fields), length=length
         )
 
-    def write(self, body: bytes) -> bool:
-        """Relay a part of the body; return whether it makes progress.
-
-        With a splitter, only an event does.
-        """
-        if self.splitter is not None:
-            body = self.splitter.feed(body)
-        self.reply.write(body)
-        return self.splitter is None or events.has_fields(body)
-
-    def finish(self) -> None:
-        """End the response as complete."""
-        if self.splitter is not None:
-            self.reply.write(self.splitter.flush())
-        self.reply.finish()
+    def build_splitter(self) -> events.EventSplitter | None:
+        """Return a splitter for an attempt that goes on with the response."""
+        if not self.is_resumable:
+            return None
+        return events.EventSplitter(last_id=self.last_event_id)
 
 
 class Attempt:
@@ -89,10 +83,12 @@
         bodiless: bool,
         clock: clocks.Clock,
         on_head: abc.Callable[[headercodec.ParsedResponse], None],
+        on_progress: 'abc.Callable[[Attempt], None]',
     ) -> None:
         """Wait for the response's head; ``bodiless`` means nothing else.
 
-        ``on_head`` gets the head of a response to this request.
+        ``on_head`` gets the head of a response to this request. ``on_progress``
+        is called before anything is relayed that only one attempt may relay.
         """
         self.done: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
@@ -113,6 +109,8 @@
         self._bodiless = bodiless
         self._clock = clock
         self._on_head = on_head
+        self._on_progress = on_progress
+        self._splitter = relay.build_splitter()
         self._head: messages.ResponseHead | None = None
         self._parsed: headercodec.ParsedResponse | None = None
         self._is_relaying = False
@@ -166,7 +164,12 @@
         """Set the result."""
         self.ending = ending
         if not self.done.done():
-            self.done.set_result(self._classify(ending))
+            self.end(self._classify(ending))
+
+    def end(self, result: Result) -> None:
+        """Set the result of an attempt that has none yet."""
+        if not self.done.done():
+            self.done.set_result(result)
 
     def _is_success(self) -> bool:
         assert self._head is not None
@@ -182,17 +185,30 @@
         if self._is_success():
             self._is_relaying = True
             self._relay_body(b''.join(self._chunks))
-        elif not self.done.done():
-            self.done.set_result(Result.INVALID)
+        else:
+            self.end(Result.INVALID)
         self._chunks.clear()
 
     def _relay_body(self, body: bytes) -> None:
         assert self._head is not None
         if self._is_stream:
             self._stream_end.feed(body)
+        splitter = self._splitter
+        if splitter is not None:
+            body = splitter.feed(body)
+        if splitter is None or events.has_fields(body):
+            self._make_progress()
+        elif not body or self._relay.source not in {None, self}:
+            return
         self._relay.begin(self._head, is_stream=self._is_stream)
-        if self._relay.write(body):
-            self.last_progress_s = self._clock.read_monotonic()
+        self._relay.reply.write(body)
+        if splitter is not None:
+            self._relay.last_event_id = splitter.last_id
+
+    def _make_progress(self) -> None:
+        self.last_progress_s = self._clock.read_monotonic()
+        self._relay.source = self
+        self._on_progress(self)
 
     def _classify(self, ending: messages.Ending) -> Result:
         if self._head is None or self._parsed is None:
@@ -209,6 +225,7 @@
             b''.join(self._chunks),
         )
         if self._is_success():
+            self._make_progress()
             return Result.DELIVERED
         succeeded = self._head.status // 100 == _SUCCESS_CLASS
         return Result.INVALID if succeeded else Result.FAILED
@@ -223,15 +240,9 @@
         is_cut = not self.has_body and not head.is_framed
         if is_cut and not self._bodiless:
             return Result.LOST
+        self._make_progress()
         self._relay.begin(head, is_stream=self._is_stream)
-        self._relay.finish()
+        if self._splitter is not None:
+            self._relay.reply.write(self._splitter.flush())
+        self._relay.reply.finish()
         return Result.DELIVERED
-
-
-def apply_backpressure(
-    connection: client.Connection, reply: server.Reply
-) -> None:
-    """Read from the replica only while the caller's connection is writable."""
-    reply.watch_writable(
-        lambda is_writable: connection.set_reading(value=is_writable)
-    )
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -65,10 +65,6 @@
             self.last_id = ids[-1].decode('latin-1')
         return complete
 
-    def discard_partial(self) -> None:
-        """Drop the partial event of an attempt that broke off."""
-        self._partial = b''
-
     def flush(self) -> bytes:
         """Return the partial event, at a regular end of the stream."""
         partial = self._partial
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -1,16 +1,17 @@
 """Handles one request: checks, places, sends, relays and may retry it."""
 
-import asyncio
+import logging
 import typing
 from collections import abc
 
 from lavenderledge import clock as clocks
+from lavenderledge import logs
 from lavenderledge.controllers import caches, slotallocator, slotrequester
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
 from lavenderledge.policy import crashevidence, retrybudget, routes
-from lavenderledge.proxy import attempts, events, headercodec, requestrecord
+from lavenderledge.proxy import attempts, headercodec, hedging, requestrecord
 
 # A final response is sent this long before the request's deadline.
 _RESPONSE_MARGIN_S: typing.Final = 0.03
@@ -30,8 +31,8 @@
 _GRANT_LIFETIME_S: typing.Final = 0.6
 # The timeout of a request without a deadline.
 _DEFAULT_TIMEOUT_S: typing.Final = 60.0
-# A replica without an event for this long counts as hung, and a repeatable
-# request is retried at another. Callers leave streams after 2 s or later.
+# A replica without an event for this long may be hung, and a repeatable
+# request is tried at another as well. Callers leave streams after 2 s or later.
 _STREAM_SILENCE_TIMEOUT_S: typing.Final = 1.2
 # The same as a fraction of the time after which the route's callers leave, for
 # routes whose callers wait longer.
@@ -42,6 +43,8 @@
 _MAX_EXCLUDED: typing.Final = 4
 # Retry-After in responses to callers if there is no better estimate.
 _DEFAULT_RETRY_AFTER_S: typing.Final = 1.0
+_MILLISECONDS: typing.Final = 1000
+_LOGGER = logging.getLogger(__name__)
 
 Ending: typing.TypeAlias = requestrecord.Ending
 
@@ -100,7 +103,10 @@
         self._record = requestrecord.RequestRecord(
             request_id=parsed.request_id, started_s=request.received_s
         )
-        self._relay = attempts.ResponseRelay(reply=reply, splitter=None)
+        self._relay = attempts.ResponseRelay(reply=reply)
+        self._running = hedging.RunningAttempts()
+        self._hedges = hedging.Hedges()
+        self._slot_count = 0
         self._match: routes.RouteMatch | None = None
         self._buffered: attempts.BufferedResponse | None = None
         self._last_progress_s = request.received_s
@@ -116,12 +122,14 @@
         if not self._check_configuration():
             return
         self._apply_route()
-        while not self.is_finished and self._check_quarantine():
-            decision = await self._acquire()
-            if decision.is_error():
-                self._handle_refusal(decision.error)
-                return
-            await self._try_slot(decision.ok)
+        try:
+            while not self.is_finished and self._check_quarantine():
+                await self._try_replica()
+                if self.is_finished:
+                    self._hedges.cancel_preparation()
+                await self._hedges.finish()
+        finally:
+            await self._hedges.cancel()
 
     def log(self, ending: Ending) -> None:
         """Log and count the request."""
@@ -145,13 +153,14 @@
     def refuse(
         self, status: int, reason: str, retry_after_s: float | None
     ) -> None:
-        """Send an error as the final response.
+        """Send an error as the final response, unless one may still come.
 
         A request that may have run never gets a status that means "not run".
         """
+        if self._may_be_answered(reason):
+            return
         if self._relay.reply.started:
-            self.log(Ending(messages.OK, 'broken_off', reason))
-            self._relay.reply.abort()
+            self._break_off(reason)
             return
         if self._record.may_have_run and _means_not_run(status):
             status = messages.BAD_GATEWAY
@@ -168,8 +177,9 @@
         """End the request now; whether it has run is not known."""
         if self.is_finished:
             return
+        self._hedges.cancel_preparation()
         if self._relay.reply.started:
-            self.refuse(messages.GATEWAY_TIMEOUT, reason, None)
+            self._break_off(reason)
             return
         fields = self._deps.header_codec.build_local_fields(
             self._parsed.request_id, None
@@ -178,6 +188,24 @@
         self.log(Ending(messages.GATEWAY_TIMEOUT, 'unknown', reason))
         self._relay.reply.send(messages.GATEWAY_TIMEOUT, fields, b'')
 
+    def _break_off(self, reason: str) -> None:
+        """Abort a response that has begun and can't be completed."""
+        self.log(Ending(messages.OK, 'broken_off', reason))
+        self._relay.reply.abort()
+
+    def _may_be_answered(self, reason: str) -> bool:
+        """Return whether a response was given, or may come from a replica.
+
+        Then ``reason`` only keeps another attempt from being sent.
+        """
+        if self.is_finished:
+            return True
+        if not self._running:
+            return False
+        self._deps.metrics.count('hedges', outcome='denied')
+        self._write_event('hedge_denied', reason=reason)
+        return True
+
     def _check_configuration(self) -> bool:
         """Check the request by the current configuration; False if refused."""
         cache = self._deps.configuration
@@ -192,14 +220,17 @@
                 path=self._parsed.path,
                 key=self._parsed.key,
             )
-            self._record.version = current.version
             if isinstance(outcome, routes.Rejection):
-                self._reject(outcome)
+                self._reject(outcome, current.version)
                 return False
+            self._record.version = current.version
             self._set_match(outcome)
         return self._check_age()
 
-    def _reject(self, rejection: routes.Rejection) -> None:
+    def _reject(self, rejection: routes.Rejection, version: int) -> None:
+        if self._may_be_answered(rejection.value):
+            return
+        self._record.version = version
         age_s = self._deps.configuration.age_s()
         if age_s > self._deps.age_limits.max_apply_age_s:
             self.refuse(messages.UNAVAILABLE, 'stale_configuration', None)
@@ -253,13 +284,12 @@
             self._caller_deadline_s, self._record.started_s + route.timeout_s
         )
         if route.route_type is routes.RouteType.STREAM_RESUMABLE:
-            self._relay.splitter = events.EventSplitter(
-                last_id=self._parsed.last_event_id
-            )
+            self._relay.is_resumable = True
+            self._relay.last_event_id = self._parsed.last_event_id
         budget = self._deps.budgets.find(self._record.service)
         budget.note_request(self._deps.clock.read_monotonic())
 
-    def _build_spec(self) -> slotmessages.RequestSpec:
+    def _build_spec(self, slot_id: str) -> slotmessages.RequestSpec:
         match = self._get_match()
         now_s = self._deps.clock.read_monotonic()
         record = self._record
@@ -269,7 +299,7 @@
             # The caller already has a part, and leaves if no more follows.
             due_s = self._last_progress_s + match.route.max_silence_s
         return slotmessages.RequestSpec(
-            request_id=record.request_id,
+            request_id=slot_id,
             service=record.service,
             customer=record.customer,
             tier=match.rank,
@@ -277,13 +307,30 @@
             objective_left_s=due_s - now_s,
             remaining_s=self._find_start_deadline_s() - now_s,
             cost=self._compute_cost() if is_first else 0,
-            excluded=tuple(record.excluded),
+            excluded=(*self._running.replicas, *record.excluded),
             parts=self._parsed.shared_parts,
         )
 
-    async def _acquire(self) -> slotrequester.Decision:
+    async def _try_replica(self) -> None:
+        """Send the request to a replica, if one is granted."""
+        slot_id = self._name_slot()
+        decision = await self._acquire(slot_id)
+        if decision.is_error():
+            self._handle_refusal(decision.error)
+        else:
+            await self._try_slot(slot_id, decision.ok)
+
+    def _name_slot(self) -> str:
+        """Return a name for the next slot: a request may hold several."""
+        number = self._slot_count
+        self._slot_count += 1
+        request_id = self._parsed.request_id
+        return f'{request_id}/{number}' if number else request_id
+
+    async def _acquire(self, slot_id: str) -> slotrequester.Decision:
         requested_s = self._deps.clock.read_monotonic()
-        decision = await self._deps.requester.acquire(self._build_spec())
+        spec = self._build_spec(slot_id)
+        decision = await self._deps.requester.acquire(spec)
         self._deps.metrics.observe(
             'waiting',
             self._deps.clock.read_monotonic() - requested_s,
@@ -295,7 +342,8 @@
         """Return the time after which starting the request is useless."""
         route = self._get_match().route
         deadline_s = self._deadline_s - _RESPONSE_MARGIN_S
-        if not route.route_type.is_stream or self._record.runs:
+        may_have_run = self._record.may_have_run or self._running
+        if not route.route_type.is_stream or may_have_run:
             return deadline_s
         leave_s = self._record.started_s + route.max_silence_s
         return min(deadline_s, leave_s - _LEAVE_MARGIN_S)
@@ -310,7 +358,7 @@
             return self._parsed.prompt_tokens + self._parsed.output_tokens
         return customer.default_cost
 
-    async def _try_slot(self, slot: slotrequester.Slot) -> None:
+    async def _try_slot(self, slot_id: str, slot: slotrequester.Slot) -> None:
         """Use a slot and release it with a reading of the replica."""
         if self._record.granted_s is None:
             self._record.granted_s = slot.granted_s
@@ -318,15 +366,14 @@
         try:
             reading = await self._use_slot(slot)
         finally:
-            self._deps.requester.release(
-                self._parsed.request_id, reading=reading
-            )
+            self._deps.requester.release(slot_id, reading=reading)
 
     async def _use_slot(
         self, slot: slotrequester.Slot
     ) -> slotmessages.Reading | None:
         """Send the request to a replica; return a reading if it was tried."""
-        self._record.replica = slot.replica
+        if not self._running:
+            self._record.replica = slot.replica
         repeatable = self._get_match().route.route_type.is_repeatable
         opened = await self._deps.pool.open(
             slot.address,
@@ -336,7 +383,7 @@
             else _ONCE_MAX_IDLE_S,
         )
         if opened.is_error():
-            self._record.exclude('connect_failed')
+            self._record.exclude(slot.replica, 'connect_failed')
             self._check_exclusions()
             return _build_reading(slotallocator.REFUSED)
         try:
@@ -352,20 +399,18 @@
             slot.replica, slot.list_confirmed_s
         )
         if not is_usable:
-            self._record.exclude('has_left')
+            self._record.exclude(slot.replica, 'has_left')
             return None
         if not connection.is_open or not self._may_send(slot):
             return None
-        attempt = self._send(connection, slot)
+        run = self._send(connection, slot)
         try:
-            outcome = await self._wait_for_result(attempt)
+            outcome = await self._wait_for_result(run)
         finally:
-            if not attempt.done.done():
-                connection.abort()
-            if not attempt.is_identified:
-                # Its refusal, if repeated, would be taken for the next one's.
-                connection.prevent_reuse()
-        return self._handle_result(attempt, outcome)
+            self._running.end(run)
+        if outcome is attempts.Result.OVERTAKEN:
+            return self._handle_overtaken(run)
+        return self._handle_result(run, outcome)
 
     def _may_send(self, slot: slotrequester.Slot) -> bool:
         """Check, right before sending, whatever may have changed.
@@ -407,15 +452,15 @@
 
     def _send(
         self, connection: client.Connection, slot: slotrequester.Slot
-    ) -> attempts.Attempt:
+    ) -> hedging.Run:
         now_s = self._deps.clock.read_monotonic()
+        self._hedges.note_sent()
+        self._record.replica = slot.replica
         self._record.sends += 1
         self._record.list_age_s = now_s - slot.list_confirmed_s
-        splitter = self._relay.splitter
         last_id = self._parsed.last_event_id
-        if splitter is not None:
-            splitter.discard_partial()
-            last_id = splitter.last_id
+        if self._relay.is_resumable:
+            last_id = self._relay.last_event_id
         bodiless = self._request.method == b'HEAD'
         attempt = attempts.Attempt(
             request=self._parsed,
@@ -427,14 +472,20 @@
             on_head=lambda response: self._deps.requester.note_notice(
                 slot.upstream, response.notice
             ),
+            on_progress=self._note_progress,
         )
+        run = hedging.Run(attempt, connection, slot.replica)
+        self._running.add(run)
         context = headercodec.ForwardContext(
             replica=slot.replica,
             customer=self._record.customer or None,
             remaining_s=self._deadline_s - now_s,
             last_event_id=last_id,
         )
-        attempts.apply_backpressure(connection, self._relay.reply)
+        # Read from the replicas only while the caller's connection is writable.
+        self._relay.reply.watch_writable(
+            lambda is_writable: self._running.set_reading(value=is_writable)
+        )
         connection.begin(
             self._deps.header_codec.build_upstream_request(
                 self._request, context
@@ -442,29 +493,62 @@
             attempt,
             bodiless=bodiless,
         )
-        return attempt
-
-    async def _wait_for_result(
-        self, attempt: attempts.Attempt
-    ) -> attempts.Result:
-        """Return the result, or that of a deadline or a silence."""
-        while not attempt.done.done():
-            silence_timeout_s = self._find_silence_timeout_s()
+        return run
+
+    def _note_progress(self, attempt: attempts.Attempt) -> None:
+        """Go on with an attempt alone."""
+        self._last_progress_s = attempt.last_progress_s
+        self._hedges.cancel_preparation()
+        self._running.end_others(attempt)
+
+    async def _wait_for_result(self, run: hedging.Run) -> attempts.Result:
+        """Return the result; start another attempt if this one is silent.
+
+        Its result is not known yet at the request's deadline.
+        """
+        done = run.attempt.done
+        while not done.done():
             now_s = self._deps.clock.read_monotonic()
             left_s = self._deadline_s - _RESPONSE_MARGIN_S - now_s
-            silence_left_s = attempt.last_progress_s + silence_timeout_s - now_s
             if left_s <= 0:
                 return attempts.Result.EXPIRED
-            if silence_left_s <= 0:
-                return attempts.Result.SILENT
-            wait_s = min(left_s, silence_left_s)
-            await asyncio.wait((attempt.done,), timeout=wait_s)
-        return attempt.done.result()
+            hedge_in_s = self._find_hedge_s(run) - now_s
+            if hedge_in_s <= 0:
+                self._start_hedge(run, now_s)
+            else:
+                await self._hedges.wait(done, timeout_s=min(left_s, hedge_in_s))
+        return done.result()
+
+    def _start_hedge(self, run: hedging.Run, now_s: float) -> None:
+        self._deps.metrics.count('hedges', outcome='started')
+        self._write_event(
+            'hedge_started',
+            replica=run.replica,
+            silent_ms=round(
+                (now_s - run.attempt.last_progress_s) * _MILLISECONDS
+            ),
+        )
+        self._hedges.start(self._try_replica(), now_s)
+
+    def _find_hedge_s(self, run: hedging.Run) -> float:
+        """Return when another attempt is due, unless this one goes on."""
+        if self._hedges.is_preparing or not self._running.is_newest(run):
+            return float('inf')
+        if self.is_finished or not self._may_repeat():
+            return float('inf')
+        silent_s = run.attempt.last_progress_s + self._find_silence_timeout_s()
+        return max(silent_s, self._hedges.next_s)
+
+    def _may_repeat(self) -> bool:
+        """Return whether another attempt may be sent beside those running."""
+        return (
+            self._is_repeatable()
+            and self._has_attempts_left()
+            and len(self._record.excluded) < _MAX_EXCLUDED
+        )
 
     def _find_silence_timeout_s(self) -> float:
         route = self._get_match().route
-        if not self._is_repeatable() or not self._has_attempts_left(1):
-            return float('inf')
         if route.route_type.is_stream:
             return max(
                 _STREAM_SILENCE_TIMEOUT_S,
@@ -474,13 +558,31 @@
         left_s = self._deadline_s - self._deps.clock.read_monotonic()
         return max(route.objective_s, left_s * _PLAIN_SILENCE_RATIO)
 
+    def _handle_overtaken(
+        self, run: hedging.Run
+    ) -> slotmessages.Reading | None:
+        """Return a reading only if the attempt was ended for its silence."""
+        self._record.runs += 1
+        silent_s = (
+            self._deps.clock.read_monotonic() - run.attempt.last_progress_s
+        )
+        was_silent = silent_s >= self._find_silence_timeout_s()
+        self._write_event(
+            'attempt_overtaken',
+            replica=run.replica,
+            silent_ms=round(silent_s * _MILLISECONDS),
+        )
+        if not was_silent:
+            return None
+        self._record.exclude(run.replica, 'silent')
+        return _build_reading(slotallocator.FAILED)
+
     def _handle_result(
-        self, attempt: attempts.Attempt, outcome: attempts.Result
+        self, run: hedging.Run, outcome: attempts.Result
     ) -> slotmessages.Reading:
         record = self._record
+        attempt = run.attempt
         record.note_response(attempt)
-        if attempt.has_body:
-            self._last_progress_s = attempt.last_progress_s
         if attempt.has_body:
             self._deps.metrics.observe(
                 'upstream_first_byte', attempt.first_byte_delay_s
@@ -489,20 +591,21 @@
                 attempt.started_s + attempt.first_byte_delay_s
             )
         if outcome is attempts.Result.NOT_RUN:
-            record.exclude(f'not_run_{attempt.status}')
+            record.exclude(run.replica, f'not_run_{attempt.status}')
             self._check_exclusions()
             return _build_reading(slotallocator.REFUSED)
         record.runs += 1
         if outcome is attempts.Result.DELIVERED:
+            record.replica = run.replica
             self._finish_response(attempt)
             return slotmessages.Reading(
                 slotallocator.ANSWERED,
                 attempt.first_byte_delay_s,
                 attempt.slowness,
             )
-        record.exclude(outcome.value)
+        record.exclude(run.replica, outcome.value)
         if outcome is attempts.Result.LOST and not attempt.has_body:
-            self._note_lost()
+            self._note_lost(run.replica)
         if outcome is attempts.Result.FAILED:
             self._buffered = attempt.buffered
         self._retry_or_fail()
@@ -511,7 +614,7 @@
             slotallocator.ERROR if has_responded else slotallocator.FAILED
         )
 
-    def _note_lost(self) -> None:
+    def _note_lost(self, replica: str) -> None:
         """Report a run whose prompt may have crashed its replica."""
         if not self._shared_parts:
             return
@@ -519,7 +622,7 @@
             crashevidence.LostRun(
                 self._record.request_id,
                 self._record.service,
-                self._record.replica,
+                replica,
                 self._shared_parts,
                 self._deps.clock.read_monotonic(),
             )
@@ -539,26 +642,27 @@
 
     def _retry_or_fail(self) -> None:
         """Leave the request to another attempt, or send a final response."""
+        if self._running:
+            return
         now_s = self._deps.clock.read_monotonic()
         in_time = now_s < self._deadline_s - _RESPONSE_MARGIN_S
-        if in_time and self._is_repeatable() and self._has_attempts_left(0):
+        if in_time and self._is_repeatable() and self._has_attempts_left():
             return
         self._give_up('upstream' if in_time else 'deadline')
 
     def _is_repeatable(self) -> bool:
         """Return whether another run can still give the caller a response.
 
-        Once a part was relayed, only a stream can go on.
+        Once a part was relayed, only a resumable stream can go on.
         """
         route_type = self._get_match().route.route_type
-        is_relayed = self._relay.reply.started
         return route_type.is_repeatable and (
-            route_type.is_stream or not is_relayed
+            self._relay.is_resumable or not self._relay.reply.started
         )
 
-    def _has_attempts_left(self, pending: int) -> bool:
+    def _has_attempts_left(self) -> bool:
         max_attempts = self._get_match().route.max_attempts
-        return self._record.runs + pending < max_attempts
+        return self._record.runs + len(self._running) < max_attempts
 
     def _check_exclusions(self) -> None:
         """Fail a request that too many replicas have rejected."""
@@ -575,6 +679,8 @@
 
     def _give_up(self, reason: str, retry_after_s: float = 0) -> None:
         """Send the final response, depending on whether it may have run."""
+        if self._may_be_answered(reason):
+            return
         buffered = self._buffered
         unsent = not self._relay.reply.started
         if buffered and unsent and not _means_not_run(buffered.status):
@@ -593,6 +699,9 @@
                 retry_after_s or _DEFAULT_RETRY_AFTER_S,
             )
 
+    def _write_event(self, event: str, **fields: typing.Any) -> None:
+        logs.write_event(_LOGGER, event, id=self._parsed.request_id, **fields)
+
 
 def _build_reading(outcome: int) -> slotmessages.Reading:
     return slotmessages.Reading(outcome, 0, 0)
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -64,9 +64,9 @@
             attempt.last_progress_s if attempt.has_body else None
         )
 
-    def exclude(self, failure: str) -> None:
-        """Exclude the current replica, which failed or rejected the request."""
-        self.excluded.append(self.replica)
+    def exclude(self, replica: str, failure: str) -> None:
+        """Exclude a replica that failed or rejected the request."""
+        self.excluded.append(replica)
         self.last_failure = failure
 
     def write(
