--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -524,9 +524,7 @@
         self._write_event(
             'hedge_started',
             replica=run.replica,
-            silent_ms=round(
-                (now_s - run.attempt.last_progress_s) * _MILLISECONDS
-            ),
+            silent_ms=round(self._find_silence_s(run.attempt) * _MILLISECONDS),
         )
         self._hedges.start(self._try_replica(), now_s)
 
@@ -547,6 +545,13 @@
             and len(self._record.excluded) < _MAX_EXCLUDED
         )
 
+    def _is_silent(self, attempt: attempts.Attempt) -> bool:
+        silence_s = self._find_silence_s(attempt)
+        return silence_s >= self._find_silence_timeout_s()
+
+    def _find_silence_s(self, attempt: attempts.Attempt) -> float:
+        return self._deps.clock.read_monotonic() - attempt.last_progress_s
+
     def _find_silence_timeout_s(self) -> float:
         route = self._get_match().route
         if route.route_type.is_stream:
@@ -563,23 +568,20 @@
     ) -> slotmessages.Reading | None:
         """Return a reading only if the attempt was ended for its silence."""
         self._record.runs += 1
-        silent_s = (
-            self._deps.clock.read_monotonic() - run.attempt.last_progress_s
-        )
-        was_silent = silent_s >= self._find_silence_timeout_s()
+        silent_s = self._find_silence_s(run.attempt)
         self._write_event(
             'attempt_overtaken',
             replica=run.replica,
             silent_ms=round(silent_s * _MILLISECONDS),
         )
-        if not was_silent:
+        if not self._is_silent(run.attempt):
             return None
         self._record.exclude(run.replica, 'silent')
         return _build_reading(slotallocator.FAILED)
 
     def _handle_result(
         self, run: hedging.Run, outcome: attempts.Result
-    ) -> slotmessages.Reading:
+    ) -> slotmessages.Reading | None:
         record = self._record
         attempt = run.attempt
         record.note_response(attempt)
@@ -609,10 +611,13 @@
         if outcome is attempts.Result.FAILED:
             self._buffered = attempt.buffered
         self._retry_or_fail()
-        has_responded = outcome is attempts.Result.FAILED
-        return _build_reading(
-            slotallocator.ERROR if has_responded else slotallocator.FAILED
-        )
+        if outcome is attempts.Result.FAILED:
+            return _build_reading(slotallocator.ERROR)
+        is_expired = outcome is attempts.Result.EXPIRED
+        if is_expired and attempt.has_body and not self._is_silent(attempt):
+            # The time was too short for a replica that still went on.
+            return None
+        return _build_reading(slotallocator.FAILED)
 
     def _note_lost(self, replica: str) -> None:
         """Report a run whose prompt may have crashed its replica."""
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -116,3 +116,16 @@
         response = await fleet.send('/stream/paused/x', deadline_ms=7000)
     assert response.status == messages.GATEWAY_TIMEOUT
     assert len(fleet.list_runs()) == 3
+
+
+async def test_a_replica_is_not_reported_lost_for_its_callers_short_deadlines(
+    caplog,
+):
+    caplog.set_level('INFO')
+    async with platformfleet.running(replicas=1) as fleet:
+        fleet.replicas['i-0'].event_gap_s = 0.3
+        for _ in range(3):
+            await fleet.send('/stream/x', deadline_ms=1000)
+    events = [record.getMessage() for record in caplog.records]
+    assert events.count('request') == 3
+    assert 'upstream_lost' not in events
