--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -104,7 +104,7 @@
             request_id=parsed.request_id, started_s=request.received_s
         )
         self._relay = attempts.ResponseRelay(reply=reply)
-        self._running = hedging.RunningAttempts()
+        self._running = hedging.RunningAttempts(clock=deps.clock)
         self._hedges = hedging.Hedges()
         self._slot_count = 0
         self._match: routes.RouteMatch | None = None
@@ -512,7 +512,7 @@
             left_s = self._deadline_s - _RESPONSE_MARGIN_S - now_s
             if left_s <= 0:
                 return attempts.Result.EXPIRED
-            hedge_in_s = self._find_hedge_s(run) - now_s
+            hedge_in_s = self._find_hedge_s(run, now_s) - now_s
             if hedge_in_s <= 0:
                 self._start_hedge(run, now_s)
             else:
@@ -524,18 +524,19 @@
         self._write_event(
             'hedge_started',
             replica=run.replica,
-            silent_ms=round(self._find_silence_s(run.attempt) * _MILLISECONDS),
+            silent_ms=round(self._running.find_silence_s(run) * _MILLISECONDS),
         )
         self._hedges.start(self._try_replica(), now_s)
 
-    def _find_hedge_s(self, run: hedging.Run) -> float:
+    def _find_hedge_s(self, run: hedging.Run, now_s: float) -> float:
         """Return when another attempt is due, unless this one goes on."""
         if self._hedges.is_preparing or not self._running.is_newest(run):
             return float('inf')
         if self.is_finished or not self._may_repeat():
             return float('inf')
-        silent_s = run.attempt.last_progress_s + self._find_silence_timeout_s()
-        return max(silent_s, self._hedges.next_s)
+        silence_s = self._running.find_silence_s(run)
+        left_s = self._find_silence_timeout_s() - silence_s
+        return max(now_s + left_s, self._hedges.next_s)
 
     def _may_repeat(self) -> bool:
         """Return whether another attempt may be sent beside those running."""
@@ -545,13 +546,10 @@
             and len(self._record.excluded) < _MAX_EXCLUDED
         )
 
-    def _is_silent(self, attempt: attempts.Attempt) -> bool:
-        silence_s = self._find_silence_s(attempt)
+    def _is_silent(self, run: hedging.Run) -> bool:
+        silence_s = self._running.find_silence_s(run)
         return silence_s >= self._find_silence_timeout_s()
 
-    def _find_silence_s(self, attempt: attempts.Attempt) -> float:
-        return self._deps.clock.read_monotonic() - attempt.last_progress_s
-
     def _find_silence_timeout_s(self) -> float:
         route = self._get_match().route
         if route.route_type.is_stream:
@@ -568,13 +566,13 @@
     ) -> slotmessages.Reading | None:
         """Return a reading only if the attempt was ended for its silence."""
         self._record.runs += 1
-        silent_s = self._find_silence_s(run.attempt)
+        silent_s = self._running.find_silence_s(run)
         self._write_event(
             'attempt_overtaken',
             replica=run.replica,
             silent_ms=round(silent_s * _MILLISECONDS),
         )
-        if not self._is_silent(run.attempt):
+        if not self._is_silent(run):
             return None
         self._record.exclude(run.replica, 'silent')
         return _build_reading(slotallocator.FAILED)
@@ -614,7 +612,7 @@
         if outcome is attempts.Result.FAILED:
             return _build_reading(slotallocator.ERROR)
         is_expired = outcome is attempts.Result.EXPIRED
-        if is_expired and attempt.has_body and not self._is_silent(attempt):
+        if is_expired and attempt.has_body and not self._is_silent(run):
             # The time was too short for a replica that still went on.
             return None
         return _build_reading(slotallocator.FAILED)
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -9,6 +9,7 @@
 import typing
 from collections import abc
 
+from lavenderledge import clock as clocks
 from lavenderledge.http1 import client
 from lavenderledge.proxy import attempts
 
@@ -28,9 +29,12 @@
 class RunningAttempts:
     """The running attempts of a request, the oldest first."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: clocks.Clock) -> None:
         """Start without attempts."""
+        self._clock = clock
         self._runs: list[Run] = []
+        self._is_reading = True
+        self._reading_since_s = float('-inf')
 
     def __len__(self) -> int:
         """Return how many attempts are running."""
@@ -42,8 +46,9 @@
         return tuple(run.replica for run in self._runs)
 
     def add(self, run: Run) -> None:
-        """Add an attempt that has been sent."""
+        """Add an attempt that is about to be sent."""
         self._runs.append(run)
+        run.connection.set_reading(value=self._is_reading)
 
     def end(self, run: Run) -> None:
         """Remove an attempt; abort its connection if it has no result."""
@@ -65,8 +70,20 @@
                 run.attempt.end(attempts.Result.OVERTAKEN)
                 run.connection.abort()
 
+    def find_silence_s(self, run: Run) -> float:
+        """Return for how long an attempt has made no progress, in seconds.
+
+        Time in which nothing is read from the replicas does not count.
+        """
+        if not self._is_reading:
+            return 0
+        since_s = max(run.attempt.last_progress_s, self._reading_since_s)
+        return self._clock.read_monotonic() - since_s
+
     def set_reading(self, *, value: bool) -> None:
         """Resume or pause reading from all replicas."""
+        self._is_reading = value
+        self._reading_since_s = self._clock.read_monotonic()
         for run in self._runs:
             run.connection.set_reading(value=value)
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -129,3 +129,39 @@
     events = [record.getMessage() for record in caplog.records]
     assert events.count('request') == 3
     assert 'upstream_lost' not in events
+
+
+async def test_a_caller_that_reads_slowly_does_not_make_its_replica_silent():
+    async with platformfleet.running(replicas=2, routes=make_routes()) as fleet:
+        for replica in fleet.replicas.values():
+            replica.events = 3
+            replica.event_gap_s = 0.2
+        response, _ = await fleet.begin('/stream/paused/x', deadline_ms=12000)
+        await platformfleet.wait_until(lambda: response.body)
+        listener = fleet.instances['entry-0']._caller_listener
+        (connection,) = listener.connections
+        connection.pause_writing()
+        await asyncio.sleep(2.5)
+        connection.resume_writing()
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+        runs = fleet.list_runs()
+    assert response.body == EVENTS
+    assert runs == ['r-1']
+
+
+async def test_a_caller_that_reads_again_gets_events_of_another_run():
+    async with platformfleet.running(replicas=4, routes=make_routes()) as fleet:
+        for replica in fleet.replicas.values():
+            replica.events = 3
+            replica.event_gap_s = 10
+        response, _ = await fleet.begin('/stream/paused/x', deadline_ms=12000)
+        await platformfleet.wait_until(lambda: response.body)
+        listener = fleet.instances['entry-0']._caller_listener
+        (connection,) = listener.connections
+        connection.pause_writing()
+        await asyncio.sleep(1.5)
+        connection.resume_writing()
+        for replica in fleet.replicas.values():
+            replica.event_gap_s = 0.005
+        await asyncio.wait_for(response.done, 6)
+    assert response.body == EVENTS
