--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import typing
 
 from tests import platformstore
 
@@ -10,6 +11,16 @@
 TRICKLES = {'comments': b': \n\n', 'bytes': b'd'}
 
 
+class Pause(typing.NamedTuple):
+    """An action: a sound replica is silent for a while and goes on.
+
+    ``after`` is the number of events, or parts of a plain body, before it.
+    """
+
+    after: int
+    seconds: float
+
+
 class Replica:
     """One replica; ``script`` holds its actions for the next requests.
 
@@ -19,7 +30,9 @@
     after an event, but sends comments or single bytes), ``unsigned`` (no seal),
     ``twice``
     (sends a second response), ``promise`` (runs, but sends a 503 that means
-    "not run"). With an empty script it does ``default_action``. A prompt with
+    "not run"), or a ``Pause``. With an empty script it does
+    ``default_action``; ``choose``, if set, gets each request that could run
+    and returns its action instead of both. A prompt with
     ``poison_part`` crashes it when it begins to answer; it is back after
     ``DOWN_S``. ``notices`` are header fields that it adds to its answers.
     """
@@ -39,6 +52,7 @@
         self.events = events
         self.event_gap_s = event_gap_s
         self.script = collections.deque()
+        self.choose = None
         self.runs = []
         self.received = []
         self.arrivals_s = []
@@ -82,7 +96,7 @@
         if expected != self.name:
             reply.send(421, ((b'Instance-Id', self.name.encode()),), b'')
             return
-        action = self.script.popleft() if self.script else self.default_action
+        action = self._choose_action(request)
         if action == 'full':
             reply.send(503, ((b'Not-Executed', b'1'), *self.notices), b'')
             return
@@ -101,6 +115,11 @@
         finally:
             self.running -= 1
 
+    def _choose_action(self, request):
+        if self.choose is not None:
+            return self.choose(request)
+        return self.script.popleft() if self.script else self.default_action
+
     async def _run(self, action, request, reply, request_id):
         response_fields = [
             (b'Attempt-Id', request_id.encode()),
@@ -112,6 +131,8 @@
             await asyncio.Event().wait()
         if self.work_s:
             await asyncio.sleep(self.work_s)
+        if isinstance(action, Pause) and not action.after:
+            await asyncio.sleep(action.seconds)
         if self.poison_part in (request.fields.find(b'prompt-prefix') or b''):
             self._crash()
             return
@@ -126,7 +147,7 @@
         elif b'/stream' in request.target:
             await self._stream(action, request, reply, response_fields)
         else:
-            self._respond(action, reply, response_fields, request_id)
+            await self._respond(action, reply, response_fields, request_id)
 
     def _crash(self):
         loop = asyncio.get_running_loop()
@@ -136,8 +157,15 @@
         for connection in tuple(self.listener.connections):
             connection.abort()
 
-    def _respond(self, action, reply, response_fields, request_id):
+    async def _respond(self, action, reply, response_fields, request_id):
         body = f'{self.name} ran {request_id}'.encode()
+        if isinstance(action, Pause) and action.after:
+            reply.start(200, response_fields, length=len(body))
+            reply.write(body[:4])
+            await asyncio.sleep(action.seconds)
+            reply.write(body[4:])
+            reply.finish()
+            return
         if action == 'cut':
             reply.start(200, response_fields, length=len(body))
             reply.write(body[:4])
@@ -163,4 +191,6 @@
                 await asyncio.sleep(0.2)
                 reply.write(TRICKLES[action])
             await asyncio.sleep(self.event_gap_s)
+            if isinstance(action, Pause) and number == action.after:
+                await asyncio.sleep(action.seconds)
         reply.finish()
--- /dev/null
+++ b/tests/test_secondruns.py
@@ -0,0 +1,168 @@
+"""A silent but sound run is kept, whatever another run meets.
+
+A replica may fall silent for a second or so and go on. The instance may begin
+another run meanwhile, but the caller gets its answer also if that one can't
+be had, or fails.
+"""
+
+import asyncio
+import typing
+
+import pytest
+
+from tests import platformfleet, platformreplica, test_streampauses
+
+
+class Kind(typing.NamedTuple):
+    """A request whose first run is silent for ``pause.seconds``."""
+
+    route: str
+    route_type: str
+    timeout_ms: int
+    pause: platformreplica.Pause
+
+
+class Obstacle(typing.NamedTuple):
+    """What another run meets.
+
+    ``second`` is what a replica does with the second request that it could
+    run. ``meanwhile`` is called with the fleet while the first run is silent.
+    """
+
+    replicas: int = 2
+    second: str = 'ok'
+    meanwhile: typing.Any = None
+    settings: typing.Any = ()
+
+
+KINDS = {
+    'stream amid its events': Kind(
+        'stream/long', 'streaming', 6000, platformreplica.Pause(1, 1.6)
+    ),
+    'stream before its first event': Kind(
+        'stream/long', 'streaming', 6000, platformreplica.Pause(0, 1.7)
+    ),
+    'safe': Kind('safe/long', 'safe', 3000, platformreplica.Pause(0, 1.6)),
+}
+
+
+def build_configuration(kind, version=1, **changes):
+    route = platformfleet.make_route(
+        kind.route,
+        kind.route_type,
+        resumable=kind.route_type == 'streaming',
+        timeout_ms=kind.timeout_ms,
+        max_attempts=3,
+    )
+    return platformfleet.make_configuration(
+        version, **{'routes': [route], **changes}
+    )
+
+
+async def write_version(fleet, configuration):
+    fleet.store.write('op/config', configuration)
+    watcher = fleet.instances['entry-0']._watcher
+    await platformfleet.wait_until(
+        lambda: watcher.read_version() == configuration['version']
+    )
+
+
+async def remove_route(fleet, kind):
+    other = platformfleet.make_route('other', kind.route_type)
+    await write_version(fleet, build_configuration(kind, 2, routes=[other]))
+
+
+async def remove_key(fleet, kind):
+    tenant = platformfleet.make_configuration()['tenants'][0]
+    tenants = [{**tenant, 'api_keys': ['another-key']}]
+    await write_version(fleet, build_configuration(kind, 2, tenants=tenants))
+
+
+async def move_route(fleet, kind):
+    """Move the route to a service without replicas."""
+    configuration = build_configuration(kind, 2)
+    configuration['routes'][0]['service'] = 'empty'
+    await write_version(fleet, configuration)
+
+
+async def shorten_limits(fleet, kind):
+    limits = {**platformfleet.LIMITS, 'idle_timeout_ms': 300}
+    await write_version(fleet, build_configuration(kind, 2, limits=limits))
+
+
+async def remove_replica(fleet, kind):
+    """The replica that runs the request leaves, and serves on."""
+    watcher = fleet.instances['entry-0']._watcher
+    fleet.store.delete('servers/i-0')
+    await platformfleet.wait_until(lambda: not watcher.list_replicas())
+
+
+async def stop_instance(fleet, kind):
+    fleet.instances['entry-0'].request_stop()
+
+
+async def close_other_replicas(fleet, kind):
+    for replica in fleet.replicas.values():
+        if not replica.runs:
+            replica.listener.stop()
+
+
+OBSTACLES = {
+    'no other replica': Obstacle(replicas=1),
+    'other replicas are full': Obstacle(replicas=3, second='full'),
+    'retry budget used up': Obstacle(
+        settings=(('retry_ratio', 0), ('retry_slack', 0))
+    ),
+    'route removed': Obstacle(meanwhile=remove_route),
+    'key removed': Obstacle(meanwhile=remove_key),
+    'route moved': Obstacle(meanwhile=move_route),
+    'limits shortened': Obstacle(replicas=1, meanwhile=shorten_limits),
+    'replica leaves': Obstacle(replicas=1, meanwhile=remove_replica),
+    'instance stops': Obstacle(meanwhile=stop_instance),
+    'connection refused': Obstacle(meanwhile=close_other_replicas),
+    'second run is reset': Obstacle(second='reset'),
+    'second run is reset before it runs': Obstacle(second='early'),
+    'second run fails': Obstacle(second='error'),
+    # Its events may end the first run: a third one may be needed.
+    'second run is cut': Obstacle(replicas=3, second='cut'),
+    'second run hangs': Obstacle(second='hang'),
+    'two other replicas are free': Obstacle(replicas=3),
+}
+
+
+def make_chooser(kind, obstacle):
+    """Return a function that chooses the action of each request in turn."""
+    actions = [kind.pause, obstacle.second]
+    if obstacle.second == 'full':
+        actions.append('full')
+    remaining = iter(actions)
+    return lambda request: next(remaining, 'ok')
+
+
+@pytest.mark.parametrize('obstacle', OBSTACLES)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_a_silent_run_is_kept_when_a_second_one_meets(kind, obstacle):
+    kind = KINDS[kind]
+    obstacle = OBSTACLES[obstacle]
+    async with platformfleet.running(
+        replicas=obstacle.replicas,
+        instances=0,
+        **build_configuration(kind),
+    ) as fleet:
+        choose = make_chooser(kind, obstacle)
+        for replica in fleet.replicas.values():
+            replica.choose = choose
+        await fleet.add_instance('entry-0', **dict(obstacle.settings))
+        response, _ = await fleet.begin(
+            f'/{kind.route}/x', deadline_ms=kind.timeout_ms
+        )
+        await platformfleet.wait_until(fleet.list_runs)
+        if obstacle.meanwhile is not None:
+            await obstacle.meanwhile(fleet, kind)
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+    assert (response.status, response.is_complete) == (200, True)
+    if kind.route_type == 'streaming':
+        assert response.body == test_streampauses.EXPECTED
+    else:
+        seal = response.fields.find(b'response-seal')
+        assert response.body == seal.removeprefix(b'seal-') + b' ran r-1'
