--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -59,6 +59,7 @@
         self.running = 0
         self.max_running = 0
         self.cancelled = []
+        self.cancelled_s = {}
         self.poison_part = b'(none)'
         self.poison_runs_s = []
         self.is_down = False
@@ -111,6 +112,8 @@
             await self._run(action, request, reply, request_id)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
+            now_s = asyncio.get_running_loop().time()
+            self.cancelled_s[request_id] = now_s
             raise
         finally:
             self.running -= 1
