--- a/tests/changingfleet.py
+++ b/tests/changingfleet.py
@@ -28,7 +28,9 @@
 # A turn of the loop that is later than this counts as a stall.
 STALL_S = 0.03
 BREAKS = ('reset', 'error', 'cut', 'early')
-PLAIN_PARTS = 2
+PAUSES_S = (0.7, 1.8)
+# More than what an instance buffers of a plain answer.
+PADDING = b'p' * 400_000
 
 
 class Log(logging.Handler):
@@ -50,8 +52,9 @@
 class Play:
     """One seeded play; afterwards ``broken`` has the broken promises."""
 
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, pauses_s=PAUSES_S):
         self.seed = seed
+        self._pauses_s = pauses_s
         self.seconds = seconds
         self.is_over = False
         self.broken = []
@@ -61,6 +64,7 @@
         self.log = Log()
         self._rng = random.Random(f'{seed} platform')
         self._runs = collections.defaultdict(list)
+        self._last_ids = {}
         self._services = {}
         self._busy_until_s = {}
         self._stalls = []
@@ -117,6 +121,8 @@
                     work_s=self._rng.choice((0, 0.02, 0.1)),
                 )
                 replica.choose = self._make_chooser(replica)
+                if number == 0:
+                    replica.padding = PADDING
         # Some plays have few retries, or none.
         slack = self._rng.choice((0, 2, 50))
         for number in range(self._rng.choice((2, 3))):
@@ -233,7 +239,7 @@
             return 'full'
         if kind < 0.35:
             after = rng.randint(0, replica.events - 1)
-            return platformreplica.Pause(after, rng.uniform(0.7, 1.8))
+            return platformreplica.Pause(after, rng.uniform(*self._pauses_s))
         if kind < 0.40:
             return 'full'
         if kind < 0.43:
@@ -241,6 +247,9 @@
         return 'ok'
 
     def _plan(self, replica, request, request_id, action):
+        first_id = 1 + self._last_ids.setdefault(
+            request_id, int(request.fields.find(b'last-event-id') or b'0')
+        )
         now_s = self.now()
         output_s = now_s + replica.work_s
         pause_s = 0
@@ -252,11 +261,12 @@
             end_s += replica.events * replica.event_gap_s
             body = b''.join(
                 f'id: {number}\ndata: {number}\n\n'.encode()
-                for number in range(1, replica.events + 1)
+                for number in range(first_id, replica.events + 1)
             )
         else:
             output_s = end_s
             body = f'{replica.name} ran {request_id}'.encode()
+            body += replica.padding
         return lostrequests.Run(
             replica.name,
             self._services[replica.name],
@@ -322,8 +332,8 @@
         return '\n'.join(lines)
 
 
-async def play(seed, seconds):
+async def play(seed, seconds, **options):
     """Return a play that has ended."""
-    played = Play(seed, seconds)
+    played = Play(seed, seconds, **options)
     await played.run()
     return played
--- a/tests/keptcallers.py
+++ b/tests/keptcallers.py
@@ -40,13 +40,15 @@
     deadline_s: float
     begun_s: float
     sent_s: float
+    last_id: int
+    leaves: bool
 
 
 class Outcome(typing.NamedTuple):
     """What a request came to.
 
-    ``ending``: ``complete``, ``closed``, ``reset``, or ``none`` if there was
-    no end after the request's time.
+    ``ending``: ``complete``, ``closed``, ``reset``, or ``none`` if the caller
+    left, or there was no end after the request's time.
     """
 
     sent: Sent
@@ -118,8 +120,16 @@
         request_id = f'{self._platform.seed}-{self._name}-{len(self.outcomes)}'
         deadline_ms = self._rng.choice(DEADLINES_MS)
         closes = self._rng.random() < 0.05
+        last_id = self._draw_last_id(path)
+        fields = [
+            f'Attempt-Id: {request_id}',
+            f'Deadline-Ms: {deadline_ms}',
+            f'Authorization: Bearer {key}',
+            *([f'Last-Event-Id: {last_id}'] if last_id else ()),
+            *(['Connection: close'] if closes else ()),
+        ]
         begun_s = self._platform.now()
-        parts = self._build(request_id, path, key, deadline_ms, closes)
+        parts = self._build(path, fields)
         # A write to a connection that was closed meanwhile isn't a request.
         with contextlib.suppress(ConnectionError):
             await self._write(connection.writer, parts)
@@ -132,6 +142,8 @@
             deadline_ms / 1000,
             begun_s,
             self._platform.now(),
+            last_id,
+            self._rng.random() < 0.03,
         )
         outcome = await self._receive(connection.reader, sent)
         self.outcomes.append(outcome)
@@ -156,16 +168,17 @@
             key = self._rng.choice(operatorversions.KEYS)
         return f'/{name}/x', key
 
-    def _build(self, request_id, path, key, deadline_ms, closes):
+    def _draw_last_id(self, path):
+        """Return the event after which the caller resumes, 0 for none."""
+        if path.startswith('/stream/') and self._rng.random() < 0.2:
+            return self._rng.randint(1, 5)
+        return 0
+
+    def _build(self, path, fields):
         """Return the request in the parts in which it is sent."""
         body = b'b' * self._rng.choice((0, 5, 1000))
-        head = (
-            f'POST {path} HTTP/1.1\r\nHost: {platformfleet.HOST}\r\n'
-            f'Attempt-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n'
-            f'Authorization: Bearer {key}\r\n'
-        )
-        if closes:
-            head += 'Connection: close\r\n'
+        head = f'POST {path} HTTP/1.1\r\nHost: {platformfleet.HOST}\r\n'
+        head += ''.join(f'{field}\r\n' for field in fields)
         if self._rng.random() < 0.3 and body:
             head += 'Transfer-Encoding: chunked\r\n\r\n'
             body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
@@ -192,6 +205,8 @@
         ending = 'none'
         received = singleinstance.parse(data)
         end_s = sent.sent_s + sent.deadline_s + PATIENCE_S
+        if sent.leaves:
+            end_s = sent.sent_s + self._rng.uniform(0, 1)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end_s):
                 while ending == 'none':
--- a/tests/lostrequests.py
+++ b/tests/lostrequests.py
@@ -108,7 +108,7 @@
 def check_ending(case):
     outcome = case.outcome
     status = outcome.received.status
-    if case.is_excused:
+    if case.is_excused or case.sent.leaves:
         return
     is_whole = outcome.ending == 'complete' and status < 500
     if is_whole or status in NOT_RUN and outcome.ending == 'complete':
--- a/tests/operatorversions.py
+++ b/tests/operatorversions.py
@@ -127,6 +127,7 @@
             self._change_idle,
             self._change_header_timeout,
             self._change_objective,
+            self._change_quota,
         )
 
     def begin(self):
@@ -185,6 +186,11 @@
         route['slo_ms'] = self._rng.choice((100, 500, 1500))
         route['itl_target_ms'] = self._rng.choice((100, 300))
 
+    def _change_quota(self, document):
+        tenant = document['tenants'][0]
+        tenant['rate_per_s'] = self._rng.choice((0, 0, 4000))
+        tenant['burst'] = 1000
+
     def _remove_route(self, document):
         if len(document['routes']) > MIN_ROUTES:
             document['routes'].remove(self._pick_route(document))
--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -14,7 +14,8 @@
 class Pause(typing.NamedTuple):
     """An action: a sound replica is silent for a while and goes on.
 
-    ``after`` is the number of events, or parts of a plain body, before it.
+    ``after`` is the number of events before it, or of as many equal parts of a
+    plain body.
     """
 
     after: int
@@ -34,7 +35,8 @@
     ``default_action``; ``choose``, if set, gets each request that could run
     and returns its action instead of both. A prompt with
     ``poison_part`` crashes it when it begins to answer; it is back after
-    ``DOWN_S``. ``notices`` are header fields that it adds to its answers.
+    ``DOWN_S``. ``notices`` are header fields that it adds to its answers, and
+    ``padding`` ends its plain bodies.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.poison_part = b'(none)'
         self.poison_runs_s = []
         self.is_down = False
+        self.padding = b''
         self.notices = ()
         self.address = ''
         self.listener = platformstore.build_listener(self.handle)
@@ -161,12 +164,13 @@
             connection.abort()
 
     async def _respond(self, action, reply, response_fields, request_id):
-        body = f'{self.name} ran {request_id}'.encode()
+        body = f'{self.name} ran {request_id}'.encode() + self.padding
         if isinstance(action, Pause) and action.after:
+            middle = len(body) * action.after // self.events
             reply.start(200, response_fields, length=len(body))
-            reply.write(body[:4])
+            reply.write(body[:middle])
             await asyncio.sleep(action.seconds)
-            reply.write(body[4:])
+            reply.write(body[middle:])
             reply.finish()
             return
         if action == 'cut':
--- a/tests/test_lostanswers.py
+++ b/tests/test_lostanswers.py
@@ -1,6 +1,7 @@
 """Requests beside changes of the configuration: none may be lost.
 
-``python -m tests.test_lostanswers FIRST LAST`` plays more seeds.
+``python -m tests.test_lostanswers FIRST LAST`` plays more seeds, with the
+replicas' shortest and longest pause in seconds as further arguments.
 """
 
 import asyncio
@@ -22,8 +23,11 @@
 
 if __name__ == '__main__':
     first, last = map(int, sys.argv[1:3])
+    pauses_s = tuple(map(float, sys.argv[3:5])) or changingfleet.PAUSES_S
     for each_seed in range(first, last + 1):
-        found = asyncio.run(changingfleet.play(each_seed, SECONDS))
+        found = asyncio.run(
+            changingfleet.play(each_seed, SECONDS, pauses_s=pauses_s)
+        )
         sys.stdout.write(
             f'seed {each_seed}: {dict(found.counts)}'
             f' broken {len(found.broken)}\n'
--- a/tests/test_secondruns.py
+++ b/tests/test_secondruns.py
@@ -13,6 +13,9 @@
 from tests import platformfleet, platformreplica, test_streampauses
 
 
+LARGE = b'p' * 400_000
+
+
 class Kind(typing.NamedTuple):
     """A request whose first run is silent for ``pause.seconds``."""
 
@@ -139,6 +142,14 @@
     return lambda request: next(remaining, 'ok')
 
 
+def check_body(kind, request_id, response):
+    if kind.route_type == 'streaming':
+        assert response.body == test_streampauses.EXPECTED
+    else:
+        name = response.fields.find(b'response-seal').removeprefix(b'seal-')
+        assert response.body == name + b' ran ' + request_id.encode()
+
+
 @pytest.mark.parametrize('obstacle', OBSTACLES)
 @pytest.mark.parametrize('kind', KINDS)
 async def test_a_silent_run_is_kept_when_a_second_one_meets(kind, obstacle):
@@ -161,8 +172,82 @@
             await obstacle.meanwhile(fleet, kind)
         await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
     assert (response.status, response.is_complete) == (200, True)
-    if kind.route_type == 'streaming':
-        assert response.body == test_streampauses.EXPECTED
-    else:
-        seal = response.fields.find(b'response-seal')
-        assert response.body == seal.removeprefix(b'seal-') + b' ran r-1'
+    check_body(kind, 'r-1', response)
+
+
+@pytest.mark.parametrize('second', ['ok', 'reset', 'hang', 'cut'])
+@pytest.mark.parametrize('parts', [3, 5])
+async def test_a_large_answer_that_pauses_is_not_joined_with_another(
+    parts, second
+):
+    """Its first ``parts`` sixths came; answers above 256 KiB aren't held."""
+    kind = KINDS['safe']
+    async with platformfleet.running(
+        replicas=2, **build_configuration(kind)
+    ) as fleet:
+        actions = iter([platformreplica.Pause(parts, 1.6), second])
+        for replica in fleet.replicas.values():
+            replica.padding = LARGE
+            replica.choose = lambda request: next(actions, 'ok')
+        response = await fleet.send(f'/{kind.route}/x')
+    assert (response.status, response.is_complete) == (200, True)
+    assert response.body.endswith(LARGE)
+    response.body = response.body.removesuffix(LARGE)
+    check_body(kind, 'r-1', response)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_two_runs_that_answer_at_once_make_one_answer(kind):
+    """The second ones answer at all times around the first ones' next byte."""
+    kind = KINDS[kind]
+    delays_s = {f'r-{number}': 0.3 + number / 100 for number in range(24)}
+    seen = set()
+
+    def choose(request):
+        request_id = request.fields.find(b'attempt-id').decode()
+        if request_id in seen:
+            return platformreplica.Pause(0, delays_s[request_id])
+        seen.add(request_id)
+        return kind.pause
+
+    async with platformfleet.running(
+        replicas=0, **build_configuration(kind)
+    ) as fleet:
+        for number in range(3):
+            replica = await fleet.add_replica(f'i-{number}', slots=24)
+            replica.choose = choose
+            replica.event_gap_s = 0.03
+        responses = await asyncio.gather(
+            *(
+                fleet.send(
+                    f'/{kind.route}/x',
+                    deadline_ms=kind.timeout_ms,
+                    request_id=request_id,
+                )
+                for request_id in delays_s
+            )
+        )
+    for request_id, response in zip(delays_s, responses, strict=True):
+        assert (response.status, response.is_complete) == (200, True)
+        check_body(kind, request_id, response)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_a_caller_that_leaves_cancels_both_runs(kind):
+    kind = KINDS[kind]
+    async with platformfleet.running(
+        replicas=2, **build_configuration(kind)
+    ) as fleet:
+        for replica in fleet.replicas.values():
+            replica.choose = lambda request: platformreplica.Pause(0, 3)
+        _, connection = await fleet.begin(
+            f'/{kind.route}/x', deadline_ms=kind.timeout_ms
+        )
+        await platformfleet.wait_until(lambda: len(fleet.list_runs()) == 2)
+        connection.abort()
+        await platformfleet.wait_until(
+            lambda: all(
+                replica.cancelled == ['r-1']
+                for replica in fleet.replicas.values()
+            )
+        )
