--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import typing
 
 from tests import platformstore
 
@@ -10,6 +11,17 @@
 TRICKLES = {'comments': b': \n\n', 'bytes': b'd'}
 
 
+class Pause(typing.NamedTuple):
+    """An action: a sound replica is silent for a while and goes on.
+
+    ``after`` is the number of events before it, or of as many equal parts of a
+    plain body.
+    """
+
+    after: int
+    seconds: float
+
+
 class Replica:
     """One replica; ``script`` holds its actions for the next requests.
 
@@ -19,9 +31,12 @@
     after an event, but sends comments or single bytes), ``unsigned`` (no seal),
     ``twice``
     (sends a second response), ``promise`` (runs, but sends a 503 that means
-    "not run"). With an empty script it does ``default_action``. A prompt with
+    "not run"), or a ``Pause``. With an empty script it does
+    ``default_action``; ``choose``, if set, gets each request that could run
+    and returns its action instead of both. A prompt with
     ``poison_part`` crashes it when it begins to answer; it is back after
-    ``DOWN_S``. ``notices`` are header fields that it adds to its answers.
+    ``DOWN_S``. ``notices`` are header fields that it adds to its answers, and
+    ``padding`` ends its plain bodies.
     """
 
     def __init__(
@@ -39,15 +54,18 @@
         self.events = events
         self.event_gap_s = event_gap_s
         self.script = collections.deque()
+        self.choose = None
         self.runs = []
         self.received = []
         self.arrivals_s = []
         self.running = 0
         self.max_running = 0
         self.cancelled = []
+        self.cancelled_s = {}
         self.poison_part = b'(none)'
         self.poison_runs_s = []
         self.is_down = False
+        self.padding = b''
         self.notices = ()
         self.address = ''
         self.listener = platformstore.build_listener(self.handle)
@@ -82,7 +100,7 @@
         if expected != self.name:
             reply.send(421, ((b'Instance-Id', self.name.encode()),), b'')
             return
-        action = self.script.popleft() if self.script else self.default_action
+        action = self._choose_action(request)
         if action == 'full':
             reply.send(503, ((b'Not-Executed', b'1'), *self.notices), b'')
             return
@@ -97,10 +115,17 @@
             await self._run(action, request, reply, request_id)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
+            now_s = asyncio.get_running_loop().time()
+            self.cancelled_s[request_id] = now_s
             raise
         finally:
             self.running -= 1
 
+    def _choose_action(self, request):
+        if self.choose is not None:
+            return self.choose(request)
+        return self.script.popleft() if self.script else self.default_action
+
     async def _run(self, action, request, reply, request_id):
         response_fields = [
             (b'Attempt-Id', request_id.encode()),
@@ -112,6 +137,8 @@
             await asyncio.Event().wait()
         if self.work_s:
             await asyncio.sleep(self.work_s)
+        if isinstance(action, Pause) and not action.after:
+            await asyncio.sleep(action.seconds)
         if self.poison_part in (request.fields.find(b'prompt-prefix') or b''):
             self._crash()
             return
@@ -126,7 +153,7 @@
         elif b'/stream' in request.target:
             await self._stream(action, request, reply, response_fields)
         else:
-            self._respond(action, reply, response_fields, request_id)
+            await self._respond(action, reply, response_fields, request_id)
 
     def _crash(self):
         loop = asyncio.get_running_loop()
@@ -136,8 +163,16 @@
         for connection in tuple(self.listener.connections):
             connection.abort()
 
-    def _respond(self, action, reply, response_fields, request_id):
-        body = f'{self.name} ran {request_id}'.encode()
+    async def _respond(self, action, reply, response_fields, request_id):
+        body = f'{self.name} ran {request_id}'.encode() + self.padding
+        if isinstance(action, Pause) and action.after:
+            middle = len(body) * action.after // self.events
+            reply.start(200, response_fields, length=len(body))
+            reply.write(body[:middle])
+            await asyncio.sleep(action.seconds)
+            reply.write(body[middle:])
+            reply.finish()
+            return
         if action == 'cut':
             reply.start(200, response_fields, length=len(body))
             reply.write(body[:4])
@@ -163,4 +198,6 @@
                 await asyncio.sleep(0.2)
                 reply.write(TRICKLES[action])
             await asyncio.sleep(self.event_gap_s)
+            if isinstance(action, Pause) and number == action.after:
+                await asyncio.sleep(action.seconds)
         reply.finish()
