--- a/lavenderledge/http1/bounds.py
+++ b/lavenderledge/http1/bounds.py
@@ -10,3 +10,13 @@
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+
+
+def merge(first: Bounds, second: Bounds) -> Bounds:
+    """Return the higher one of each bound."""
+    return Bounds(
+        max(first.header_bytes, second.header_bytes),
+        max(first.body_bytes, second.body_bytes),
+        max(first.header_timeout_s, second.header_timeout_s),
+        max(first.idle_timeout_s, second.idle_timeout_s),
+    )
--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -14,6 +14,13 @@
 _BACKLOG: typing.Final = 1024
 
 
+class _FormerBounds(typing.NamedTuple):
+    """Replaced bounds, and until when callers may still go by them."""
+
+    bounds: limits.Bounds
+    until_s: float
+
+
 class Listener:
     """Accepts connections on one address and enforces their limits."""
 
@@ -26,8 +33,9 @@
         note_fault: abc.Callable[[int], None],
         note_error: abc.Callable[[BaseException], None],
     ) -> None:
-        """Create a closed listener; ``bounds`` may be replaced at any time."""
-        self.bounds = bounds
+        """Create a closed listener with its first bounds."""
+        self._bounds = bounds
+        self._former: list[_FormerBounds] = []
         self.connections: set[server.Connection] = set()
         self.note_fault = note_fault
         self.note_error = note_error
@@ -58,6 +66,26 @@
             self._accept, host, port, backlog=_BACKLOG
         )
 
+    def replace_bounds(self, new: limits.Bounds, *, overlap_s: float) -> None:
+        """Set the bounds; callers may go by the former for ``overlap_s``."""
+        if new == self._bounds:
+            return
+        until_s = self._clock.read_monotonic() + overlap_s
+        self._former.append(_FormerBounds(self._bounds, until_s))
+        self._bounds = new
+
+    def find_bounds(self, since_s: float) -> limits.Bounds:
+        """Return the bounds of a request or an idle time.
+
+        A caller that began at ``since_s`` is held to no bound that is lower
+        than those which it could go by.
+        """
+        found = self._bounds
+        for former in self._former:
+            if since_s < former.until_s:
+                found = limits.merge(found, former.bounds)
+        return found
+
     def drain(self) -> None:
         """Close each connection after its next answer."""
         self._draining = True
@@ -91,12 +119,14 @@
         """Close idle connections and refuse slow requests at their timeouts."""
         now_s = self._clock.read_monotonic()
         for connection in tuple(self.connections):
+            bounds = self.find_bounds(connection.state_since_s)
             age_s = now_s - connection.state_since_s
-            if connection.is_idle and age_s > self.bounds.idle_timeout_s:
+            if connection.is_idle and age_s > bounds.idle_timeout_s:
                 connection.close()
-            elif connection.is_reading and age_s > self.bounds.header_timeout_s:
+            elif connection.is_reading and age_s > bounds.header_timeout_s:
                 self.note_fault(messages.REQUEST_TIMEOUT)
                 connection.refuse(messages.REQUEST_TIMEOUT)
+        self._discard_former(now_s)
 
     def stop(self) -> None:
         """Stop accepting and close all connections."""
@@ -105,6 +135,22 @@
         for connection in tuple(self.connections):
             connection.close()
 
+    def _discard_former(self, now_s: float) -> None:
+        """Discard former bounds that no request or idle time began under."""
+        oldest_s = min(
+            (
+                connection.state_since_s
+                for connection in self.connections
+                if connection.is_idle or connection.is_reading
+            ),
+            default=now_s,
+        )
+        self._former = [
+            former
+            for former in self._former
+            if former.until_s > min(now_s, oldest_s)
+        ]
+
     def _accept(self) -> server.Connection:
         connection = server.Connection(
             listener=self, handle=self._handle, clock=self._clock
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -113,11 +113,13 @@
 class Owner(typing.Protocol):
     """The listener of a connection: its limits and its callbacks."""
 
-    bounds: bounds.Bounds
     connections: 'set[Connection]'
     note_fault: abc.Callable[[int], None]
     note_error: abc.Callable[[BaseException], None]
 
+    def find_bounds(self, since_s: float) -> bounds.Bounds:
+        """Return the bounds of a request that began at ``since_s``."""
+
 
 class Connection(asyncio.Protocol):
     """Reads one request at a time and handles it in a task.
@@ -194,7 +196,7 @@
         """Parse received bytes, one request at a time."""
         if self._fault or self._complete:
             self._pending += data
-            if len(self._pending) > self._listener.bounds.header_bytes:
+            if len(self._pending) > self._bounds.header_bytes:
                 self._pause()
             return
         if not self._reading:
@@ -222,7 +224,7 @@
         """Store a header field."""
         text = text or b''
         self._size += len(name) + len(text) + 4
-        if self._size > self._listener.bounds.header_bytes:
+        if self._size > self._bounds.header_bytes:
             self._fault = messages.HEADERS_TOO_LARGE
             return
         self._fields.add(name, text.strip(b' \t'))
@@ -242,7 +244,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._size += len(body)
-        if self._size > self._listener.bounds.body_bytes:
+        if self._size > self._bounds.body_bytes:
             self._fault = messages.CONTENT_TOO_LARGE
             return
         self._body.append(body)
@@ -309,6 +311,10 @@
         )
         self.close()
 
+    @property
+    def _bounds(self) -> bounds.Bounds:
+        return self._listener.find_bounds(self.state_since_s)
+
     def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -435,7 +435,9 @@
 
     def _on_configuration(self, accepted: routes.Configuration) -> None:
         """Apply a newly accepted configuration."""
-        self._caller_listener.bounds = accepted.limits
+        self._caller_listener.replace_bounds(
+            accepted.limits, overlap_s=self._settings.apply_s
+        )
         self._allocator.notify_all()
 
     def _connect_peer(self, instance: str, address: str) -> None:
