--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: one protocol object for each connection."""
 
 import asyncio
+import functools
 import socket
 import struct
 import typing
@@ -335,22 +336,25 @@
             received_s=self._clock.read_monotonic(),
         )
         self._body = []
+        reply = Reply(self, bodiless=request.method == b'HEAD')
         self._task = asyncio.get_running_loop().create_task(
-            self._handle(
-                request, Reply(self, bodiless=request.method == b'HEAD')
-            )
+            self._handle(request, reply)
         )
-        self._task.add_done_callback(self._check_task)
+        self._task.add_done_callback(functools.partial(self._check_task, reply))
 
-    def _check_task(self, task: asyncio.Task[None]) -> None:
-        """Abort the connection if a handler ended without an answer."""
-        if task.cancelled():
-            return
-        error = task.exception()
+    def _check_task(self, reply: Reply, task: asyncio.Task[None]) -> None:
+        """Send an error if a handler ended without an answer."""
+        error = None if task.cancelled() else task.exception()
         if error is not None:
             self._listener.note_error(error)
-        if error is not None or self._task is task:
-            self.abort()
+        if reply.ended:
+            return
+        if reply.started:
+            reply.abort()
+            return
+        # Whether the request was carried out is not known.
+        self.closing = True
+        reply.send(messages.BAD_GATEWAY, (), b'')
 
     def _set_linger(self, linger: bytes) -> None:
         if self._transport is not None:
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -52,5 +52,8 @@
             if not current.is_finished:
                 current.log(exchange.Ending(0, 'caller_left', ''))
             raise
+        except Exception:
+            current.abandon('handler_failed')
+            raise
         finally:
             self._running.discard(current)
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 
-from lavenderledge.http1 import bounds, listener
+import pytest
+
+from lavenderledge.http1 import bounds, listener, messages
 from tests import platformfleet, serving, singleinstance
 
 BOUNDS = bounds.Bounds(
@@ -17,6 +19,8 @@
 OVERLAP_S = 2
 REQUEST = b'POST / HTTP/1.1\r\nContent-Length: 40\r\n\r\n'
 BODY = b'x' * 40
+# More than the kernel buffers of a connection that isn't read.
+LARGE = b'x' * 20_000_000
 
 
 class Server:
@@ -42,9 +46,13 @@
             '127.0.0.1', self.listener.port, **options
         )
 
+    @property
+    def connections(self):
+        return self.listener.connections
+
     @property
     def connection(self):
-        (connection,) = self.listener.connections
+        (connection,) = self.connections
         return connection
 
     def pass_time(self, seconds):
@@ -61,7 +69,7 @@
         yield server
     finally:
         server.listener.stop()
-        await platformfleet.wait_until(lambda: not server.listener.connections)
+        await platformfleet.wait_until(lambda: not server.connections)
 
 
 async def call(reader, writer):
@@ -70,6 +78,19 @@
     return await singleinstance.receive(reader)
 
 
+async def call_large(reader, writer):
+    """Send a request; return the size of the answer that was received."""
+    writer.write(REQUEST + BODY)
+    await reader.readuntil(b'\r\n\r\n')
+    size = 0
+    while size < len(LARGE):
+        part = await asyncio.wait_for(reader.read(len(LARGE) - size), 5)
+        if not part:
+            break
+        size += len(part)
+    return size
+
+
 async def test_a_lower_idle_limit_spares_connections_in_use():
     async with running() as server:
         reader, writer = await server.connect()
@@ -105,7 +126,7 @@
         server.pass_time(15.5)
         rest = await asyncio.wait_for(reader.read(), 5)
         writer.close()
-        await platformfleet.wait_until(lambda: not server.listener.connections)
+        await platformfleet.wait_until(lambda: not server.connections)
         server.pass_time(0)
         former = server.listener.find_bounds(server.clock.now_s)
     assert rest == b''
@@ -117,7 +138,7 @@
         reader, writer = await server.connect()
         writer.write(REQUEST + BODY[:20])
         await platformfleet.wait_until(
-            lambda: server.listener.connections and server.connection.is_reading
+            lambda: server.connections and server.connection.is_reading
         )
         server.listener.replace_bounds(LOW_BOUNDS, overlap_s=OVERLAP_S)
         server.pass_time(2.5)
@@ -135,7 +156,7 @@
         reader, writer = await server.connect()
         writer.write(REQUEST + BODY[:5])
         await platformfleet.wait_until(
-            lambda: server.listener.connections and server.connection.is_reading
+            lambda: server.connections and server.connection.is_reading
         )
         server.listener.replace_bounds(BOUNDS, overlap_s=OVERLAP_S)
         server.pass_time(2.5)
@@ -167,3 +188,89 @@
         second = await singleinstance.receive(reader)
         writer.close()
     assert (first.status, second.status) == (200, 200)
+
+
+async def fail(reply):
+    raise ValueError('a fault of the program')
+
+
+async def cancel(reply):
+    asyncio.current_task().cancel()
+    await asyncio.sleep(0)
+
+
+async def return_early(reply):
+    """End without an answer."""
+
+
+@pytest.mark.parametrize('end', [fail, cancel, return_early])
+async def test_a_handler_that_ends_without_an_answer_gives_an_error(end):
+    server = Server()
+    server.handle = lambda request, reply: end(reply)
+    async with running(server):
+        reader, writer = await server.connect()
+        answer = await call(reader, writer)
+        rest = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert (answer.status, rest) == (messages.BAD_GATEWAY, b'')
+    assert answer.fields[b'connection'] == b'close'
+    assert len(server.errors) == (end is fail)
+
+
+@pytest.mark.parametrize('end', [fail, cancel, return_early])
+async def test_a_handler_that_ends_inside_its_answer_leaves_it_incomplete(end):
+    async def handle(request, reply):
+        reply.start(200, (), length=None)
+        reply.write(request.body)
+        await end(reply)
+
+    server = Server()
+    server.handle = handle
+    async with running(server):
+        reader, writer = await server.connect()
+        answer = await call(reader, writer)
+        writer.close()
+    assert not answer.is_complete
+
+
+@pytest.mark.parametrize('end', [fail, cancel])
+async def test_a_handler_that_fails_after_its_answer_destroys_none(end):
+    async def handle(request, reply):
+        reply.send(200, (), LARGE)
+        await end(reply)
+
+    server = Server()
+    server.handle = handle
+    async with running(server):
+        reader, writer = await server.connect()
+        sizes = [await call_large(reader, writer) for _ in range(2)]
+        writer.close()
+    assert sizes == [len(LARGE), len(LARGE)]
+
+
+async def test_a_fault_in_an_exchange_gives_its_caller_an_error(caplog):
+    replica = singleinstance.Replica(lambda *args: None)
+    instance = singleinstance.Instance({'i-0': replica})
+
+    async def acquire(spec):
+        raise ValueError('a fault of the program')
+
+    instance.requester.acquire = acquire
+    await instance.start()
+    reader, writer = await instance.connect()
+    with caplog.at_level('INFO'):
+        writer.write(singleinstance.build_request('/once/x'))
+        answer = await singleinstance.receive(reader)
+    writer.close()
+    await instance.stop()
+    (error,) = instance.errors
+    logged = [
+        record.fields['reason']
+        for record in caplog.records
+        if record.getMessage() == 'request'
+    ]
+    assert isinstance(error, ValueError)
+    # It promises nothing.
+    assert answer.status == messages.GATEWAY_TIMEOUT
+    assert answer.fields[b'attempt-id'] == b'r-0'
+    assert logged == ['handler_failed']
