--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -87,7 +87,7 @@
         return found
 
     def drain(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection after the next answer that begins."""
         self._draining = True
         for connection in self.connections:
             connection.closing = True
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -67,6 +67,7 @@
         framing = self._choose_framing(length)
         if framing is messages.Framing.CLOSE and not self._bodiless:
             connection.begin_unframed()
+        connection.is_end_announced = connection.closing
         self._chunked = framing is messages.Framing.CHUNKED
         connection.write(
             messages.format_head(
@@ -132,7 +133,10 @@
     def __init__(
         self, *, listener: Owner, handle: Handle, clock: clocks.Clock
     ) -> None:
-        """Create a connection of a listener, which has its bounds."""
+        """Create a connection of a listener, which has its bounds.
+
+        ``closing`` means that the next answer announces the end.
+        """
         self._listener = listener
         self._handle = handle
         self._clock = clock
@@ -150,6 +154,7 @@
         self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
+        self.is_end_announced = False
         self.knows_chunks = True
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
@@ -280,13 +285,16 @@
             self._transport.close()
 
     def end_exchange(self) -> None:
-        """Prepare for the next request, or close the connection."""
+        """Prepare for the next request, or close the connection.
+
+        A client that was not told of the end may send another request.
+        """
         self._task = None
         self._reading = False
         self._complete = False
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
-        if self.closing:
+        if self.is_end_announced:
             self.close()
             return
         self._parser = httptools.HttpRequestParser(self)
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -274,3 +274,35 @@
     assert answer.status == messages.GATEWAY_TIMEOUT
     assert answer.fields[b'attempt-id'] == b'r-0'
     assert logged == ['handler_failed']
+
+
+@pytest.mark.parametrize('is_early', [True, False])
+async def test_a_connection_serves_until_an_answer_announces_its_end(is_early):
+    may_end = asyncio.Event()
+
+    async def stream(request, reply):
+        reply.start(200, (), length=None)
+        await may_end.wait()
+        reply.write(request.body)
+        reply.finish()
+
+    server = Server()
+    server.handle = stream
+    async with running(server):
+        reader, writer = await server.connect()
+        writer.write(REQUEST + BODY)
+        head = await reader.readuntil(b'\r\n\r\n')
+        server.listener.drain()
+        if is_early:
+            writer.write(REQUEST + BODY)
+            await platformfleet.wait_until(lambda: server.connection._pending)
+        may_end.set()
+        await reader.readuntil(b'0\r\n\r\n')
+        if not is_early:
+            writer.write(REQUEST + BODY)
+        second = await singleinstance.receive(reader)
+        rest = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert b'Connection: close' not in head
+    assert (second.status, second.body, rest) == (200, BODY, b'')
+    assert second.fields[b'connection'] == b'close'
