--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -12,6 +12,8 @@
 
 # Connections that can wait to be accepted while the event loop is busy.
 _BACKLOG: typing.Final = 1024
+# How long a client may take to close its side after its last answer.
+_LINGER_S: typing.Final = 5.0
 
 
 class _FormerBounds(typing.NamedTuple):
@@ -119,13 +121,16 @@
         """Close idle connections and refuse slow requests at their timeouts."""
         now_s = self._clock.read_monotonic()
         for connection in tuple(self.connections):
-            bounds = self.find_bounds(connection.state_since_s)
             age_s = now_s - connection.state_since_s
-            if connection.is_idle and age_s > bounds.idle_timeout_s:
-                connection.close()
-            elif connection.is_reading and age_s > bounds.header_timeout_s:
+            if connection.has_ended:
+                is_over = age_s > _LINGER_S and not connection.has_unsent
+            else:
+                is_over = self._is_timed_out(connection, age_s)
+            if is_over and connection.is_reading:
                 self.note_fault(messages.REQUEST_TIMEOUT)
                 connection.refuse(messages.REQUEST_TIMEOUT)
+            elif is_over:
+                connection.close()
         self._discard_former(now_s)
 
     def stop(self) -> None:
@@ -135,6 +140,14 @@
         for connection in tuple(self.connections):
             connection.close()
 
+    def _is_timed_out(
+        self, connection: server.Connection, age_s: float
+    ) -> bool:
+        bounds = self.find_bounds(connection.state_since_s)
+        if connection.is_reading:
+            return age_s > bounds.header_timeout_s
+        return connection.is_idle and age_s > bounds.idle_timeout_s
+
     def _discard_former(self, now_s: float) -> None:
         """Discard former bounds that no request or idle time began under."""
         oldest_s = min(
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -151,6 +151,7 @@
         self._reading = False
         self._fault = 0
         self._complete = False
+        self._has_ended = False
         self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
@@ -163,6 +164,19 @@
         """Return whether no request is being read or handled."""
         return self._task is None and not self._reading
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the last answer was given; nothing more is read."""
+        return self._has_ended
+
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of an answer waits to be sent."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def is_reading(self) -> bool:
         """Return whether a part of a request has been received."""
@@ -200,7 +214,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, one request at a time."""
-        if self._fault or self._complete:
+        if self._has_ended:
+            return
+        if self._complete:
             self._pending += data
             if len(self._pending) > self._bounds.header_bytes:
                 self._pause()
@@ -271,7 +287,7 @@
 
     def write(self, data: bytes) -> None:
         """Write to the client if it is still connected."""
-        if self._transport is not None:
+        if self._transport is not None and not self._has_ended:
             self._transport.write(data)
 
     def abort(self) -> None:
@@ -295,7 +311,7 @@
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
         if self.is_end_announced:
-            self.close()
+            self._end()
             return
         self._parser = httptools.HttpRequestParser(self)
         if self._transport is not None:
@@ -318,7 +334,29 @@
                 close=True,
             )
         )
-        self.close()
+        self._end()
+
+    def _end(self) -> None:
+        """Send what is buffered and its end; discard what still arrives.
+
+        A socket that is closed with unread bytes is reset, and a client that
+        is reset may lose the answer (RFC 9112, section 9.6).
+        """
+        self._has_ended = True
+        self._reading = False
+        self._pending = b''
+        self.state_since_s = self._clock.read_monotonic()
+        if self._transport is None:
+            return
+        if self._is_unframed and not self.has_unsent:
+            self._set_linger(_ORDERLY_CLOSE)
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self.abort()
+            return
+        self._transport.resume_reading()
 
     @property
     def _bounds(self) -> bounds.Bounds:
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -306,3 +307,78 @@
     assert b'Connection: close' not in head
     assert (second.status, second.body, rest) == (200, BODY, b'')
     assert second.fields[b'connection'] == b'close'
+
+
+def connect_slowly(server):
+    """Connect with a small receive buffer, as a slow network would have."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    caller.connect(('127.0.0.1', server.listener.port))
+    return caller
+
+
+async def receive_all(caller):
+    """Return what a caller receives until its connection is closed."""
+    loop = asyncio.get_running_loop()
+    caller.setblocking(False)
+    received = []
+    async with asyncio.timeout(10):
+        while part := await loop.sock_recv(caller, 1 << 20):
+            received.append(part)
+    return b''.join(received)
+
+
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+@pytest.mark.parametrize('extra_count', [1, 500])
+async def test_unread_bytes_destroy_no_answer(version, extra_count):
+    begun = asyncio.Event()
+    may_end = asyncio.Event()
+
+    async def handle(request, reply):
+        begun.set()
+        await may_end.wait()
+        reply.start(200, (), length=None)
+        reply.write(LARGE)
+        reply.finish()
+
+    server = Server()
+    server.handle = handle
+    extra = b'GET /extra HTTP/1.1\r\n\r\n'
+    async with running(server):
+        caller = connect_slowly(server)
+        caller.sendall(b'GET / HTTP/%b\r\nConnection: close\r\n\r\n' % version)
+        await begun.wait()
+        caller.sendall(extra * extra_count)
+        await platformfleet.wait_until(lambda: server.connection._pending)
+        caller.sendall(extra * extra_count)
+        may_end.set()
+        await platformfleet.wait_until(lambda: server.connection.is_idle)
+        caller.sendall(extra)
+        received = await receive_all(caller)
+        caller.close()
+    assert len(received) > len(LARGE)
+
+
+async def test_a_refusal_reaches_a_caller_that_still_sends():
+    async with running() as server:
+        reader, writer = await server.connect()
+        head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
+        writer.write(head % len(LARGE))
+        writer.write(LARGE)
+        await writer.drain()
+        answer = await singleinstance.receive(reader)
+        writer.close()
+    assert answer.status == messages.CONTENT_TOO_LARGE
+
+
+async def test_a_caller_that_stays_after_the_last_answer_is_closed():
+    async with running() as server:
+        reader, writer = await server.connect()
+        writer.write(b'GET / HTTP/1.1\r\nConnection: close\r\n\r\n')
+        answer = await singleinstance.receive(reader)
+        rest = await asyncio.wait_for(reader.read(), 5)
+        has_stayed = bool(server.connections)
+        server.pass_time(6)
+        await platformfleet.wait_until(lambda: not server.connections)
+        writer.close()
+    assert (answer.status, rest, has_stayed) == (200, b'', True)
