--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: one protocol object for each connection."""
 
 import asyncio
+import functools
 import socket
 import struct
 import typing
@@ -66,6 +67,7 @@
         framing = self._choose_framing(length)
         if framing is messages.Framing.CLOSE and not self._bodiless:
             connection.begin_unframed()
+        connection.is_end_announced = connection.closing
         self._chunked = framing is messages.Framing.CHUNKED
         connection.write(
             messages.format_head(
@@ -113,11 +115,13 @@
 class Owner(typing.Protocol):
     """The listener of a connection: its limits and its callbacks."""
 
-    bounds: bounds.Bounds
     connections: 'set[Connection]'
     note_fault: abc.Callable[[int], None]
     note_error: abc.Callable[[BaseException], None]
 
+    def find_bounds(self, since_s: float) -> bounds.Bounds:
+        """Return the bounds of a request that began at ``since_s``."""
+
 
 class Connection(asyncio.Protocol):
     """Reads one request at a time and handles it in a task.
@@ -129,7 +133,10 @@
     def __init__(
         self, *, listener: Owner, handle: Handle, clock: clocks.Clock
     ) -> None:
-        """Create a connection of a listener, which has its bounds."""
+        """Create a connection of a listener, which has its bounds.
+
+        ``closing`` means that the next answer announces the end.
+        """
         self._listener = listener
         self._handle = handle
         self._clock = clock
@@ -144,9 +151,11 @@
         self._reading = False
         self._fault = 0
         self._complete = False
+        self._has_ended = False
         self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
+        self.is_end_announced = False
         self.knows_chunks = True
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
@@ -155,6 +164,19 @@
         """Return whether no request is being read or handled."""
         return self._task is None and not self._reading
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the last answer was given; nothing more is read."""
+        return self._has_ended
+
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of an answer waits to be sent."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def is_reading(self) -> bool:
         """Return whether a part of a request has been received."""
@@ -192,9 +214,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, one request at a time."""
-        if self._fault or self._complete:
+        if self._has_ended:
+            return
+        if self._complete:
             self._pending += data
-            if len(self._pending) > self._listener.bounds.header_bytes:
+            if len(self._pending) > self._bounds.header_bytes:
                 self._pause()
             return
         if not self._reading:
@@ -222,7 +246,7 @@
         """Store a header field."""
         text = text or b''
         self._size += len(name) + len(text) + 4
-        if self._size > self._listener.bounds.header_bytes:
+        if self._size > self._bounds.header_bytes:
             self._fault = messages.HEADERS_TOO_LARGE
             return
         self._fields.add(name, text.strip(b' \t'))
@@ -242,7 +266,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._size += len(body)
-        if self._size > self._listener.bounds.body_bytes:
+        if self._size > self._bounds.body_bytes:
             self._fault = messages.CONTENT_TOO_LARGE
             return
         self._body.append(body)
@@ -263,7 +287,7 @@
 
     def write(self, data: bytes) -> None:
         """Write to the client if it is still connected."""
-        if self._transport is not None:
+        if self._transport is not None and not self._has_ended:
             self._transport.write(data)
 
     def abort(self) -> None:
@@ -277,14 +301,17 @@
             self._transport.close()
 
     def end_exchange(self) -> None:
-        """Prepare for the next request, or close the connection."""
+        """Prepare for the next request, or close the connection.
+
+        A client that was not told of the end may send another request.
+        """
         self._task = None
         self._reading = False
         self._complete = False
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
-        if self.closing:
-            self.close()
+        if self.is_end_announced:
+            self._end()
             return
         self._parser = httptools.HttpRequestParser(self)
         if self._transport is not None:
@@ -307,7 +334,33 @@
                 close=True,
             )
         )
-        self.close()
+        self._end()
+
+    def _end(self) -> None:
+        """Send what is buffered and its end; discard what still arrives.
+
+        A socket that is closed with unread bytes is reset, and a client that
+        is reset may lose the answer (RFC 9112, section 9.6).
+        """
+        self._has_ended = True
+        self._reading = False
+        self._pending = b''
+        self.state_since_s = self._clock.read_monotonic()
+        if self._transport is None:
+            return
+        if self._is_unframed and not self.has_unsent:
+            self._set_linger(_ORDERLY_CLOSE)
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self.abort()
+            return
+        self._transport.resume_reading()
+
+    @property
+    def _bounds(self) -> bounds.Bounds:
+        return self._listener.find_bounds(self.state_since_s)
 
     def _feed(self, data: bytes) -> None:
         try:
@@ -329,22 +382,25 @@
             received_s=self._clock.read_monotonic(),
         )
         self._body = []
+        reply = Reply(self, bodiless=request.method == b'HEAD')
         self._task = asyncio.get_running_loop().create_task(
-            self._handle(
-                request, Reply(self, bodiless=request.method == b'HEAD')
-            )
+            self._handle(request, reply)
         )
-        self._task.add_done_callback(self._check_task)
+        self._task.add_done_callback(functools.partial(self._check_task, reply))
 
-    def _check_task(self, task: asyncio.Task[None]) -> None:
-        """Abort the connection if a handler ended without an answer."""
-        if task.cancelled():
-            return
-        error = task.exception()
+    def _check_task(self, reply: Reply, task: asyncio.Task[None]) -> None:
+        """Send an error if a handler ended without an answer."""
+        error = None if task.cancelled() else task.exception()
         if error is not None:
             self._listener.note_error(error)
-        if error is not None or self._task is task:
-            self.abort()
+        if reply.ended:
+            return
+        if reply.started:
+            reply.abort()
+            return
+        # Whether the request was carried out is not known.
+        self.closing = True
+        reply.send(messages.BAD_GATEWAY, (), b'')
 
     def _set_linger(self, linger: bytes) -> None:
         if self._transport is not None:
