--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -250,6 +250,11 @@
         )
         if match.customer is not None:
             record.customer = match.customer.name
+        if not self._running and not self._relay.reply.started:
+            route_type = match.route.route_type
+            is_resumable = route_type is routes.RouteType.STREAM_RESUMABLE
+            self._relay.is_resumable = is_resumable
+            self._relay.last_event_id = self._parsed.last_event_id
 
     def _check_age(self) -> bool:
         """Refuse a request that the configuration is too old to send."""
@@ -283,9 +288,6 @@
         self._deadline_s = min(
             self._caller_deadline_s, self._record.started_s + route.timeout_s
         )
-        if route.route_type is routes.RouteType.STREAM_RESUMABLE:
-            self._relay.is_resumable = True
-            self._relay.last_event_id = self._parsed.last_event_id
         budget = self._deps.budgets.find(self._record.service)
         budget.note_request(self._deps.clock.read_monotonic())
 
@@ -458,9 +460,6 @@
         self._record.replica = slot.replica
         self._record.sends += 1
         self._record.list_age_s = now_s - slot.list_confirmed_s
-        last_id = self._parsed.last_event_id
-        if self._relay.is_resumable:
-            last_id = self._relay.last_event_id
         bodiless = self._request.method == b'HEAD'
         attempt = attempts.Attempt(
             request=self._parsed,
@@ -480,7 +479,7 @@
             replica=slot.replica,
             customer=self._record.customer or None,
             remaining_s=self._deadline_s - now_s,
-            last_event_id=last_id,
+            last_event_id=self._relay.last_event_id,
         )
         # Read from the replicas only while the caller's connection is writable.
         self._relay.reply.watch_writable(
