--- a/lavenderledge/filters/relay.py
+++ b/lavenderledge/filters/relay.py
@@ -149,6 +149,9 @@
     if ended.is_error():
         # Cancel first: the refusal blocks while the caller does not read.
         _cancel_unfinished(context, current, stream)
+        if isinstance(ended.error, engine.Refused):
+            refused = _refuse_creation(context, current, ended.error)
+            return expression.Error(refused.error)
         return current.refuse(outcomes.Reason.UPSTREAM_LOST, ended.error.detail)
     return _check_end(context, current, ended.ok, progress.document)
 
--- a/lavenderledge/filters/responses.py
+++ b/lavenderledge/filters/responses.py
@@ -52,6 +52,7 @@
             target.ok.response_id,
             last_sequence=int(after) if streamed else -1,
         )
+        current.cleanup.callback(stream.close)
         opened = await stream.open()
         if opened.is_error() and isinstance(opened.error, engine.Refused):
             return _refuse_read(current, opened.error)
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -1,5 +1,7 @@
 """Responses of a model engine: create, read with resume, cancel."""
 
+import asyncio
+import contextlib
 import enum
 import http
 import typing
@@ -18,6 +20,12 @@
 _RESUME_DELAY_S = 0.5
 _NOT_FOUND = 404
 _MAX_ERROR_BODY_BYTES = 4_194_304
+_READ_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    msgspec.MsgspecError,
+)
 
 
 class Refused(typing.NamedTuple):
@@ -35,12 +43,19 @@
 
 
 CreateFailure: typing.TypeAlias = connection.Failure | Refused
+CreateResult: typing.TypeAlias = expression.Result[None, CreateFailure]
+SendResult: typing.TypeAlias = expression.Result[
+    aiohttp.ClientResponse, connection.Failure
+]
+Send: typing.TypeAlias = abc.Callable[
+    [connection.BeforeFirstByte], abc.Awaitable[SendResult]
+]
 OnEvent = abc.Callable[[events.Event], abc.Awaitable[None]]
 
 
 @enum.unique
 class ReadFailure(enum.StrEnum):
-    """Why reading a stream stopped before its terminal event."""
+    """Why the remaining events were requested before the terminal one."""
 
     SILENT = 'silent'
     BROKEN = 'broken'
@@ -48,12 +63,37 @@
     UNOPENED = 'unopened'
 
 
+ReadResult: typing.TypeAlias = expression.Result[str, ReadFailure]
+
+
+class _Source:
+    """One connection to the stream, from its request to its end.
+
+    ``begun_s`` is when the request was written, infinite before.
+    """
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self.begun_s = float('inf')
+        self.answer: asyncio.Future[CreateResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.task: asyncio.Task[ReadResult] | None = None
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the engine answered with a stream."""
+        return self.answer.done() and self.answer.result().is_ok()
+
+
 class EngineStream:
     """The event stream of one response, resumed after each interruption.
 
     ``last_sequence`` is the sequence number of the last event passed on.
     Events are passed on once each and in order. ``ended`` is True when the
     engine reported that nothing runs, or when nothing was sent.
+
+    A silent connection stays open until another one has sent an event.
     """
 
     def __init__(
@@ -76,71 +116,79 @@
         self._silence_timeout_s = silence_timeout_s
         self._lost_timeout_s = lost_timeout_s
         self._on_resume = on_resume
-        self._response: aiohttp.ClientResponse | None = None
+        self._on_event: OnEvent | None = None
+        self._pumping = asyncio.Event()
+        self._sources: list[_Source] = []
+        self._main: _Source | None = None
+        self._created: _Source | None = None
+        self._last_answer: CreateResult | None = None
+        self._failure: ReadFailure | None = None
         self._last_contact_s = clock.read_monotonic()
+        self._resume_at_s = self._last_contact_s
+        self._resumed_after: int | None = None
         self.last_sequence = last_sequence
         self.ended = False
 
     async def create(
         self, body: bytes, *, before_first_byte: connection.BeforeFirstByte
-    ) -> 'expression.Result[None, CreateFailure]':
-        """Send the request; return when the response head is received."""
-        sent = await self._client.send(
-            'POST',
-            self._url,
-            before_first_byte=before_first_byte,
-            headers=_JSON_HEADERS,
-            body=body,
-            silence_timeout_s=self._silence_timeout_s,
+    ) -> CreateResult:
+        """Send the request; return when the response head is received.
+
+        If the engine is silent, return ``Lost``; ``pump`` still waits for it.
+        """
+
+        def send(
+            before_sending: connection.BeforeFirstByte,
+        ) -> abc.Awaitable[SendResult]:
+            return self._client.send(
+                'POST',
+                self._url,
+                before_first_byte=lambda: (
+                    before_first_byte() and before_sending()
+                ),
+                headers=_JSON_HEADERS,
+                body=body,
+            )
+
+        self._created = self._start(send)
+        created = await self._wait_for_answer(self._created)
+        self.ended = created.is_error() and not isinstance(
+            created.error, connection.Lost
         )
-        if sent.is_error():
-            self.ended = not isinstance(sent.error, connection.Lost)
-            return expression.Error(sent.error)
-        accepted = await self._accept(sent.ok)
-        self.ended = accepted.is_error()
-        return accepted
+        return created
 
-    async def open(self) -> 'expression.Result[None, CreateFailure]':
+    async def open(self) -> CreateResult:
         """Connect to the stream of an existing response."""
-        after = (
-            f'&starting_after={self.last_sequence}'
-            if self.last_sequence >= 0
-            else ''
-        )
-        sent = await self._client.send(
-            'GET',
-            f'{self._url}/{self._response_id}?stream=true{after}',
-            headers=_ACCEPT_STREAM,
-            silence_timeout_s=self._silence_timeout_s,
-        )
-        if sent.is_error():
-            return expression.Error(sent.error)
-        return await self._accept(sent.ok)
+        return await self._wait_for_answer(self._start(self._request_rest))
 
     async def pump(
         self, on_event: OnEvent
-    ) -> 'expression.Result[str, Unreachable]':
+    ) -> 'expression.Result[str, Unreachable | Refused]':
         """Pass on every event up to the terminal one; return its kind.
 
         There is no time limit while the engine answers requests to resume,
-        unless it ends the stream each time without an event.
+        unless it ends the stream each time without an event. A refusal is that
+        of a creation that was answered late.
         """
-        self._last_contact_s = self._clock.read_monotonic()
-        stalled = False
+        now_s = self._clock.read_monotonic()
+        self._on_event = on_event
+        self._last_contact_s = now_s
+        self._resume_at_s = now_s
+        if self._main is not None and self._main.is_answered:
+            self._resume_at_s += self._silence_timeout_s
+        self._pumping.set()
         while True:
-            before = self.last_sequence
-            read = await self._read(on_event)
-            if read.is_ok():
-                self.ended = True
-                return expression.Ok(read.ok)
-            if self.last_sequence > before:
-                self._last_contact_s = self._clock.read_monotonic()
-            elif stalled:
-                await self._clock.sleep(timing.seconds(_RESUME_DELAY_S))
-            stalled = self.last_sequence == before
-            unreachable = await self._resume(read.error)
-            if unreachable is not None:
-                return expression.Error(unreachable)
+            await self._wait_for_change()
+            ended = self._collect_ended()
+            if ended is not None:
+                self.ended = ended.is_ok() or isinstance(ended.error, Refused)
+                return ended
+            now_s = self._clock.read_monotonic()
+            is_due = now_s >= self._resume_at_s
+            if is_due and self._failure is None and self._is_lost(now_s):
+                return self._give_up()
+            if is_due:
+                self._resume(now_s)
 
     async def cancel(self) -> bool:
         """Cancel the response; return whether the engine confirmed it."""
@@ -157,79 +205,238 @@
         return self.ended
 
     def close(self) -> None:
-        """Close the current connection."""
-        if self._response is not None:
-            self._response.close()
-            self._response = None
-
-    async def _accept(
-        self, response: aiohttp.ClientResponse
-    ) -> 'expression.Result[None, CreateFailure]':
-        if response.status == http.HTTPStatus.OK:
-            self._response = response
-            return expression.Ok(None)
-        try:
-            body = await response.content.read(_MAX_ERROR_BODY_BYTES)
-        except (aiohttp.ClientError, TimeoutError):
-            body = b''
-        response.close()
-        return expression.Error(
-            Refused(response.status, body, _read_retry_after(response))
-        )
+        """Close all connections."""
+        self._keep_only(())
+        self._main = None
+
+    def _start(self, send: Send, failure: ReadFailure | None = None) -> _Source:
+        source = _Source()
+        source.task = asyncio.create_task(self._run(source, send, failure))
+        self._sources.append(source)
+        if self._main is None:
+            self._main = source
+        return source
+
+    def _keep_only(self, kept: abc.Container[_Source | None]) -> None:
+        """Close the connections of all other sources."""
+        for source in tuple(self._sources):
+            if source not in kept:
+                self._sources.remove(source)
+                assert source.task is not None
+                source.task.cancel()
+
+    async def _wait_for_answer(self, source: _Source) -> CreateResult:
+        """Return the answer, or ``Lost`` while the engine stays silent."""
+        assert source.task is not None
+        while not source.answer.done():
+            now_s = self._clock.read_monotonic()
+            left_s = source.begun_s + self._silence_timeout_s - now_s
+            if left_s <= 0:
+                return expression.Error(
+                    connection.Lost('the engine has not answered yet')
+                )
+            try:
+                await asyncio.wait(
+                    (source.answer, source.task),
+                    timeout=min(left_s, self._silence_timeout_s),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            except asyncio.CancelledError:
+                self.close()
+                raise
+            if source.task.done():
+                source.task.result()
+        answer = source.answer.result()
+        if answer.is_error():
+            self.close()
+        return answer
+
+    async def _wait_for_change(self) -> None:
+        """Wait until a connection ends or another one may be due."""
+        left_s = self._resume_at_s - self._clock.read_monotonic()
+        wait_s = max(0, min(left_s, self._silence_timeout_s))
+        if self._sources:
+            await asyncio.wait(
+                [source.task for source in self._sources if source.task],
+                timeout=wait_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        else:
+            await self._clock.sleep(timing.seconds(wait_s))
+
+    def _collect_ended(
+        self,
+    ) -> 'expression.Result[str, Unreachable | Refused] | None':
+        """Remove connections that ended; return the stream's end, if any."""
+        for source in tuple(self._sources):
+            assert source.task is not None
+            if not source.task.done():
+                continue
+            self._sources.remove(source)
+            read = source.task.result()
+            if read.is_ok():
+                return expression.Ok(read.ok)
+            refused = self._find_refusal(source)
+            if refused is not None:
+                return expression.Error(refused)
+            self._note_failure(source, read.error)
+            if self._is_lost(self._clock.read_monotonic()):
+                return self._give_up()
+        return None
 
-    async def _resume(self, failure: ReadFailure) -> Unreachable | None:
-        """Request the remaining events; return a failure past the limit."""
-        if failure is not ReadFailure.UNOPENED:
-            self._on_resume(failure)
-        self.close()
-        opened = await self.open()
+    def _give_up(self) -> 'expression.Result[str, Unreachable | Refused]':
+        return expression.Error(Unreachable(_describe(self._last_answer)))
+
+    def _find_refusal(self, source: _Source) -> Refused | Unreachable | None:
+        """Return why nothing runs, as a connection's answer shows."""
+        answer = source.answer.result()
+        if answer.is_ok() or not isinstance(answer.error, Refused):
+            return None
+        if source is self._created:
+            return answer.error
+        is_missing = answer.error.status == _NOT_FOUND
+        if is_missing and self.last_sequence >= 0 and not self._sources:
+            return Unreachable(_describe(answer))
+        return None
+
+    def _note_failure(self, source: _Source, failure: ReadFailure) -> None:
+        """Set when to resume after a connection that ended."""
         now_s = self._clock.read_monotonic()
-        if opened.is_ok() and failure is not ReadFailure.CUT_SHORT:
+        self._failure = failure
+        if source is self._main:
+            self._main = None
+            if self._sources:
+                return
+        delay_s = _RESUME_DELAY_S if self._has_stalled() else 0
+        self._resume_at_s = min(self._resume_at_s, now_s + delay_s)
+
+    def _has_stalled(self) -> bool:
+        """Return whether no event came since the last request to resume."""
+        return self._resumed_after == self.last_sequence
+
+    def _is_lost(self, now_s: float) -> bool:
+        if not self._has_stalled():
             self._last_contact_s = now_s
-        timed_out = now_s - self._last_contact_s > self._lost_timeout_s
-        if timed_out or self._is_missing(opened):
-            return Unreachable(_describe(opened))
-        return None
+        return now_s - self._last_contact_s > self._lost_timeout_s
+
+    def _resume(self, now_s: float) -> None:
+        """Request the remaining events on a further connection."""
+        failure = self._failure
+        if failure is None:
+            failure = (
+                ReadFailure.SILENT if self._sources else ReadFailure.UNOPENED
+            )
+        self._failure = None
+        if failure is not ReadFailure.UNOPENED:
+            self._on_resume(failure)
+        self._resumed_after = self.last_sequence
+        self._resume_at_s = now_s + self._silence_timeout_s
+        self._start(self._request_rest, failure)
 
-    def _is_missing(
-        self, opened: 'expression.Result[None, CreateFailure]'
-    ) -> bool:
-        """Return whether the engine no longer has a started response."""
-        if opened.is_ok() or self.last_sequence < 0:
-            return False
-        failure = opened.error
-        return isinstance(failure, Refused) and failure.status == _NOT_FOUND
+    def _request_rest(
+        self, before_sending: connection.BeforeFirstByte
+    ) -> abc.Awaitable[SendResult]:
+        after = (
+            f'&starting_after={self.last_sequence}'
+            if self.last_sequence >= 0
+            else ''
+        )
+        return self._client.send(
+            'GET',
+            f'{self._url}/{self._response_id}?stream=true{after}',
+            before_first_byte=before_sending,
+            headers=_ACCEPT_STREAM,
+        )
 
-    async def _read(
-        self, on_event: OnEvent
-    ) -> 'expression.Result[str, ReadFailure]':
-        """Read until the stream ends; return the terminal kind or a failure."""
-        response = self._response
-        if response is None:
+    async def _run(
+        self, source: _Source, send: Send, failure: ReadFailure | None
+    ) -> ReadResult:
+        """Send a request and read its answer to the end."""
+
+        def note_begun() -> bool:
+            source.begun_s = self._clock.read_monotonic()
+            return True
+
+        sent = await send(note_begun)
+        if sent.is_error():
+            self._note_answer(source, expression.Error(sent.error), failure)
             return expression.Error(ReadFailure.UNOPENED)
-        try:
-            return await self._read_events(response, on_event)
-        except TimeoutError:
-            return expression.Error(ReadFailure.SILENT)
-        except (aiohttp.ClientError, ValueError, msgspec.MsgspecError):
-            return expression.Error(ReadFailure.BROKEN)
-
-    async def _read_events(
-        self, response: aiohttp.ClientResponse, on_event: OnEvent
-    ) -> 'expression.Result[str, ReadFailure]':
+        with contextlib.closing(sent.ok):
+            accepted = await _accept(sent.ok)
+            self._note_answer(source, accepted, failure)
+            if accepted.is_error():
+                return expression.Error(ReadFailure.UNOPENED)
+            await self._pumping.wait()
+            return await self._read(source, sent.ok)
+
+    def _note_answer(
+        self,
+        source: _Source,
+        answer: CreateResult,
+        failure: ReadFailure | None,
+    ) -> None:
+        source.answer.set_result(answer)
+        self._last_answer = answer
+        if answer.is_ok() and failure is not None:
+            self._keep_only((source, self._main))
+            if failure is not ReadFailure.CUT_SHORT:
+                self._last_contact_s = self._clock.read_monotonic()
+
+    async def _read(
+        self, source: _Source, response: aiohttp.ClientResponse
+    ) -> ReadResult:
         """Pass on events in order; stop at a gap in sequence numbers."""
         parser = events.EventParser()
-        async for line in response.content:
-            event = parser.feed(line)
-            if event is None or event.sequence <= self.last_sequence:
-                continue
-            if event.sequence > self.last_sequence + 1:
+        lines = aiter(response.content)
+        while True:
+            try:
+                event = await _read_event(lines, parser)
+            except _READ_ERRORS:
+                return expression.Error(ReadFailure.BROKEN)
+            if event is None or event.sequence > self.last_sequence + 1:
                 return expression.Error(ReadFailure.CUT_SHORT)
-            self.last_sequence = event.sequence
-            await on_event(event)
+            if event.sequence <= self.last_sequence:
+                continue
+            await self._deliver(source, event)
             if event.kind in events.TERMINAL_KINDS:
                 return expression.Ok(event.kind)
-        return expression.Error(ReadFailure.CUT_SHORT)
+
+    async def _deliver(self, source: _Source, event: events.Event) -> None:
+        """Pass on an event; the connections that it did not come on go."""
+        assert self._on_event is not None
+        if self._main is not source or len(self._sources) > 1:
+            self._main = source
+            self._keep_only((source,))
+        self.last_sequence = event.sequence
+        self._failure = None
+        self._resume_at_s = float('inf')
+        await self._on_event(event)
+        self._resume_at_s = (
+            self._clock.read_monotonic() + self._silence_timeout_s
+        )
+
+
+async def _accept(response: aiohttp.ClientResponse) -> CreateResult:
+    if response.status == http.HTTPStatus.OK:
+        return expression.Ok(None)
+    try:
+        body = await response.content.read(_MAX_ERROR_BODY_BYTES)
+    except (aiohttp.ClientError, TimeoutError):
+        body = b''
+    return expression.Error(
+        Refused(response.status, body, _read_retry_after(response))
+    )
+
+
+async def _read_event(
+    lines: abc.AsyncIterator[bytes], parser: events.EventParser
+) -> events.Event | None:
+    """Return the next event, None at the end of the body."""
+    async for line in lines:
+        event = parser.feed(line)
+        if event is not None:
+            return event
+    return None
 
 
 def _read_retry_after(response: aiohttp.ClientResponse) -> float | None:
@@ -239,7 +446,7 @@
         return None
 
 
-def _describe(opened: 'expression.Result[None, CreateFailure]') -> str:
-    if opened.is_ok():
+def _describe(answer: CreateResult | None) -> str:
+    if answer is None or answer.is_ok():
         return 'the stream ended without a terminal event'
-    return repr(opened.error)
+    return repr(answer.error)
--- a/tests/faultyengines.py
+++ b/tests/faultyengines.py
@@ -14,6 +14,8 @@
 from lavenderledge.upstreams import connection
 
 CONNECT_S = 1
+# Longer than the silence timeout of the tests, shorter than their lost one.
+PAUSE_S = 2.5
 REQUEST_FAULT_KINDS = (
     'refused',
     'unroutable',
@@ -23,6 +25,7 @@
     'silent_before',
     'silent_after',
     'late',
+    'pausing',
     '503',
     '409',
     '404',
@@ -168,7 +171,7 @@
             if kind == 'cut':
                 raise aiohttp.ClientPayloadError
             if kind == 'silent':
-                await asyncio.sleep(self._silence_timeout_s)
+                await _stay_silent(self._silence_timeout_s)
                 raise TimeoutError
             if kind == 'torn':
                 yield b'data: {"type":"resp'
@@ -278,13 +281,19 @@
         if before_first_byte is not None:
             if not before_first_byte():
                 return expression.Error(connection.CheckFailed(''))
-            self._check_dispatch(url, body)
+            if body is not None:
+                self._check_dispatch(url, body)
         if fault.kind == 'late' and body is not None:
             self.delayed.append(body)
         elif fault.kind not in {'late', 'lost_before', 'silent_before'}:
             status, generation = self._serve(response_id, url, body, fault)
         if fault.kind.startswith('silent_'):
-            await asyncio.sleep(silence_timeout_s)
+            await _stay_silent(silence_timeout_s)
+        if fault.kind.startswith('pausing'):
+            if silence_timeout_s is not None and silence_timeout_s < PAUSE_S:
+                await _stay_silent(silence_timeout_s)
+                return expression.Error(connection.Lost(fault.kind))
+            await asyncio.sleep(PAUSE_S)
         if fault.kind.startswith(('silent_', 'lost_', 'late')):
             return expression.Error(connection.Lost(fault.kind))
         _, _, after = url.partition('starting_after=')
@@ -317,8 +326,9 @@
         generation.forget()
 
     def _serve(self, response_id, url, body, fault):
-        if fault.kind.isdecimal():
-            return int(fault.kind), None
+        status = fault.kind.rpartition('_')[2]
+        if status.isdecimal():
+            return int(status), None
         if body is not None:
             generation = Generation(json.loads(body))
             self.arrived[generation.number].append(generation)
@@ -329,6 +339,13 @@
         return 200 if generation else 404, generation
 
 
+async def _stay_silent(timeout_s):
+    """Return after a client's timeout, never without one."""
+    if timeout_s is None:
+        await asyncio.get_running_loop().create_future()
+    await asyncio.sleep(timeout_s)
+
+
 def _read_id(url, body):
     if body is not None:
         return json.loads(body)['request_id']
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 import json
 
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -241,3 +242,78 @@
     machine.pass_time(count=0, seconds=20)
     assert not machine.network.list_running()
     machine.teardown()
+
+
+@pytest.fixture
+def machine():
+    running = RelayMachine()
+    yield running
+    running.teardown()
+
+
+def check_whole(machine):
+    """Let the engine go on, and check that its caller gets the rest."""
+    (generation,) = machine.network.arrived[0]
+    for _ in range(2):
+        machine._do(generation.produce, 3)
+    (caller,) = machine.callers
+    machine.loop.advance(1)
+    assert generation.kind == 'completed'
+    assert caller.ended
+    assert caller.status == 200
+    if caller.streamed:
+        assert caller.received == b''.join(generation.events)
+    else:
+        assert json.loads(caller.received) == generation.response
+
+
+CANNOT_RESUME = [
+    '404',
+    '503',
+    'refused',
+    'lost_before',
+    'silent_before',
+    'ended',
+    'silent',
+]
+
+
+@pytest.mark.parametrize('fault', CANNOT_RESUME)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_a_pausing_stream_that_cannot_be_resumed_goes_on(
+    machine, streamed, fault
+):
+    machine.send_request(tokens=5, streamed=streamed, faults=())
+    machine.pass_time(count=2, seconds=0.1)
+    machine.queue_faults([faultyengines.Fault(fault)] * 16)
+    machine.loop.advance(SILENCE_S + 1)
+    check_whole(machine)
+
+
+@pytest.mark.parametrize('fault', CANNOT_RESUME)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_a_pausing_creation_that_cannot_be_resumed_goes_on(
+    machine, streamed, fault
+):
+    faults = ['pausing', *[fault] * 16]
+    machine.send_request(
+        tokens=5, streamed=streamed, faults=map(faultyengines.Fault, faults)
+    )
+    machine.loop.advance(faultyengines.PAUSE_S)
+    check_whole(machine)
+
+
+@pytest.mark.parametrize('streamed', [True, False])
+def test_a_creation_refused_after_a_pause_is_reported_as_refused(
+    machine, streamed
+):
+    faults = ['pausing_503', *['404'] * 16]
+    machine.send_request(
+        tokens=5, streamed=streamed, faults=map(faultyengines.Fault, faults)
+    )
+    machine.loop.advance(faultyengines.PAUSE_S + 1)
+    (caller,) = machine.callers
+    error = json.loads(caller.received.rpartition(b'data: ')[2])['error']
+    assert caller.ended
+    assert error['code'] == outcomes.Reason.UPSTREAM_REFUSED
+    assert error['outcome'] == outcomes.Outcome.FAILED
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Each caller gets the complete answer to its own request, or an error."""
 
 import asyncio
+import json
 import signal
 
 import pytest
@@ -37,21 +38,38 @@
         await oracle.audit(running)
 
 
+COMPLETED = (
+    b'data: {"type":"response.completed",'
+    b'"sequence_number":%d,"response":{"id":"x"}}\n\n'
+)
+
+
 class ScriptedEngine:
-    """An engine with one answer to creations and one to other requests."""
+    """An engine with one answer to creations and one to other requests.
+
+    ``rest`` is the part of an answer that follows the first refused resume.
+    """
 
     def __init__(self):
         self.answer = b''
+        self.rest = b''
         self.other_answer = NOT_FOUND
         self.creations = 0
+        self._asked = asyncio.Event()
 
     async def serve(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
         if head.startswith(b'POST /v1/responses '):
             self.creations += 1
             writer.write(self.answer)
+            if self.rest:
+                self._asked.clear()
+                await self._asked.wait()
+                writer.write(self.rest)
         else:
             writer.write(self.other_answer)
+            if head.startswith(b'GET /v1/responses/'):
+                self._asked.set()
         await writer.drain()
         writer.close()
 
@@ -199,14 +217,31 @@
     assert scripted.creations == before + 2
 
 
+@pytest.mark.parametrize('streamed', [True, False])
+@pytest.mark.parametrize('begun', [b'', STREAM + CREATED + DELTA % 1])
+async def test_a_silent_engine_that_cannot_resume_is_heard_out(
+    fleet, scripted, begun, streamed
+):
+    whole = STREAM + CREATED + DELTA % 1 + DELTA % 2 + COMPLETED % 3
+    before = scripted.creations
+    scripted.answer = begun
+    scripted.rest = whole.removeprefix(begun)
+    answer = await fleet.request_model('entry-0', model='odd', stream=streamed)
+    scripted.rest = b''
+    assert answer.status == 200
+    assert oracle.parse_answer(answer).error is None
+    if streamed:
+        assert answer.body.encode() == whole.removeprefix(STREAM)
+    else:
+        assert json.loads(answer.body) == {'id': 'x'}
+    assert scripted.creations == before + 1
+
+
 async def test_repeated_events_are_relayed_once(fleet, scripted):
     """The engine sends every stream from the first event."""
     begun = STREAM + CREATED + DELTA % 1
     scripted.answer = begun
-    scripted.other_answer = (
-        begun + DELTA % 2 + b'data: {"type":"response.completed",'
-        b'"sequence_number":3,"response":{"id":"x"}}\n\n'
-    )
+    scripted.other_answer = begun + DELTA % 2 + COMPLETED % 3
     received = oracle.parse_answer(
         await fleet.request_model('entry-0', model='odd', stream=True)
     )
