--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -186,6 +186,8 @@
 
     def _apply_request(self, message: messages.Ask, now_s: float) -> None:
         spec = message.spec
+        if slotgrants.renew(self.slot_state, spec):
+            return
         self.slot_state.free(spec.request_id)
         retry_after_s = self._charge(spec, now_s)
         if retry_after_s > 0:
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -293,22 +293,14 @@
                 self.release(entry.spec.request_id, refund=refund)
 
     def _renew_exclusions(self, now_s: float) -> None:
-        """Ask again for requests that a pause excluded from a replica."""
+        """Ask again for requests that a pause excluded from a replica.
+
+        The allocator keeps their places.
+        """
         paused = self._notices.list_paused(now_s)
         for entry in self._entries.values():
-            if entry.waiter.done() or entry.paused <= paused:
-                continue
-            self._send(
-                self._allocator,
-                messages.Release(
-                    self._instance,
-                    self._read_incarnation(),
-                    entry.spec.request_id,
-                    0 if entry.charged else entry.spec.cost,
-                    None,
-                ),
-            )
-            self._send_request(entry, now_s)
+            if not (entry.waiter.done() or entry.paused <= paused):
+                self._send_request(entry, now_s)
 
     async def run(self) -> None:
         """Tick until cancelled."""
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -50,6 +50,14 @@
     cost: float
 
 
+def renew(state: slots.SlotState, spec: messages.RequestSpec) -> bool:
+    """Update a request that waits, in its place; return whether it waits."""
+    service = state.services.get(spec.service)
+    return service is not None and service.queue.set_excluded(
+        spec.request_id, spec.excluded
+    )
+
+
 def enqueue(
     state: slots.SlotState,
     sender: str,
@@ -70,8 +78,6 @@
             spec.customer,
             spec.cost,
         )
-    if spec.request_id in service.queue:
-        return None
     work_s = service.estimate_work_s(spec.tier)
     waiting = slotqueue.WaitingRequest(
         sender,
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -101,6 +101,19 @@
         self.remove(waiting.request_id)
         self.add(waiting, late=True)
 
+    def set_excluded(self, request_id: str, excluded: tuple[str, ...]) -> bool:
+        """Replace a waiting request's exclusions; return whether it waits."""
+        place = self._places.get(request_id)
+        if place is None:
+            return False
+        priority, customer = place
+        requests = self._queues[priority][customer].requests
+        waiting = requests[request_id]
+        requests[request_id] = waiting._replace(
+            spec=waiting.spec._replace(excluded=excluded)
+        )
+        return True
+
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Remove and return a request, None if it does not wait."""
         place = self._places.pop(request_id, None)
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -372,3 +373,89 @@
         assert 'quota' not in refusals
     finally:
         machine.teardown()
+
+
+@pytest.fixture
+def machine():
+    running = Machine()
+    yield running
+    running.teardown()
+
+
+PAUSE_S = 0.3
+
+
+def start_asking(machine, node, request_id, *, cost=0):
+    spec = messages.RequestSpec(
+        request_id, 'model', 'dealer', 0, 100, 3, 4, cost
+    )
+    asked = machine.loop.create_task(node.requester.acquire(spec))
+    machine.turn()
+    return asked
+
+
+def ask_during_a_pause(machine, node, request_id, *, cost=0):
+    """Fill all slots, and ask while the first replica wants no requests."""
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    for _ in range(len(INFOS) * SLOTS):
+        machine.ask(node.name, 0)
+    node.requester.note_notice(
+        upstreamnotices.Upstream(INFOS[0].name, 0),
+        upstreamnotices.Notice(None, False, True, PAUSE_S),
+    )
+    return start_asking(machine, node, request_id, cost=cost)
+
+
+def test_a_waiting_request_keeps_its_place_when_a_pause_ends(machine):
+    node, other = (machine.nodes[name] for name in machine.ranked[:2])
+    first = ask_during_a_pause(machine, node, 'first')
+    second = start_asking(machine, other, 'second')
+    machine.pass_time(PAUSE_S + 0.1)
+    machine.end(node.name)
+    assert first.done()
+    assert not second.done()
+    second.cancel()
+
+
+def test_a_waiting_request_is_not_refused_for_quota_when_a_pause_ends(machine):
+    node, other = (machine.nodes[name] for name in machine.ranked[:2])
+    allocator = node.allocator
+    allocator._state_reader = allocator._state_reader._replace(
+        find_quota=lambda customer: routes.Quota(rate=1, burst=100)
+    )
+    first = ask_during_a_pause(machine, node, 'first', cost=60)
+    refused = start_asking(machine, other, 'refused', cost=60)
+    assert refused.result().error.reason == 'quota'
+    machine.clock.now_s += PAUSE_S
+    node.requester.tick()
+    # The other instance's request arrives between the messages of this one.
+    renewed = machine.network
+    (asked_at,) = (
+        number
+        for number, (_, _, message) in enumerate(renewed)
+        if isinstance(message, messages.Ask)
+    )
+    machine.network = renewed[:asked_at]
+    second = start_asking(machine, other, 'second', cost=60)
+    machine.network = renewed[asked_at:]
+    machine.turn()
+    machine.end(node.name)
+    assert first.result().is_ok()
+    assert second.result().error.reason == 'quota'
+
+
+def test_a_pause_that_ends_is_known_to_the_allocator(machine):
+    """A waiting request may then get the replica that had paused."""
+    node = machine.nodes[machine.ranked[0]]
+    waiting = ask_during_a_pause(machine, node, 'first')
+    paused = [
+        request_id
+        for request_id, replica in node.running.items()
+        if replica == INFOS[0].name
+    ]
+    node.running.pop(paused[0])
+    node.requester.release(paused[0])
+    machine.turn()
+    assert not waiting.done()
+    machine.pass_time(PAUSE_S + 0.1)
+    assert waiting.result().ok.replica == INFOS[0].name
