--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -491,6 +491,7 @@
         if now_s - grant.stamp_s > slotallocator.REPORT_TIMEOUT_S:
             self._release_grant(grant)
             self._callbacks.grant_lapsed(grant.request_id)
+            entry.charged = True
             self._send_request(entry, now_s)
             return
         entry.replica = grant.replica
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -459,3 +459,32 @@
     assert not waiting.done()
     machine.pass_time(PAUSE_S + 0.1)
     assert waiting.result().ok.replica == INFOS[0].name
+
+
+def test_a_request_whose_grant_lapsed_is_not_charged_again(machine):
+    node = machine.nodes[machine.ranked[1]]
+    allocator = machine.nodes[machine.ranked[0]].allocator
+    allocator._state_reader = allocator._state_reader._replace(
+        find_quota=lambda customer: routes.Quota(rate=1, burst=100)
+    )
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+
+    async def grant():
+        asked = asyncio.create_task(
+            node.requester.acquire(
+                messages.RequestSpec(
+                    'late', 'model', 'dealer', 0, 100, 9, 9, 60
+                )
+            )
+        )
+        await asyncio.sleep(0)
+        ((_, _, ask),) = machine.network
+        machine.network.clear()
+        allocator.receive(ask)
+        await asyncio.sleep(0)
+        return asked
+
+    asked = machine.loop.run_until_complete(grant())
+    machine.clock.now_s += slotallocator.REPORT_TIMEOUT_S + 0.1
+    machine.turn()
+    assert asked.result().is_ok()
