--- a/lavenderledge/controllers/claims.py
+++ b/lavenderledge/controllers/claims.py
@@ -5,6 +5,7 @@
 not dispatched.
 """
 
+import asyncio
 import base64
 import hashlib
 import typing
@@ -24,6 +25,10 @@
 _FIRST_PAUSE_S = 0.1
 _MAX_PAUSE_S = 5.0
 _RETRY_TIMEOUT_S = 600
+# An answer waits this long to be stored, and for at most this fraction of the
+# time that its caller has left.
+_MAX_STORE_WAIT_S = 1.0
+_STORE_WAIT_RATIO = 0.5
 # A create request in flight may take effect after the first deletion.
 _UNDO_ATTEMPTS = 6
 
@@ -158,8 +163,15 @@
             self._commit_with_retries(_remove(claim), 'claim_abandon')
         )
 
-    def store_answer(self, claim: Claim, answer: StoredAnswer) -> None:
-        """Store an answer in the claim, unless its body is over the limit."""
+    async def store_answer(
+        self, claim: Claim, answer: StoredAnswer, *, deadline_s: float
+    ) -> None:
+        """Store an answer in the claim, unless its body is over the limit.
+
+        Returns when it is stored, so that a repeat gets it. In an outage it
+        returns earlier, well before the caller's deadline ``deadline_s``
+        (monotonic), and storing continues.
+        """
         if len(answer.body) > STORED_BODY_LIMIT_BYTES:
             return
         record = claim.record._replace(answer=answer)
@@ -171,7 +183,33 @@
             ),
             (operations.Put(claim.name, encode_record(record)),),
         )
-        self._run_detached(self._commit_with_retries(change, 'claim_answer'))
+        stored = asyncio.Event()
+        self._run_detached(self._store(change, stored))
+        left_s = max(0, deadline_s - self._clock.read_monotonic())
+        await self._wait(
+            stored, min(left_s * _STORE_WAIT_RATIO, _MAX_STORE_WAIT_S)
+        )
+
+    async def _store(
+        self, change: operations.Transaction, stored: asyncio.Event
+    ) -> None:
+        try:
+            await self._commit_with_retries(change, 'claim_answer')
+        finally:
+            stored.set()
+
+    async def _wait(self, event: asyncio.Event, timeout_s: float) -> None:
+        waiting = asyncio.ensure_future(event.wait())
+        timer = asyncio.ensure_future(
+            self._clock.sleep(timing.seconds(timeout_s))
+        )
+        try:
+            await asyncio.wait(
+                (waiting, timer), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            waiting.cancel()
+            timer.cancel()
 
     async def _undo(self, claim: Claim) -> None:
         """Delete a claim whose create request may still take effect."""
--- a/lavenderledge/filters/claim.py
+++ b/lavenderledge/filters/claim.py
@@ -48,7 +48,7 @@
         if created.is_error():
             return _resolve_existing(current, created.error)
         outcome = await proceed(current)
-        return _conclude(records, current, created.ok, outcome)
+        return await _conclude(records, current, created.ok, outcome)
 
     return claim
 
@@ -94,29 +94,35 @@
     )
 
 
-def _conclude(
+async def _conclude(
     records: claims.Claims,
     current: exchange.Exchange,
     claim: claims.Claim,
     outcome: exchange.Outcome,
 ) -> exchange.Outcome:
-    """Store a final outcome; abandon the claim if nothing was sent."""
+    """Store a final outcome; abandon the claim if nothing was sent.
+
+    A caller that has an answer may repeat its key at once, so the answer is
+    stored before it is sent.
+    """
     if outcome.is_ok():
-        return expression.Ok(_store_answer(records, current, claim, outcome.ok))
-    _store_refusal(records, current, claim, outcome.error)
+        answer = await _store_answer(records, current, claim, outcome.ok)
+        return expression.Ok(answer)
+    await _store_refusal(records, current, claim, outcome.error)
     return outcome
 
 
-def _store_answer(
+async def _store_answer(
     records: claims.Claims,
     current: exchange.Exchange,
     claim: claims.Claim,
     answer: exchange.Answer,
 ) -> exchange.Answer:
     if answer.stream is None:
-        records.store_answer(
+        await records.store_answer(
             claim,
             claims.StoredAnswer(answer.status, answer.headers, answer.body),
+            deadline_s=current.deadline_s,
         )
         return answer
     return answer._replace(
@@ -144,20 +150,21 @@
 
         ended = await pump(copy_chunk)
         if ended.is_ok():
-            records.store_answer(
+            await records.store_answer(
                 claim,
                 claims.StoredAnswer(
                     answer.status, answer.headers, bytes(relayed)
                 ),
+                deadline_s=current.deadline_s,
             )
         else:
-            _store_refusal(records, current, claim, ended.error)
+            await _store_refusal(records, current, claim, ended.error)
         return ended
 
     return record
 
 
-def _store_refusal(
+async def _store_refusal(
     records: claims.Claims,
     current: exchange.Exchange,
     claim: claims.Claim,
@@ -167,7 +174,8 @@
         records.abandon(claim)
     elif refusal.outcome is outcomes.Outcome.FAILED:
         answer = refusals.answer_refusal(current.request_id, refusal)
-        records.store_answer(
+        await records.store_answer(
             claim,
             claims.StoredAnswer(answer.status, answer.headers, answer.body),
+            deadline_s=current.deadline_s,
         )
--- a/tests/claimants.py
+++ b/tests/claimants.py
@@ -161,6 +161,8 @@
             (self._filter,), lambda each: self._dispatch(each, attempt)
         )
         outcome = await handler(current)
+        if outcome.is_ok() and outcome.ok.stream is not None:
+            outcome = await _read_stream(outcome.ok)
         if self.alive:
             attempt.outcome = outcome
 
@@ -174,4 +176,33 @@
         body = self._service(attempt)
         if ending == 'unanswered':
             return current.refuse(outcomes.Reason.UPSTREAM_LOST, 'no answer')
+        if ending == 'failed':
+            return current.refuse(
+                outcomes.Reason.UPSTREAM_FAILED, 'an error', failed=True
+            )
+        if ending == 'streamed':
+            return expression.Ok(
+                exchange.Answer(200, (), stream=_make_stream(body))
+            )
         return expression.Ok(exchange.Answer(200, (), body))
+
+
+def _make_stream(body):
+    async def stream(sink):
+        await sink(body)
+        return expression.Ok(None)
+
+    return stream
+
+
+async def _read_stream(answer):
+    """Return the outcome that a caller has when a stream has ended."""
+    received = bytearray()
+
+    async def sink(chunk):
+        received.extend(chunk)
+
+    ended = await answer.stream(sink)
+    return ended.map(
+        lambda _: answer._replace(body=bytes(received), stream=None)
+    )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,10 +2,12 @@
 import collections
 
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from lavenderledge import outcomes
+from lavenderledge.filters import refusals
 from tests import claimants
 
 KEYS = st.sampled_from(('order-1', 'order-2'))
@@ -209,3 +211,39 @@
     assert refused.outcome.error.outcome is outcomes.Outcome.NOT_RUN
     again = await bench.send(1)
     assert again.outcome.ok.body == b'ok'
+
+
+@pytest.mark.parametrize('ending', ['answered', 'streamed', 'failed'])
+async def test_an_answer_is_sent_when_its_key_can_be_repeated(ending):
+    bench = Bench()
+    # The claim is created; storing its answer fails once.
+    bench.store.faults = ['none', 'refused']
+    first = await bench.send(0, ending)
+    assert bench.runs == [0]
+    assert first.outcome is None
+    await _yield_to_tasks()
+    assert first.outcome is not None
+    again = await bench.send(1)
+    assert get_body(again) == get_body(first)
+    assert bench.runs == [0]
+
+
+@pytest.mark.parametrize('ending', ['answered', 'streamed', 'failed'])
+async def test_an_answer_is_not_held_back_by_a_long_outage(ending):
+    bench = Bench()
+    bench.store.faults = ['none'] + ['refused'] * 50
+    first = await bench.send(0, ending)
+    await bench.wait(1)
+    assert first.outcome is not None
+    bench.store.faults = []
+    await bench.wait(10)
+    again = await bench.send(1)
+    assert get_body(again) == get_body(first)
+
+
+def get_body(attempt):
+    """Return the body that a caller gets: of an answer or of a refusal."""
+    outcome = attempt.outcome
+    if outcome.is_ok():
+        return outcome.ok.body
+    return refusals.answer_refusal('0', outcome.error).body
