--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -97,12 +97,16 @@
     def close_idle(self, *, min_idle_s: float) -> None:
         """Close the connections without a request for at least that long.
 
-        A new connection is idle until its request has arrived.
+        A new connection is idle until its request has been read.
         """
         now_s = self._clock.read_monotonic()
         for connection in tuple(self.connections):
             idle_s = now_s - connection.state_since_s
-            if connection.is_idle and idle_s >= min_idle_s:
+            if (
+                connection.is_idle
+                and idle_s >= min_idle_s
+                and not connection.has_unread
+            ):
                 connection.close()
 
     async def stop_accepting(self) -> None:
@@ -144,9 +148,13 @@
         self, connection: server.Connection, age_s: float
     ) -> bool:
         bounds = self.find_bounds(connection.state_since_s)
-        if connection.is_reading:
-            return age_s > bounds.header_timeout_s
-        return connection.is_idle and age_s > bounds.idle_timeout_s
+        timeout_s = (
+            bounds.header_timeout_s
+            if connection.is_reading
+            else bounds.idle_timeout_s
+        )
+        is_waiting = connection.is_reading or connection.is_idle
+        return is_waiting and age_s > timeout_s and not connection.has_unread
 
     def _discard_former(self, now_s: float) -> None:
         """Discard former bounds that no request or idle time began under."""
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import select
 import socket
 import struct
 import typing
@@ -177,6 +178,20 @@
             and self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes have arrived that the event loop did not read.
+
+        So it is after the loop was blocked or the process suspended.
+        """
+        if self._transport is None:
+            return False
+        poll = select.poll()
+        poll.register(
+            self._transport.get_extra_info('socket').fileno(), select.POLLIN
+        )
+        return bool(poll.poll(0))
+
     @property
     def is_reading(self) -> bool:
         """Return whether a part of a request has been received."""
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 
 import pytest
@@ -328,6 +329,12 @@
     return b''.join(received)
 
 
+async def receive_some(caller):
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    return await asyncio.wait_for(loop.sock_recv(caller, 1 << 20), 5)
+
+
 @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
 @pytest.mark.parametrize('extra_count', [1, 500])
 async def test_unread_bytes_destroy_no_answer(version, extra_count):
@@ -382,3 +389,42 @@
         await platformfleet.wait_until(lambda: not server.connections)
         writer.close()
     assert (answer.status, rest, has_stayed) == (200, b'', True)
+
+
+def send_unnoticed(server, caller, data):
+    """Send bytes that reach the server's kernel while its loop is blocked."""
+    caller.sendall(data)
+    transport = server.connection._transport
+    fd = transport.get_extra_info('socket').fileno()
+    assert select.select([fd], [], [], 5)[0]
+
+
+def close_idle(server):
+    server.clock.now_s += 1
+    server.listener.close_idle(min_idle_s=0.2)
+
+
+def time_out(server):
+    server.pass_time(100)
+
+
+@pytest.mark.parametrize('close', [close_idle, time_out])
+@pytest.mark.parametrize('begun', [b'', REQUEST, REQUEST + BODY[:20]])
+async def test_a_request_that_has_arrived_is_read_before_a_close(close, begun):
+    async with running() as server:
+        with socket.create_connection(
+            ('127.0.0.1', server.listener.port)
+        ) as caller:
+            caller.sendall(begun)
+            await platformfleet.wait_until(
+                lambda: (
+                    server.connections
+                    and server.connection.is_reading == bool(begun)
+                )
+            )
+            rest = (REQUEST + BODY).removeprefix(begun)
+            send_unnoticed(server, caller, rest)
+            close(server)
+            received = await receive_some(caller)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert received.endswith(BODY)
