--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -428,3 +428,25 @@
             received = await receive_some(caller)
     assert received.startswith(b'HTTP/1.1 200 ')
     assert received.endswith(BODY)
+
+
+async def test_a_listener_is_idle_only_once_its_answers_are_sent():
+    async def handle(request, reply):
+        reply.send(200, (), LARGE)
+
+    server = Server()
+    server.handle = handle
+    async with running(server):
+        caller = connect_slowly(server)
+        caller.sendall(REQUEST + BODY)
+        await platformfleet.wait_until(
+            lambda: server.connections and server.connection.has_unsent
+        )
+        is_idle = server.listener.is_idle
+        server.listener.drain()
+        caller.shutdown(socket.SHUT_WR)
+        received = await receive_all(caller)
+        await platformfleet.wait_until(lambda: server.listener.is_idle)
+        caller.close()
+    assert not is_idle
+    assert len(received) > len(LARGE)
