--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -153,6 +153,7 @@
         self._fault = 0
         self._complete = False
         self._has_ended = False
+        self._has_left = False
         self._is_unframed = False
         self.state_since_s = clock.read_monotonic()
         self.closing = False
@@ -216,8 +217,15 @@
             self._task.cancel()
 
     def eof_received(self) -> bool:
-        """Close the connection; half-closed connections get no answer."""
-        return False
+        """Cancel the request; return whether its client gets an error first.
+
+        A client that has left can't be told from one that half-closes.
+        """
+        self._has_left = True
+        if self._task is None:
+            return False
+        self._task.cancel()
+        return True
 
     def pause_writing(self) -> None:
         """Notify the producer to pause."""
@@ -325,7 +333,7 @@
         self._complete = False
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
-        if self.is_end_announced:
+        if self.is_end_announced or self._has_left:
             self._end()
             return
         self._parser = httptools.HttpRequestParser(self)
@@ -363,6 +371,9 @@
         self.state_since_s = self._clock.read_monotonic()
         if self._transport is None:
             return
+        if self._has_left:
+            self._transport.close()
+            return
         if self._is_unframed and not self.has_unsent:
             self._set_linger(_ORDERLY_CLOSE)
         try:
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -450,3 +450,51 @@
         caller.close()
     assert not is_idle
     assert len(received) > len(LARGE)
+
+
+@pytest.mark.parametrize('has_begun', [False, True])
+async def test_a_caller_that_half_closes_gets_an_error_and_no_work(has_begun):
+    cancelled = asyncio.Event()
+
+    async def work(request, reply):
+        if has_begun:
+            reply.start(200, (), length=None)
+            reply.write(request.body)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            cancelled.set()
+
+    server = Server()
+    server.handle = work
+    async with running(server):
+        reader, writer = await server.connect()
+        writer.write(REQUEST + BODY)
+        writer.write_eof()
+        answer = await singleinstance.receive(reader)
+        await asyncio.wait_for(cancelled.wait(), 5)
+        await platformfleet.wait_until(lambda: not server.connections)
+        writer.close()
+    assert not server.errors
+    if has_begun:
+        assert (answer.status, answer.is_complete) == (200, False)
+    else:
+        assert answer.status == messages.BAD_GATEWAY
+
+
+async def test_an_answer_is_sent_to_a_caller_that_half_closes_after_it():
+    async def handle(request, reply):
+        reply.send(200, (), LARGE)
+
+    server = Server()
+    server.handle = handle
+    async with running(server):
+        caller = connect_slowly(server)
+        caller.sendall(REQUEST + BODY)
+        await platformfleet.wait_until(
+            lambda: server.connections and server.connection.has_unsent
+        )
+        caller.shutdown(socket.SHUT_WR)
+        received = await receive_all(caller)
+        caller.close()
+    assert len(received) > len(LARGE)
