--- a/lavenderledge/standins/launcher.py
+++ b/lavenderledge/standins/launcher.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import socket
 import sys
 import time
 import typing
@@ -20,6 +21,7 @@
 _DAEMON_MODULE = 'lavenderledge.daemon'
 _STANDIN_MODULE = 'lavenderledge.standins'
 _POLL_S = 0.1
+_HOST = '127.0.0.1'
 _TABLE_KEY = b'lavenderledge/table'
 _LOOP_CLOCK = time.monotonic
 
@@ -52,6 +54,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._log: typing.IO[bytes] | int = asyncio.subprocess.DEVNULL
         self._files = contextlib.ExitStack()
+        self._ports = contextlib.ExitStack()
         if log_path is not None:
             self._log = self._files.enter_context(
                 pathlib.Path(log_path).open('ab')
@@ -70,6 +73,7 @@
             *(program.kill() for program in self.programs.values())
         )
         await self.session.close()
+        self._ports.close()
         self._files.close()
 
     @property
@@ -101,11 +105,12 @@
     async def start_standin(
         self, kind: str, *flags: str, name: str | None = None
     ) -> programs.Program:
-        """Start a stand-in on a free port."""
+        """Start a stand-in on a free port, which is kept until the end."""
+        host, port = self._reserve_port()
         return await self._start(
             name or kind,
             _STANDIN_MODULE,
-            (kind, '--listen', '127.0.0.1:0', *flags),
+            (kind, '--listen', f'{host}:{port}', *flags),
         )
 
     async def start_platform(self) -> None:
@@ -250,6 +255,19 @@
         async with self.session.get(f'http://{address}{path}') as response:
             return await response.json(content_type=None)
 
+    def _reserve_port(self) -> tuple[str, int]:
+        """Return a free address that no other program gets meanwhile.
+
+        Instances call an upstream that has died; without the reservation their
+        calls could reach a program of another launcher. A socket that is bound
+        and does not listen refuses connections, and with ``SO_REUSEADDR`` the
+        stand-in may bind the same address.
+        """
+        reserved = self._ports.enter_context(socket.socket())
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((_HOST, 0))
+        return typing.cast(tuple[str, int], reserved.getsockname())
+
     async def _is_ready(self, names: abc.Iterable[str]) -> bool:
         statuses = await asyncio.gather(
             *(self.read_json(name, '/status') for name in names)
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -125,7 +125,8 @@
             continue
         log = await fleet.read_json(name, '/standin/log')
         for record in log['records']:
-            request_id = record.get('request_id') or record['id']
+            request_id = record.get('request_id') or record.get('id')
+            assert request_id, f'{name} ran a request without an id: {record}'
             records_by_request[request_id.rpartition(':')[-1]][name] = record
     return records_by_request
 
