--- a/lavenderledge/controllers/follower.py
+++ b/lavenderledge/controllers/follower.py
@@ -3,7 +3,9 @@
 It lists anew if the history is gone or the store was restored from a copy.
 """
 
+import asyncio
 import datetime
+import math
 import random
 import typing
 from collections import abc
@@ -19,6 +21,12 @@
 # How often an idle follower checks whether it is needed.
 _IDLE_CHECK_S: typing.Final = 0.05
 _IDLE_CHECK: typing.Final = timing.seconds(_IDLE_CHECK_S)
+# An answer that takes this long, beyond a watch's wait, is late.
+_LATE_S: typing.Final = 0.4
+# The wait is counted in these intervals: an instance that was paused has not
+# waited, and the answer may be there.
+_LATE_CHECK_S: typing.Final = 0.1
+_LATE_CHECK: typing.Final = timing.seconds(_LATE_CHECK_S)
 
 
 def _never_poll() -> float:
@@ -79,12 +87,18 @@
         self._pause_s = float(0)
         self._failures = 0
         self._is_idle = True
+        self._is_late = False
 
     @property
     def is_failing(self) -> bool:
         """Return whether the last call failed."""
         return self._pause_s > 0
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the last call succeeded and none is late."""
+        return not self.is_failing and not self._is_late
+
     @property
     def era(self) -> int:
         """Return the store's era, 0 before the first answer."""
@@ -157,18 +171,38 @@
     async def _call(self, *, is_polling: bool) -> stores.ListResult:
         prefix = self._subscription.prefix
         if self._revision is None:
-            return await self._store.list_keys(prefix)
+            return await self._expect(self._store.list_keys(prefix))
         if is_polling:
-            return await self._store.list_keys(prefix, may_be_old=True)
+            return await self._expect(
+                self._store.list_keys(prefix, may_be_old=True)
+            )
         # After a failure or a pause, do not wait for changes: an answer ends
         # the outage, or confirms what is known.
         is_immediate = self.is_failing or self._is_idle
-        return await self._store.watch(
-            prefix,
-            after_revision=self._revision,
-            wait_s=0 if is_immediate else self._subscription.wait_s,
+        wait_s = 0 if is_immediate else self._subscription.wait_s
+        return await self._expect(
+            self._store.watch(
+                prefix, after_revision=self._revision, wait_s=wait_s
+            ),
+            within_s=wait_s,
         )
 
+    async def _expect(
+        self, call: abc.Awaitable[stores.ListResult], *, within_s: float = 0
+    ) -> stores.ListResult:
+        """Return a call's answer; note meanwhile if it is late."""
+        timer = asyncio.ensure_future(self._note_late(within_s + _LATE_S))
+        try:
+            return await call
+        finally:
+            timer.cancel()
+            self._is_late = False
+
+    async def _note_late(self, due_s: float) -> None:
+        for _ in range(math.ceil(due_s / _LATE_CHECK_S)):
+            await self._clock.sleep(_LATE_CHECK)
+        self._is_late = True
+
     def _note_era(self, era: int) -> bool:
         """Record an answer's era; return whether it is another one."""
         is_restored = self._era not in {None, era}
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -251,9 +251,9 @@
 
     @property
     def _has_lost_replicas(self) -> bool:
-        """Return whether the last call for the replicas failed."""
+        """Return whether the last call for the replicas failed or is late."""
         store_follower = self._replica_follower
-        return store_follower is None or store_follower.is_failing
+        return store_follower is None or not store_follower.is_answered
 
     def _judge_replica(self, name: str, listed_s: float) -> caches.Standing:
         now_s = self._clock.read_monotonic()
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -22,6 +22,7 @@
 # One way between two instances, and a call to the store, seconds.
 PEER_DELAY_S = 0.002
 LOSS_RATIO = 0.001
+MIN_MESSAGE_GAP_S = 1e-6
 CALL_S = 0.006
 # How long a client of the store waits for an answer beyond a watch's wait.
 CALL_TIMEOUT_S = 1.0
@@ -110,7 +111,7 @@
         )
 
     async def watch(self, prefix, *, after_revision, wait_s):
-        failed = await self._reach()
+        failed = await self._reach(wait_s)
         if failed is not None:
             return failed
         loop = asyncio.get_running_loop()
@@ -182,12 +183,12 @@
             await asyncio.sleep(self.transfer_s)
         return await self._answer(result)
 
-    async def _reach(self):
+    async def _reach(self, wait_s=0):
         """Return a failure if the call does not get through."""
         store = self.store
         await self.clock.wait_thawed()
         if self.is_cut or store.mode == 'silent':
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
             return await self._fail(stores.Fault.UNREACHABLE)
         is_slow = asyncio.get_running_loop().time() < store.slow_until_s
         await asyncio.sleep(CALL_S * (50 if is_slow else 1))
@@ -267,7 +268,7 @@
                 stop_grace_s=8,
                 revocation_ms=5000,
                 apply_ms=fleet.apply_s * 1000,
-                drain_ms=3000,
+                drain_ms=fleet.drain_s * 1000,
                 retry_ratio=0.2,
                 retry_window_s=10,
                 retry_slack=200,
@@ -339,9 +340,14 @@
     (``''``), was disturbed.
     """
 
-    def __init__(self, *, seed, apply_s):
+    def __init__(self, *, seed, apply_s, drain_s=3):
         self.rng = random.Random(seed)
         self.apply_s = apply_s
+        self.drain_s = drain_s
+        self.loss_ratio = LOSS_RATIO
+        # Whether messages between two instances keep their order.
+        self.keeps_order = False
+        self._arrivals_s = collections.defaultdict(float)
         self.store = Store()
         self.nodes = {}
         self.blocked = set()
@@ -359,11 +365,17 @@
     def deliver(self, sender, name, message):
         """Deliver a message after the link's delay, unless it is cut."""
         luck = self._draw(sender.name, name)
-        if (sender.name, name) in self.blocked or luck < LOSS_RATIO:
+        if (sender.name, name) in self.blocked or luck < self.loss_ratio:
             return
-        delay_s = PEER_DELAY_S * (0.5 + luck)
+        now_s = asyncio.get_running_loop().time()
+        way = (sender.name, name)
+        arrival_s = now_s + PEER_DELAY_S * (0.5 + luck)
+        if self.keeps_order:
+            former_s = self._arrivals_s[way]
+            arrival_s = max(arrival_s, former_s + MIN_MESSAGE_GAP_S)
+            self._arrivals_s[way] = arrival_s
         task = asyncio.ensure_future(
-            self._carry(sender, name, message, delay_s)
+            self._carry(sender, name, message, arrival_s - now_s)
         )
         self._messages.add(task)
         task.add_done_callback(self._messages.discard)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,8 +1,10 @@
 """What a follower of a prefix asks the store after each answer."""
 
+import asyncio
 import random
 
 import expression
+import pytest
 
 from lavenderledge import timing
 from lavenderledge.controllers import follower
@@ -205,3 +207,56 @@
     virtualtime.run(run)
     # A listing in full, then one of a tenth of its price each 3 s.
     assert sum(asked) <= 1 + 0.1 * 60 / 3 * 1.5
+
+
+class HangingStore:
+    """Answers the listing, and no watch."""
+
+    async def list_keys(self, prefix, *, may_be_old=False):
+        return answer(1)
+
+    async def watch(self, prefix, *, after_revision, wait_s):
+        await asyncio.Event().wait()
+
+
+async def hang(*, frozen_s):
+    """Return whether a follower counts as answered at some times, by second.
+
+    Its instance is frozen in the middle of the watch.
+    """
+    clock = virtualtime.Clock()
+    followed = follower.Follower(
+        subscription=follower.Subscription(
+            prefix='op/config',
+            wait_s=0.5,
+            read_pause_s=lambda: 0,
+            on_list=lambda changes, requested_s: None,
+            on_changes=lambda changes, requested_s: None,
+            on_confirmed=lambda requested_s: None,
+            is_needed=lambda: True,
+            is_large=lambda: False,
+        ),
+        store=HangingStore(),
+        clock=clock,
+        rng=random.Random(1),
+        on_failure=lambda failure, is_first: None,
+        on_regained=lambda failures: None,
+        on_restored=lambda era: None,
+    )
+    running = asyncio.create_task(followed.run())
+    await asyncio.sleep(0.45)
+    clock.freeze()
+    await asyncio.sleep(frozen_s)
+    clock.thaw()
+    found = []
+    for _ in range(3):
+        await asyncio.sleep(0.25)
+        found.append(followed.is_answered)
+    running.cancel()
+    return found
+
+
+@pytest.mark.parametrize('frozen_s', [0, 10])
+def test_an_answer_is_late_only_if_the_instance_waited_for_it(frozen_s):
+    found = virtualtime.run(lambda: hang(frozen_s=frozen_s))
+    assert found == [True, False, False]
