--- a/tests/changingfleet.py
+++ b/tests/changingfleet.py
@@ -11,26 +11,20 @@
 import expression
 
 from tests import (
+    changingreplicas,
     keptcallers,
     lostrequests,
     operatorversions,
     platformfleet,
-    platformreplica,
 )
 
 CALLERS = 60
-REPLICAS = 3
-SLOTS = 8
 STOP_GRACE_S = 5.0
 # The platform sends new connections for this long after a stop signal.
 ROTATION_S = 2.5
 TICK_S = 0.02
 # A turn of the loop that is later than this counts as a stall.
 STALL_S = 0.03
-BREAKS = ('reset', 'error', 'cut', 'early')
-PAUSES_S = (0.7, 1.8)
-# More than what an instance buffers of a plain answer.
-PADDING = b'p' * 400_000
 
 
 class Log(logging.Handler):
@@ -52,7 +46,7 @@
 class Play:
     """One seeded play; afterwards ``broken`` has the broken promises."""
 
-    def __init__(self, seed, seconds, pauses_s=PAUSES_S):
+    def __init__(self, seed, seconds, pauses_s=changingreplicas.PAUSES_S):
         self.seed = seed
         self._pauses_s = pauses_s
         self.seconds = seconds
@@ -61,14 +55,12 @@
         self.counts = collections.Counter()
         self.fleet = None
         self.operator = None
+        self.replicas = None
         self.log = Log()
         self._rng = random.Random(f'{seed} platform')
-        self._runs = collections.defaultdict(list)
-        self._last_ids = {}
-        self._services = {}
-        self._busy_until_s = {}
         self._stalls = []
         self._stop = None
+        self._retry_slack = 0
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -105,33 +97,31 @@
                 'op/config', document
             ),
             now=self.now,
+            ballast=self._rng.choice((0, 0, 500)),
         )
         self.operator.begin()
         first = self.operator.newest
         await self.fleet.start(replicas=0, instances=0, **first)
-        for service in operatorversions.SERVICES:
-            for number in range(REPLICAS):
-                name = f'{service}-{number}'
-                self._services[name] = service
-                replica = await self.fleet.add_replica(
-                    name,
-                    service,
-                    SLOTS,
-                    event_gap_s=self._rng.choice((0.005, 0.05, 0.15)),
-                    work_s=self._rng.choice((0, 0.02, 0.1)),
-                )
-                replica.choose = self._make_chooser(replica)
-                if number == 0:
-                    replica.padding = PADDING
+        self.replicas = changingreplicas.Replicas(
+            fleet=self.fleet,
+            seed=self.seed,
+            pauses_s=self._pauses_s,
+        )
+        await self.replicas.start()
         # Some plays have few retries, or none.
-        slack = self._rng.choice((0, 2, 50))
+        self._retry_slack = self._rng.choice((0, 2, 50))
         for number in range(self._rng.choice((2, 3))):
-            await self.fleet.add_instance(
-                f'entry-{number}',
-                retry_slack=slack,
-                retry_ratio=0.1 if slack else 0,
-                stop_grace_s=STOP_GRACE_S,
-            )
+            await self._add_instance(f'entry-{number}')
+
+    async def _add_instance(self, name, **changes):
+        slack = self._retry_slack
+        await self.fleet.add_instance(
+            name,
+            retry_slack=slack,
+            retry_ratio=0.1 if slack else 0,
+            stop_grace_s=STOP_GRACE_S,
+            **changes,
+        )
 
     async def _play(self):
         callers = [keptcallers.Caller(self, n) for n in range(CALLERS)]
@@ -141,8 +131,9 @@
             for act in (
                 self._watch_loop,
                 self._operate,
-                self._change_replicas,
+                self.replicas.change,
                 self._change_instances,
+                self.replicas.close_idle,
             )
         ]
         await asyncio.sleep(self.seconds)
@@ -176,38 +167,11 @@
                 self.operator.change()
                 await asyncio.sleep(rng.choice((0, 0.02, 0.2)))
 
-    async def _change_replicas(self):
-        rng = random.Random(f'{self.seed} replicas')
-        while True:
-            await asyncio.sleep(rng.uniform(0.3, 1.5))
-            name = rng.choice(tuple(self._services))
-            change = rng.choice(('full', 'full', 'draining', 'removed'))
-            back_s = rng.uniform(0.5, 2)
-            if change == 'full':
-                for other, service in self._services.items():
-                    if other != name and service == self._services[name]:
-                        self._busy_until_s[other] = self.now() + back_s
-            else:
-                await self._let_leave(name, change, back_s)
-
-    async def _let_leave(self, name, change, back_s):
-        """A replica leaves the list, serves on, and comes back."""
-        replica = self.fleet.replicas[name]
-        service = self._services[name]
-        key = f'servers/{name}'
-        if change == 'removed':
-            self.fleet.store.delete(key)
-        else:
-            self.fleet.store.write(
-                key, replica.describe(service, SLOTS, state='draining')
-            )
-        await asyncio.sleep(back_s)
-        self.fleet.store.write(key, replica.describe(service, SLOTS))
-
     async def _change_instances(self):
-        """Reload settings now and then, and stop one instance."""
+        """Reload settings now and then; add an instance, and stop one."""
         rng = random.Random(f'{self.seed} instances')
         stops = rng.random() < 0.6
+        adds = rng.random() < 0.5
         stop_s = self.now() + self.seconds * rng.uniform(0.2, 0.6)
         while True:
             await asyncio.sleep(rng.uniform(0.3, 1))
@@ -215,80 +179,20 @@
                 rng.choice(tuple(self.fleet.instances))
             ]
             running.reload(expression.Ok(running._settings))
+            if adds and self.now() > stop_s:
+                adds = False
+                # It may become the one that allocates.
+                await self._add_instance(
+                    'entry-new', processor_speed=rng.choice((0.5, 2))
+                )
             if stops and self._stop is None and self.now() > stop_s:
                 name = rng.choice(tuple(self.fleet.instances))
                 self._stop = lostrequests.Stop(name, self.now(), STOP_GRACE_S)
                 self.fleet.instances[name].request_stop()
 
-    def _make_chooser(self, replica):
-        """Return a function that draws and notes what a replica does."""
-
-        def choose(request):
-            request_id = request.fields.find(b'attempt-id').decode()
-            runs = self._runs[request_id]
-            rng = random.Random(f'{self.seed} {request_id} {len(runs)}')
-            action = self._draw(rng, replica)
-            runs.append(self._plan(replica, request, request_id, action))
-            return action
-
-        return choose
-
-    def _draw(self, rng, replica):
-        kind = rng.random()
-        if self.now() < self._busy_until_s.get(replica.name, 0):
-            return 'full'
-        if kind < 0.35:
-            after = rng.randint(0, replica.events - 1)
-            return platformreplica.Pause(after, rng.uniform(*self._pauses_s))
-        if kind < 0.40:
-            return 'full'
-        if kind < 0.43:
-            return rng.choice(BREAKS)
-        return 'ok'
-
-    def _plan(self, replica, request, request_id, action):
-        first_id = 1 + self._last_ids.setdefault(
-            request_id, int(request.fields.find(b'last-event-id') or b'0')
-        )
-        now_s = self.now()
-        output_s = now_s + replica.work_s
-        pause_s = 0
-        if isinstance(action, platformreplica.Pause):
-            pause_s = action.seconds
-            output_s += 0 if action.after else pause_s
-        end_s = now_s + replica.work_s + pause_s
-        if b'/stream' in request.target:
-            end_s += replica.events * replica.event_gap_s
-            body = b''.join(
-                f'id: {number}\ndata: {number}\n\n'.encode()
-                for number in range(first_id, replica.events + 1)
-            )
-        else:
-            output_s = end_s
-            body = f'{replica.name} ran {request_id}'.encode()
-            body += replica.padding
-        return lostrequests.Run(
-            replica.name,
-            self._services[replica.name],
-            action not in {'full', 'early'},
-            action in BREAKS,
-            now_s,
-            output_s if action not in {'full', *BREAKS} else float('inf'),
-            end_s,
-            None,
-            body,
-        )
-
     def _check(self, outcome):
         sent = outcome.sent
-        runs = [
-            run._replace(
-                cancelled_s=self.fleet.replicas[run.replica].cancelled_s.get(
-                    sent.request_id
-                )
-            )
-            for run in self._runs[sent.request_id]
-        ]
+        runs = self.replicas.list_runs(sent.request_id)
         stop = self._stop
         case = lostrequests.Case(
             outcome,
--- a/tests/keptcallers.py
+++ b/tests/keptcallers.py
@@ -81,7 +81,7 @@
 
     def _draw_pause_s(self):
         """Return a short pause, or one up to what the idle limit allows."""
-        if self._rng.random() < 0.6:
+        if self._rng.random() < 0.8:
             return self._rng.uniform(0, 0.1)
         return self._read_idle_s() * self._rng.uniform(0.6, 1)
 
--- a/tests/lostrequests.py
+++ b/tests/lostrequests.py
@@ -15,6 +15,8 @@
 USED_RATIO = 0.7
 # An instance stops well before its callers' deadlines.
 GIVEN_UP_MARGIN_S = 0.3
+# Of a stop, requests that were sent later than this are refused.
+STOP_SENT_S = 3.0
 NOT_RUN = frozenset((408, 421, 429, 503))
 
 
@@ -92,7 +94,12 @@
         """Return whether the rules allow that it has no answer."""
         if any(run.breaks for run in self.runs):
             return True
-        return self.stop is not None and self.outcome.ended_s > self.stop.late_s
+        stop = self.stop
+        return (
+            stop is not None
+            and self.outcome.ended_s > stop.late_s
+            and self.sent.sent_s <= stop.at_s + STOP_SENT_S
+        )
 
 
 def check(case):
--- a/tests/operatorversions.py
+++ b/tests/operatorversions.py
@@ -19,10 +19,11 @@
 ROUTES = {
     'safe': {'route_type': 'safe', 'max_attempts': 3},
     'safe/once': {'route_type': 'unsafe'},
-    'once': {'route_type': 'unsafe'},
+    # One that may not run twice may still be refused and sent again.
+    'once': {'route_type': 'unsafe', 'max_attempts': 2},
     'once/safe': {'route_type': 'safe', 'max_attempts': 2},
     'open': {'route_type': 'safe', 'public': True, 'max_attempts': 2},
-    'stream': {'route_type': 'streaming'},
+    'stream': {'route_type': 'streaming', 'max_attempts': 3},
     'stream/one': {'route_type': 'streaming', 'resumable': True},
     'stream/two': {
         'route_type': 'streaming',
@@ -78,7 +79,8 @@
     routes = [
         route
         for route in document['routes']
-        if path.startswith(route['path_prefix'])
+        if route['hostname'] == platformfleet.HOST
+        and path.startswith(route['path_prefix'])
     ]
     if not routes:
         return Match(404, None)
@@ -104,13 +106,22 @@
 
 
 class Operator:
-    """Writes versions, each with one to three random changes."""
+    """Writes versions, each with one to three random changes.
 
-    def __init__(self, *, rng, write, now):
+    They contain ``ballast`` routes of another host.
+    """
+
+    def __init__(self, *, rng, write, now, ballast=0):
         self.versions = []
         self._rng = rng
         self._write = write
         self._now = now
+        self._ballast = [
+            platformfleet.make_route(
+                f'ballast/{number}', 'safe', hostname='other.example'
+            )
+            for number in range(ballast)
+        ]
         self._changes = (
             self._move,
             self._move,
@@ -143,7 +154,8 @@
         document['version'] += self._rng.randint(1, STEP)
         for _ in range(self._rng.randint(1, 3)):
             self._rng.choice(self._changes)(document)
-        self._write(document)
+        routes = document['routes'] + self._ballast
+        self._write({**document, 'routes': routes})
         self.versions.append(Version(document, self._now()))
 
     def list_in_force(self, from_s, until_s):
@@ -177,9 +189,7 @@
         route['timeout_ms'] = self._rng.choice((2500, 3000, 4000, 6000))
 
     def _change_attempts(self, document):
-        route = self._pick_route(document)
-        if is_repeatable(route):
-            route['max_attempts'] = self._rng.randint(1, 3)
+        self._pick_route(document)['max_attempts'] = self._rng.randint(1, 3)
 
     def _change_objective(self, document):
         route = self._pick_route(document)
--- a/tests/test_lostanswers.py
+++ b/tests/test_lostanswers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests import changingfleet
+from tests import changingfleet, changingreplicas
 
 SECONDS = 4.0
 
@@ -23,7 +23,7 @@
 
 if __name__ == '__main__':
     first, last = map(int, sys.argv[1:3])
-    pauses_s = tuple(map(float, sys.argv[3:5])) or changingfleet.PAUSES_S
+    pauses_s = tuple(map(float, sys.argv[3:5])) or changingreplicas.PAUSES_S
     for each_seed in range(first, last + 1):
         found = asyncio.run(
             changingfleet.play(each_seed, SECONDS, pauses_s=pauses_s)
