--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -135,8 +135,8 @@
         )
 
     async def finish(self) -> None:
-        """Wait until all tasks have ended."""
-        if self._tasks:
+        """Wait until all tasks have ended, also those that they start."""
+        while self._tasks:
             await asyncio.wait(self._tasks)
 
     async def cancel(self) -> None:
