--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -430,7 +430,14 @@
             return False
         if not self._is_valid(slot, now_s):
             return False
-        if self._record.sends and not self._may_retry(now_s):
+        return not self._record.sends or self._may_send_again(now_s)
+
+    def _may_send_again(self, now_s: float) -> bool:
+        has_begun = self._record.may_have_run or self._running
+        if has_begun and not self._is_repeatable():
+            self._give_up('not_repeatable')
+            return False
+        if not self._may_retry(now_s):
             self._deps.metrics.count('retries_denied', reason='budget')
             self._give_up('retry_budget')
             return False
--- a/tests/test_concurrentruns.py
+++ b/tests/test_concurrentruns.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from lavenderledge.http1 import messages
 from tests import platformfleet
 
@@ -133,3 +135,25 @@
         runs = fleet.list_runs()
     assert all(response.is_complete for response in responses)
     assert max(runs.count(request_id) for request_id in runs) <= 3
+
+
+@pytest.mark.parametrize('path', ['/stream/paused/x', '/safe/x'])
+async def test_a_request_that_must_run_once_by_now_is_not_sent_again(path):
+    """A new configuration changes the type of the route, not its service."""
+    async with platformfleet.running(
+        replicas=3, routes=make_lost_routes()
+    ) as fleet:
+        for replica in fleet.replicas.values():
+            replica.default_action = 'hang'
+        response, _ = await fleet.begin(path, deadline_ms=4000)
+        await platformfleet.wait_until(fleet.list_runs)
+        routes = [
+            platformfleet.make_route('stream/paused', 'streaming'),
+            platformfleet.make_route('safe', 'unsafe'),
+        ]
+        fleet.store.write(
+            'op/config', platformfleet.make_configuration(2, routes=routes)
+        )
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+        runs = fleet.list_runs()
+    assert len(runs) == 1
