--- a/lavenderledge/policy/retrybudget.py
+++ b/lavenderledge/policy/retrybudget.py
@@ -35,13 +35,17 @@
 
         The slack is divided by ``instance_count``.
         """
+        allowed = self.allows(now_s, instance_count=instance_count)
+        if allowed:
+            self._retries.append(now_s)
+        return allowed
+
+    def allows(self, now_s: float, *, instance_count: int) -> bool:
+        """Return whether a retry may be taken, without counting it."""
         self._expire(now_s)
         slack = self._budget.slack / max(instance_count, 1)
-        allowed = self._budget.ratio * len(self._requests) + slack
-        if len(self._retries) + 1 > allowed * _SAFETY_FACTOR:
-            return False
-        self._retries.append(now_s)
-        return True
+        limit = self._budget.ratio * len(self._requests) + slack
+        return len(self._retries) + 1 <= limit * _SAFETY_FACTOR
 
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -459,6 +459,11 @@
             now_s, instance_count=self._deps.count_instances()
         )
 
+    def _allows_retry(self, now_s: float) -> bool:
+        return self._deps.budgets.find(self._record.service).allows(
+            now_s, instance_count=self._deps.count_instances()
+        )
+
     def _send(
         self, connection: client.Connection, slot: slotrequester.Slot
     ) -> hedging.Run:
@@ -526,6 +531,10 @@
         return done.result()
 
     def _start_hedge(self, run: hedging.Run, now_s: float) -> None:
+        if not self._allows_retry(now_s):
+            self._hedges.postpone(now_s)
+            self._give_up('retry_budget')
+            return
         self._deps.metrics.count('hedges', outcome='started')
         self._write_event(
             'hedge_started',
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -106,12 +106,16 @@
         self, work: abc.Coroutine[typing.Any, typing.Any, None], now_s: float
     ) -> None:
         """Start to prepare and run an attempt; the next one is due later."""
-        self.next_s = now_s + _INTERVAL_S
+        self.postpone(now_s)
         task = asyncio.create_task(work)
         self._preparing = task
         self._tasks.add(task)
         task.add_done_callback(self._note_end)
 
+    def postpone(self, now_s: float) -> None:
+        """Let the next attempt be due later."""
+        self.next_s = now_s + _INTERVAL_S
+
     def note_sent(self) -> None:
         """Keep the attempt that was prepared: it has been sent."""
         self._preparing = None
--- a/tests/test_concurrentruns.py
+++ b/tests/test_concurrentruns.py
@@ -137,6 +137,21 @@
     assert max(runs.count(request_id) for request_id in runs) <= 3
 
 
+async def test_a_hedge_without_retry_budget_takes_no_slots(caplog):
+    """Slots and connections are for requests that may be sent."""
+    caplog.set_level('DEBUG')
+    async with platformfleet.running(
+        replicas=3, instances=0, routes=[make_stream_route()]
+    ) as fleet:
+        await fleet.add_instance('entry-0', retry_ratio=0, retry_slack=0)
+        for replica in fleet.replicas.values():
+            replica.default_action = 'hang'
+        await fleet.send('/stream/paused/x', deadline_ms=6000)
+    events = [record.getMessage() for record in caplog.records]
+    assert events.count('hedge_started') <= 2
+    assert events.count('slot_granted') <= 3
+
+
 @pytest.mark.parametrize('path', ['/stream/paused/x', '/safe/x'])
 async def test_a_request_that_must_run_once_by_now_is_not_sent_again(path):
     """A new configuration changes the type of the route, not its service."""
