--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -421,7 +421,7 @@
         """
         service = self._record.service
         now_s = self._deps.clock.read_monotonic()
-        if now_s >= self._deadline_s - _RESPONSE_MARGIN_S:
+        if self.is_finished or now_s >= self._deadline_s - _RESPONSE_MARGIN_S:
             self._give_up('deadline')
             return False
         if not self._check_configuration() or service != self._record.service:
@@ -434,7 +434,8 @@
 
     def _may_send_again(self, now_s: float) -> bool:
         has_begun = self._record.may_have_run or self._running
-        if has_begun and not self._is_repeatable():
+        is_allowed = self._is_repeatable() and self._has_attempts_left()
+        if has_begun and not is_allowed:
             self._give_up('not_repeatable')
             return False
         if not self._may_retry(now_s):
@@ -459,10 +460,15 @@
             now_s, instance_count=self._deps.count_instances()
         )
 
-    def _allows_retry(self, now_s: float) -> bool:
-        return self._deps.budgets.find(self._record.service).allows(
-            now_s, instance_count=self._deps.count_instances()
-        )
+    def _may_hedge(self, now_s: float) -> bool:
+        """Check, before a slot is asked for, whether it could be used now."""
+        if not self._check_configuration() or not self._check_quarantine():
+            return False
+        budget = self._deps.budgets.find(self._record.service)
+        if budget.allows(now_s, instance_count=self._deps.count_instances()):
+            return True
+        self._give_up('retry_budget')
+        return False
 
     def _send(
         self, connection: client.Connection, slot: slotrequester.Slot
@@ -531,9 +537,8 @@
         return done.result()
 
     def _start_hedge(self, run: hedging.Run, now_s: float) -> None:
-        if not self._allows_retry(now_s):
+        if not self._may_hedge(now_s):
             self._hedges.postpone(now_s)
-            self._give_up('retry_budget')
             return
         self._deps.metrics.count('hedges', outcome='started')
         self._write_event(
--- a/tests/test_concurrentruns.py
+++ b/tests/test_concurrentruns.py
@@ -1,10 +1,13 @@
 """Several runs of one request at a time: their ends, and how many there are."""
 
 import asyncio
+import types
 
 import pytest
 
+from lavenderledge import clock as clocks
 from lavenderledge.http1 import messages
+from lavenderledge.proxy import hedging
 from tests import platformfleet
 
 
@@ -137,19 +140,31 @@
     assert max(runs.count(request_id) for request_id in runs) <= 3
 
 
-async def test_a_hedge_without_retry_budget_takes_no_slots(caplog):
+@pytest.mark.parametrize('denial', ['budget', 'route', 'key'])
+async def test_a_hedge_that_would_be_denied_takes_no_slots(denial, caplog):
     """Slots and connections are for requests that may be sent."""
     caplog.set_level('DEBUG')
+    options = {'retry_ratio': 0, 'retry_slack': 0} if denial == 'budget' else {}
     async with platformfleet.running(
         replicas=3, instances=0, routes=[make_stream_route()]
     ) as fleet:
-        await fleet.add_instance('entry-0', retry_ratio=0, retry_slack=0)
+        await fleet.add_instance('entry-0', **options)
         for replica in fleet.replicas.values():
             replica.default_action = 'hang'
-        await fleet.send('/stream/paused/x', deadline_ms=6000)
+        response, _ = await fleet.begin('/stream/paused/x', deadline_ms=6000)
+        await platformfleet.wait_until(fleet.list_runs)
+        configuration = platformfleet.make_configuration(
+            2, routes=[platformfleet.make_route('other', 'safe')]
+        )
+        if denial == 'key':
+            configuration['routes'] = [make_stream_route()]
+            configuration['tenants'][0]['api_keys'] = ['another-key']
+        if denial != 'budget':
+            fleet.store.write('op/config', configuration)
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
     events = [record.getMessage() for record in caplog.records]
-    assert events.count('hedge_started') <= 2
-    assert events.count('slot_granted') <= 3
+    assert events.count('hedge_denied') > 1
+    assert events.count('slot_granted') == 1
 
 
 @pytest.mark.parametrize('path', ['/stream/paused/x', '/safe/x'])
@@ -172,3 +187,21 @@
         await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
         runs = fleet.list_runs()
     assert len(runs) == 1
+
+
+async def test_a_connection_is_read_again_once_its_answer_has_ended():
+    """Else a connection of the pool would not notice its end."""
+    running = hedging.RunningAttempts(clock=clocks.SystemClock())
+    readings = []
+    connection = types.SimpleNamespace(
+        set_reading=lambda value: readings.append(value)
+    )
+    attempt = types.SimpleNamespace(
+        done=asyncio.get_running_loop().create_future(), is_identified=True
+    )
+    attempt.done.set_result(None)
+    run = hedging.Run(attempt, connection, 'i-0')
+    running.add(run)
+    running.set_reading(value=False)
+    running.end(run)
+    assert readings == [True, False, True]
