--- a/tests/test_secondruns.py
+++ b/tests/test_secondruns.py
@@ -30,12 +30,14 @@
 
     ``second`` is what a replica does with the second request that it could
     run. ``meanwhile`` is called with the fleet while the first run is silent.
+    Unless the instance ``allocates`` slots itself, another one does.
     """
 
     replicas: int = 2
     second: str = 'ok'
     meanwhile: typing.Any = None
     settings: typing.Any = ()
+    allocates: bool = True
 
 
 KINDS = {
@@ -62,6 +64,26 @@
     )
 
 
+def read_allocator(fleet):
+    return fleet.instances['entry-0']._requester.allocator
+
+
+async def stop_allocator(fleet, kind):
+    fleet.instances['entry-1'].request_stop()
+    await platformfleet.wait_until(lambda: read_allocator(fleet) == 'entry-0')
+
+
+async def quarantine(fleet, kind):
+    requester = fleet.instances['entry-0']._requester
+    requester.find_quarantine_s = lambda service, parts: 5
+
+
+async def supersede(fleet, kind):
+    """A newer version is known to exist for long, and was not read."""
+    configuration = fleet.instances['entry-0']._watcher.configuration
+    configuration.is_superseded = lambda max_age_s: True
+
+
 async def write_version(fleet, configuration):
     fleet.store.write('op/config', configuration)
     watcher = fleet.instances['entry-0']._watcher
@@ -122,6 +144,9 @@
     'limits shortened': Obstacle(replicas=1, meanwhile=shorten_limits),
     'replica leaves': Obstacle(replicas=1, meanwhile=remove_replica),
     'instance stops': Obstacle(meanwhile=stop_instance),
+    'allocator stops': Obstacle(allocates=False, meanwhile=stop_allocator),
+    'prompt is quarantined': Obstacle(meanwhile=quarantine),
+    'configuration is superseded': Obstacle(meanwhile=supersede),
     'connection refused': Obstacle(meanwhile=close_other_replicas),
     'second run is reset': Obstacle(second='reset'),
     'second run is reset before it runs': Obstacle(second='early'),
@@ -164,6 +189,11 @@
         for replica in fleet.replicas.values():
             replica.choose = choose
         await fleet.add_instance('entry-0', **dict(obstacle.settings))
+        if not obstacle.allocates:
+            await fleet.add_instance('entry-1', processor_speed=2)
+            await platformfleet.wait_until(
+                lambda: read_allocator(fleet) == 'entry-1'
+            )
         response, _ = await fleet.begin(
             f'/{kind.route}/x', deadline_ms=kind.timeout_ms
         )
