--- a/tests/changingfleet.py
+++ b/tests/changingfleet.py
@@ -60,6 +60,7 @@
         self._rng = random.Random(f'{seed} platform')
         self._stalls = []
         self._stop = None
+        self._ready = []
         self._retry_slack = 0
 
     def now(self):
@@ -69,7 +70,7 @@
         """Return the instances to which new connections go."""
         return [
             name
-            for name in self.fleet.instances
+            for name in self._ready
             if self._stop is None
             or name != self._stop.instance
             or self.now() < self._stop.at_s + ROTATION_S
@@ -122,6 +123,7 @@
             stop_grace_s=STOP_GRACE_S,
             **changes,
         )
+        self._ready.append(name)
 
     async def _play(self):
         callers = [keptcallers.Caller(self, n) for n in range(CALLERS)]
