--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -275,6 +275,8 @@
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if not reusable."""
         if connection.is_reusable:
+            # The caller of the last response may have been slow to read it.
+            connection.set_reading(value=True)
             self._idle.setdefault(connection.address, []).append(connection)
         else:
             connection.abort()
--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lavenderledge.http1 import bounds, listener, messages
-from tests import platformfleet, serving, singleinstance
+from tests import platformfleet, rawreplica, serving, singleinstance
 
 BOUNDS = bounds.Bounds(
     header_bytes=1000, body_bytes=100, header_timeout_s=3, idle_timeout_s=15
@@ -310,11 +310,11 @@
     assert second.fields[b'connection'] == b'close'
 
 
-def connect_slowly(server):
+def connect_slowly(port, *, buffer_bytes=65536):
     """Connect with a small receive buffer, as a slow network would have."""
     caller = socket.socket()
-    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-    caller.connect(('127.0.0.1', server.listener.port))
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    caller.connect(('127.0.0.1', port))
     return caller
 
 
@@ -352,7 +352,7 @@
     server.handle = handle
     extra = b'GET /extra HTTP/1.1\r\n\r\n'
     async with running(server):
-        caller = connect_slowly(server)
+        caller = connect_slowly(server.listener.port)
         caller.sendall(b'GET / HTTP/%b\r\nConnection: close\r\n\r\n' % version)
         await begun.wait()
         caller.sendall(extra * extra_count)
@@ -437,7 +437,7 @@
     server = Server()
     server.handle = handle
     async with running(server):
-        caller = connect_slowly(server)
+        caller = connect_slowly(server.listener.port)
         caller.sendall(REQUEST + BODY)
         await platformfleet.wait_until(
             lambda: server.connections and server.connection.has_unsent
@@ -489,7 +489,7 @@
     server = Server()
     server.handle = handle
     async with running(server):
-        caller = connect_slowly(server)
+        caller = connect_slowly(server.listener.port)
         caller.sendall(REQUEST + BODY)
         await platformfleet.wait_until(
             lambda: server.connections and server.connection.has_unsent
@@ -498,3 +498,42 @@
         received = await receive_all(caller)
         caller.close()
     assert len(received) > len(LARGE)
+
+
+async def test_a_replica_is_read_again_after_a_caller_that_read_slowly():
+    numbers = []
+
+    def build(request_id, last_id, number):
+        numbers.append(number)
+        # The last part read of the first answer fills the caller's buffer.
+        body = BODY if number else b'x' * 100_000
+        head = rawreplica.build_head(
+            request_id, b'Content-Length: %d' % len(body)
+        )
+        return singleinstance.Answer(head + body, 'keep')
+
+    async with singleinstance.running(
+        singleinstance.Replica(build)
+    ) as instance:
+        callers = instance._listener.connections
+        slow = connect_slowly(instance._listener.port, buffer_bytes=4096)
+        await platformfleet.wait_until(lambda: callers)
+        for connection in callers:
+            connection._transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+        slow.sendall(singleinstance.build_request('/safe/x'))
+        await platformfleet.wait_until(
+            lambda: any(connection.has_unsent for connection in callers)
+        )
+        first = b''
+        while not first.endswith(b'x' * 100_000):
+            first += await receive_some(slow)
+        await platformfleet.wait_until(lambda: instance.pool._idle)
+        reader, writer = await instance.connect()
+        writer.write(singleinstance.build_request('/safe/x'))
+        second = await singleinstance.receive(reader)
+        slow.close()
+        writer.close()
+    assert numbers == [0, 1]
+    assert (second.status, second.body) == (200, BODY)
