--- a/tests/test_lostrequests.py
+++ b/tests/test_lostrequests.py
@@ -537,3 +537,35 @@
         writer.close()
     assert numbers == [0, 1]
     assert (second.status, second.body) == (200, BODY)
+
+
+async def test_a_request_that_had_to_wait_unread_is_answered():
+    begun = asyncio.Event()
+    may_end = asyncio.Event()
+
+    async def handle(request, reply):
+        begun.set()
+        await may_end.wait()
+        reply.send(200, (), request.body)
+
+    server = Server()
+    server.handle = handle
+    long_body = b'y' * 5000
+    async with running(server):
+        server.listener.replace_bounds(
+            BOUNDS._replace(body_bytes=len(long_body)), overlap_s=0
+        )
+        reader, writer = await server.connect()
+        writer.write(REQUEST + BODY)
+        await begun.wait()
+        head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
+        writer.write(head % len(long_body) + long_body[:2000])
+        # Beyond the header limit, no more is read for now.
+        await platformfleet.wait_until(
+            lambda: not server.connection._transport.is_reading()
+        )
+        writer.write(long_body[2000:])
+        may_end.set()
+        answers = [await singleinstance.receive(reader) for _ in range(2)]
+        writer.close()
+    assert [answer.body for answer in answers] == [BODY, long_body]
