--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -56,10 +56,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether all requests are answered, and the answers sent."""
-        return all(
-            connection.is_idle and not connection.has_unsent
-            for connection in self.connections
-        )
+        return all(connection.is_idle for connection in self.connections)
 
     async def listen(self, host: str, port: int) -> None:
         """Bind and accept connections.
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -163,8 +163,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being read or handled."""
-        return self._task is None and not self._reading
+        """Return whether no request is read or handled, and no answer sent."""
+        return self._task is None and not self._reading and not self.has_unsent
 
     @property
     def has_ended(self) -> bool:
@@ -232,7 +232,9 @@
         self._set_writable(value=False)
 
     def resume_writing(self) -> None:
-        """Notify the producer to resume."""
+        """Notify the producer to resume; without one, idle time begins."""
+        if self._task is None and not self._reading:
+            self.state_since_s = self._clock.read_monotonic()
         self._set_writable(value=True)
 
     def data_received(self, data: bytes) -> None:
