--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -8,8 +8,8 @@
 
 from tests import platformfleet
 
-# A process that fails to listen exits within this time.
-LISTEN_FAILURE_S = 1.5
+# Pause between two checks whether a process listens.
+CHECK_INTERVAL_S = 0.05
 
 
 class Daemon:
@@ -29,11 +29,30 @@
         """Start, with new ports until the process can listen."""
         while True:
             await self.start()
-            await asyncio.sleep(LISTEN_FAILURE_S)
+            while self.is_running and not await self._is_ready():
+                await asyncio.sleep(CHECK_INTERVAL_S)
             if self.is_running:
                 return
             self.ports = [platformfleet.find_port() for _ in range(4)]
 
+    async def _is_ready(self):
+        """Return whether the process has joined and says that it is ready.
+
+        The log tells it from another process that answers at its port.
+        """
+        with open(self.log_path, encoding='utf-8') as lines:
+            text = lines.read()
+        started = text.find(f'listen=127.0.0.1:{self.ports[0]}')
+        if started < 0 or 'event=instance_joined' not in text[started:]:
+            return False
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports[1]
+        )
+        writer.write(b'GET / HTTP/1.1\r\nHost: ready\r\n\r\n')
+        status_line = await reader.readline()
+        writer.close()
+        return b' 200 ' in status_line
+
     async def start(self):
         path = os.path.join(self._directory, f'{self.name}.env')
         names = ('LISTEN', 'READY_LISTEN', 'METRICS_LISTEN', 'PEER_LISTEN')
