--- a/lavenderledge/standins/engines.py
+++ b/lavenderledge/standins/engines.py
@@ -26,7 +26,8 @@
 
     ``refuse`` answers 503 to new requests and ``unhealthy`` to ``/health``.
     ``silent`` silences the open connections and ``cut`` closes them; both
-    apply once and reset themselves. ``silent_new`` is the number of coming
+    apply once and reset themselves, as does ``finish``, which completes every
+    request with its next token. ``silent_new`` is the number of coming
     requests that run but whose connection delivers nothing.
     ``cut_after_events`` closes each stream's connection after that many
     events, or never at 0. ``cache_event_gaps`` is the fraction of cache
@@ -39,6 +40,7 @@
     silent: bool = False
     silent_new: int = 0
     cut: bool = False
+    finish: bool = False
     cut_after_events: int = 0
     cache_event_gaps: float = 0
 
@@ -275,6 +277,10 @@
                 listener.silent = listener.silent or switches.silent
                 listener.cut = listener.cut or switches.cut
                 listener.wake()
+        if switches.finish:
+            for sequence in self._owners:
+                sequence.target_tokens = sequence.produced_tokens + 1
+        self.controls.reset('finish', False)
         self.controls.reset('silent', False)
         self.controls.reset('cut', False)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -16,13 +16,17 @@
 NOTE_TOKENS = 20
 NOTES_PER_ROUND = 80
 ROUNDS = 3
-MAX_ATTEMPTS = 3
+STREAMS = 2
+# More tokens than an engine produces before it is told to finish.
+ENDLESS = 10**6
+# Streams may run for as long as the test needs.
+ROWS = tuple(row._replace(timeout_s=600) for row in processes.ROWS)
 
 
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def fleet():
     async with processes.run_fleet(
-        flags=FLAGS, engines=3, engine_flags=ENGINE_FLAGS
+        flags=FLAGS, engines=3, engine_flags=ENGINE_FLAGS, rows=ROWS
     ) as running:
         yield running
         await oracle.audit(running)
@@ -120,72 +124,31 @@
 
 
 @pytest.mark.parametrize(
-    ('victim', 'mark_leaving', 'tokens'),
+    ('victim', 'mark_leaving'),
     [
-        ('engine-0', mark_in_list, 3000),
-        ('engine-1', mark_by_switches(unhealthy=True), 3000),
-        ('engine-2', mark_by_switches(refuse=True), 4000),
+        ('engine-0', mark_in_list),
+        ('engine-1', mark_by_switches(unhealthy=True)),
+        ('engine-2', mark_by_switches(refuse=True)),
     ],
     ids=['listed', 'unhealthy', 'refuses'],
 )
-async def test_a_leaving_upstream_gets_no_new_work(
-    fleet, victim, mark_leaving, tokens
-):
-    """Its running streams complete, and it starts no new request.
-
-    On a busy machine the streams may end before the rounds of notes do; the
-    case is then repeated, ``MAX_ATTEMPTS`` times in all.
-    """
-    for _ in range(MAX_ATTEMPTS):
-        if await leave_with_streams(fleet, victim, mark_leaving, tokens):
-            return
-    raise AssertionError('the streams ended before the rounds in every attempt')
-
-
-async def leave_with_streams(fleet, victim, mark_leaving, tokens):
-    """Make an upstream leave; return whether its streams ran longer."""
-    streams = [
-        asyncio.create_task(
-            fleet.request_model(
-                f'entry-{number % 2}', tokens=tokens, stream=True
-            )
-        )
-        for number in range(12)
-    ]
-
-    async def has_started():
-        runs = await oracle.read_runs(fleet)
-        running = [
-            places.get(victim, {}).get('status') for places in runs.values()
-        ]
-        return 'in_progress' in running
-
-    await processes.wait_for(has_started)
+async def test_a_leaving_upstream_gets_no_new_work(fleet, victim, mark_leaving):
+    """Its running streams complete, and it starts no new request."""
+    streams = await start_streams(fleet, victim)
     await mark_leaving(fleet, victim, leaving=True)
     note_answers = []
 
-    async def count_new():
-        """Send a round of notes; return how many the victim received."""
-        before = await oracle.count_calls(fleet, 'create', victim)
-        note_answers.extend(
-            await asyncio.gather(
-                *(
-                    fleet.request_model(
-                        f'entry-{number % 2}', kind='note', tokens=NOTE_TOKENS
-                    )
-                    for number in range(NOTES_PER_ROUND)
-                )
-            )
-        )
-        return await oracle.count_calls(fleet, 'create', victim) - before
-
     async def gets_no_notes():
-        return not any([await count_new() for _ in range(ROUNDS)])
+        counts = [
+            await send_notes(fleet, note_answers, victim) for _ in range(ROUNDS)
+        ]
+        return not any(counts)
 
     await processes.wait_for(gets_no_notes)
-    outlasted = any(not stream.done() for stream in streams)
-    for answer in await asyncio.gather(*streams):
-        oracle.check_complete(answer, tokens)
+    assert await count_running(fleet, victim) >= STREAMS
+    for name in ENGINES:
+        await fleet.set_switches(name, finish=True)
+    await check_streams(fleet, await asyncio.gather(*streams))
     for answer in note_answers:
         if answer.status == 200:
             oracle.check_complete(answer, NOTE_TOKENS)
@@ -194,7 +157,83 @@
     await mark_leaving(fleet, victim, leaving=False)
 
     async def gets_notes():
-        return await count_new() > 0
+        return await send_notes(fleet, [], victim) > 0
 
     await processes.wait_for(gets_notes)
-    return outlasted
+
+
+async def start_streams(fleet, victim):
+    """Start streams that run until told to finish, ``STREAMS`` at the victim.
+
+    The other engines are not ready meanwhile, and get requests again after it.
+    """
+    others = [name for name in ENGINES if name != victim]
+    for name in others:
+        await fleet.set_switches(name, unhealthy=True)
+    streams = []
+
+    async def run_at_victim():
+        caller = f'{victim}-{len(streams)}'
+        streams.append(
+            asyncio.create_task(
+                fleet.request_model(
+                    f'entry-{len(streams) % 2}',
+                    stream=True,
+                    metadata={'output_tokens': ENDLESS, 'caller': caller},
+                )
+            )
+        )
+        await wait_for_status(fleet, caller, 'in_progress')
+        return await count_running(fleet, victim) >= STREAMS
+
+    await processes.wait_for(run_at_victim)
+    for name in others:
+        await fleet.set_switches(name, unhealthy=False)
+
+    async def get_notes():
+        counts = [await send_notes(fleet, [], name) for name in others]
+        return all(counts)
+
+    await processes.wait_for(get_notes)
+    return streams
+
+
+async def count_running(fleet, name):
+    """Return how many streams of ``start_streams`` run at an engine."""
+    records = [
+        places[name]
+        for places in (await oracle.read_runs(fleet)).values()
+        if name in places
+    ]
+    return sum(
+        record.get('wanted_tokens') == ENDLESS
+        and record['status'] == 'in_progress'
+        for record in records
+    )
+
+
+async def send_notes(fleet, answers, name):
+    """Send a round of notes; return how many an engine received."""
+    before = await oracle.count_calls(fleet, 'create', name)
+    answers.extend(
+        await asyncio.gather(
+            *(
+                fleet.request_model(
+                    f'entry-{number % 2}', kind='note', tokens=NOTE_TOKENS
+                )
+                for number in range(NOTES_PER_ROUND)
+            )
+        )
+    )
+    return await oracle.count_calls(fleet, 'create', name) - before
+
+
+async def check_streams(fleet, answers):
+    """Check that streams have all tokens that their engines produced."""
+    runs = await oracle.read_runs(fleet)
+    for answer in answers:
+        (record,) = runs[answer.request_id].values()
+        assert record['status'] == 'completed'
+        oracle.check_complete(
+            answer, record['tokens'], caller=record['metadata']['caller']
+        )
