--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -58,8 +58,6 @@
         if not run.attempt.is_identified:
             # Its refusal, if repeated, would be taken for the next one's.
             run.connection.prevent_reuse()
-        # An idle connection that is not read does not notice its end.
-        run.connection.set_reading(value=True)
 
     def is_newest(self, run: Run) -> bool:
         """Return whether no attempt that is running was sent later."""
--- a/tests/test_concurrentruns.py
+++ b/tests/test_concurrentruns.py
@@ -1,13 +1,10 @@
 """Several runs of one request at a time: their ends, and how many there are."""
 
 import asyncio
-import types
 
 import pytest
 
-from lavenderledge import clock as clocks
 from lavenderledge.http1 import messages
-from lavenderledge.proxy import hedging
 from tests import platformfleet
 
 
@@ -187,21 +184,3 @@
         await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
         runs = fleet.list_runs()
     assert len(runs) == 1
-
-
-async def test_a_connection_is_read_again_once_its_answer_has_ended():
-    """Else a connection of the pool would not notice its end."""
-    running = hedging.RunningAttempts(clock=clocks.SystemClock())
-    readings = []
-    connection = types.SimpleNamespace(
-        set_reading=lambda value: readings.append(value)
-    )
-    attempt = types.SimpleNamespace(
-        done=asyncio.get_running_loop().create_future(), is_identified=True
-    )
-    attempt.done.set_result(None)
-    run = hedging.Run(attempt, connection, 'i-0')
-    running.add(run)
-    running.set_reading(value=False)
-    running.end(run)
-    assert readings == [True, False, True]
