--- a/tests/test_configurationmodel.py
+++ b/tests/test_configurationmodel.py
@@ -287,7 +287,7 @@
     return model
 
 
-@pytest.mark.parametrize('seed', [20, 30])
+@pytest.mark.parametrize('seed', [5, 6, 20, 30])
 def test_versions_are_in_force_in_time_whatever_disturbs_the_fleet(seed):
     model = play(seed)
     assert not model.broken
