--- a/tests/changingfleet.py
+++ b/tests/changingfleet.py
@@ -11,9 +11,9 @@
 import expression
 
 from tests import (
+    answerrules,
     changingreplicas,
     keptcallers,
-    lostrequests,
     operatorversions,
     platformfleet,
 )
@@ -189,21 +189,21 @@
                 )
             if stops and self._stop is None and self.now() > stop_s:
                 name = rng.choice(tuple(self.fleet.instances))
-                self._stop = lostrequests.Stop(name, self.now(), STOP_GRACE_S)
+                self._stop = answerrules.Stop(name, self.now(), STOP_GRACE_S)
                 self.fleet.instances[name].request_stop()
 
     def _check(self, outcome):
         sent = outcome.sent
         runs = self.replicas.list_runs(sent.request_id)
         stop = self._stop
-        case = lostrequests.Case(
+        case = answerrules.Case(
             outcome,
             runs,
             self.operator.list_in_force(sent.begun_s, outcome.ended_s),
             stop if stop and stop.instance == sent.instance else None,
             self._find_stalled_s(sent.sent_s, outcome.ended_s),
         )
-        names = list(lostrequests.check(case))
+        names = list(answerrules.check(case))
         status = outcome.received.status
         self.counts[f'{outcome.ending} {status}'] += 1
         for name in names:
--- a/tests/changingreplicas.py
+++ b/tests/changingreplicas.py
@@ -4,7 +4,7 @@
 import collections
 import random
 
-from tests import lostrequests, operatorversions, platformreplica
+from tests import answerrules, operatorversions, platformreplica
 
 REPLICAS = 3
 SLOTS = 8
@@ -144,7 +144,7 @@
             output_s = end_s
             body = f'{replica.name} ran {request_id}'.encode()
             body += replica.padding
-        return lostrequests.Run(
+        return answerrules.Run(
             replica.name,
             self._services[replica.name],
             action not in {'full', 'early'},
