Review: each case reads TROUBLE itself

Cause: TROUBLE was read in the shared stand-ins only; nothing in the folder of a case showed that it is taken.

--- a/review/standins.py
+++ b/review/standins.py
@@ -631,10 +631,6 @@
     }
 
 
-def has_trouble():
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def main(folder, run_case):
     """Run a case: exit with 1 if the rule was broken, 2 if it can't run."""
     if not (ROOT / 'target/deps').is_dir():
