Check events of a stream before they are relayed

Callers of a stream got bytes that no run made: whatever a faulty replica sent in place of an event. On a plain stream any bytes were passed on as they came; on a resumable one, all that a blank line ends, and its id, or none, was where the further run was asked to go on.

Cause: nothing looked at what a stream holds. The splitter looked for blank lines and the last id, for resumable streams alone, and passed on a partial event of 1 MiB as it was. Class: content of an upstream is trusted because the head that came before it was.

Now each event is read before it is relayed, on both kinds of stream and with any framing: lines of UTF-8 with known fields, data, and one id, a number above the last one. The first event that is none of the run's ends the attempt, nothing of it or after it is passed on, its connection is not used again, and a resumable stream goes on after the last good event. A log line, stream_rejected, has the reason. What is left incomplete is never relayed, on plain streams either. The search for an event's end starts where the last one stopped; before, each byte of a long event had the whole of it searched again.

--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -4,7 +4,7 @@
 
 from lavenderledge.http1 import messages
 from lavenderledge.policy import upstreamnotices
-from lavenderledge.proxy import headercodec
+from lavenderledge.proxy import events, headercodec
 
 _REQUEST_ID: typing.Final = b'attempt-id'
 _DEADLINE: typing.Final = b'deadline-ms'
@@ -19,6 +19,8 @@
 _SERVER_LIMIT: typing.Final = b'server-limit'
 _SERVER_LEAVING: typing.Final = b'server-leaving'
 _RETRY_AFTER: typing.Final = b'retry-after'
+# A field of the event at which the version of the replica's model changes.
+_WEIGHT_VERSIONS: typing.Final = b'weight-versions'
 _BEARER_PREFIX: typing.Final = b'bearer '
 _SERVER_LOAD_COUNT: typing.Final = 4
 _NORMAL_SLOWNESS: typing.Final = 100
@@ -153,6 +155,7 @@
     build_upstream_request=build_upstream_request,
     parse_response=parse_response,
     build_local_fields=build_local_fields,
+    event_fields=events.FIELDS | {_WEIGHT_VERSIONS},
 )
 
 
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -39,8 +39,8 @@
 class ResponseRelay:
     """Relays the responses of all attempts of a request to its caller.
 
-    If it is resumable, only complete events are relayed, and another attempt
-    may go on after ``last_event_id``.
+    Of a stream, only valid events are relayed. If it is resumable, another
+    attempt may go on after ``last_event_id``.
     """
 
     def __init__(self, *, reply: server.Reply) -> None:
@@ -63,11 +63,10 @@
             head.status, messages.list_end_to_end(head.fields), length=length
         )
 
-    def build_splitter(self) -> events.EventSplitter | None:
-        """Return a splitter for an attempt that goes on with the response."""
-        if not self.is_resumable:
-            return None
-        return events.EventSplitter(last_id=self.last_event_id)
+    def build_reader(self, fields: frozenset[bytes]) -> events.EventReader:
+        """Return a reader for an attempt that goes on with the response."""
+        last_id = self.last_event_id if self.is_resumable else None
+        return events.EventReader(fields=fields, last_id=last_id)
 
 
 class Attempt:
@@ -110,11 +109,10 @@
         self._clock = clock
         self._on_head = on_head
         self._on_progress = on_progress
-        self._splitter = relay.build_splitter()
+        self._reader = relay.build_reader(header_codec.event_fields)
         self._head: messages.ResponseHead | None = None
         self._parsed: headercodec.ParsedResponse | None = None
         self._is_relaying = False
-        self._stream_end = events.EndTracker()
         self._chunks: list[bytes] = []
 
     @property
@@ -127,6 +125,11 @@
         """Return whether the response names the request that it belongs to."""
         return self._parsed is not None and self._parsed.has_id
 
+    @property
+    def fault(self) -> str:
+        """Return why the rest of a stream was not relayed, if it was not."""
+        return self._reader.fault
+
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether the response belongs to this request."""
         self._parsed = self._header_codec.parse_response(head, self._request)
@@ -147,6 +150,8 @@
 
     def receive_body(self, body: bytes) -> None:
         """Relay or buffer a part of the body."""
+        if self.done.done():
+            return
         now_s = self._clock.read_monotonic()
         if not self.has_body:
             self.has_body = True
@@ -190,20 +195,29 @@
         self._chunks.clear()
 
     def _relay_body(self, body: bytes) -> None:
-        assert self._head is not None
         if self._is_stream:
-            self._stream_end.feed(body)
-        splitter = self._splitter
-        if splitter is not None:
-            body = splitter.feed(body)
-        if splitter is None or events.has_fields(body):
+            self._relay_events(body)
+        else:
             self._make_progress()
-        elif not body or self._relay.source not in {None, self}:
-            return
+            self._relay_bytes(body)
+
+    def _relay_events(self, body: bytes) -> None:
+        reader = self._reader
+        event_count = reader.event_count
+        valid = reader.feed(body)
+        if reader.event_count > event_count:
+            self._make_progress()
+        if valid and self._relay.source in {None, self}:
+            self._relay_bytes(valid)
+        if reader.fault:
+            self.end(Result.INVALID)
+
+    def _relay_bytes(self, body: bytes) -> None:
+        assert self._head is not None
         self._relay.begin(self._head, is_stream=self._is_stream)
         self._relay.reply.write(body)
-        if splitter is not None:
-            self._relay.last_event_id = splitter.last_id
+        if self._relay.is_resumable:
+            self._relay.last_event_id = self._reader.last_id
 
     def _make_progress(self) -> None:
         self.last_progress_s = self._clock.read_monotonic()
@@ -231,18 +245,19 @@
         return Result.INVALID if succeeded else Result.FAILED
 
     def _finish_relay(self, head: messages.ResponseHead) -> Result:
-        """End the relayed response, unless it is a stream that broke off.
-
-        A stream without events is complete only if its framing says so.
-        """
-        if self._is_stream and not self._stream_end.is_complete:
-            return Result.LOST
-        is_cut = not self.has_body and not head.is_framed
-        if is_cut and not self._bodiless:
+        """End the relayed response, unless it is a stream that broke off."""
+        if self._is_stream and not self._bodiless and not self._has_ended(head):
             return Result.LOST
         self._make_progress()
         self._relay.begin(head, is_stream=self._is_stream)
-        if self._splitter is not None:
-            self._relay.reply.write(self._splitter.flush())
+        if self._is_stream:
+            self._relay.reply.write(self._reader.flush())
         self._relay.reply.finish()
         return Result.DELIVERED
+
+    def _has_ended(self, head: messages.ResponseHead) -> bool:
+        """Return whether a stream may end here.
+
+        One without events is complete only if its framing says so.
+        """
+        return self._reader.is_complete and (self.has_body or head.is_framed)
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -1,72 +1,126 @@
-"""Splits an event stream, so that it can resume after its last event."""
+"""Checks an event stream as it is relayed, event by event."""
 
 import re
 import typing
 
-_EVENT_END: typing.Final = re.compile(rb'\r?\n\r?\n')
-_EVENT_ENDINGS: typing.Final = (b'\n\n', b'\n\r\n')
-_MAX_END_BYTES: typing.Final = 4
-# A line that is neither empty nor a comment: comments keep a connection open,
-# and tell nothing about the work behind it.
-_EVENT_FIELD: typing.Final = re.compile(rb'^[^:\r\n]', re.MULTILINE)
-_EVENT_ID: typing.Final = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
-# A longer partial event is passed on without waiting for its end.
-_MAX_PARTIAL_BYTES: typing.Final = 1_048_576
+# The fields of server-sent events.
+FIELDS: typing.Final = frozenset((b'id', b'event', b'data', b'retry'))
 
+_BLANK_LINES: typing.Final = re.compile(rb'[\r\n]*')
+_EVENT_END: typing.Final = re.compile(rb'\n\r?\n')
+_MAX_END_BYTES: typing.Final = 3
+_LINE_ENDS: typing.Final = b'\r\n'
+_COMMENT_START: typing.Final = b':'
+_ID_NUMBER: typing.Final = re.compile(rb'\d{1,18}')
+# An event that is longer ends its stream.
+_MAX_EVENT_BYTES: typing.Final = 1_048_576
 
-class EndTracker:
-    """Tells whether a stream ends after a complete event."""
 
-    def __init__(self) -> None:
-        """Start before the first byte."""
-        self._tail = b''
+class EventReader:
+    """Reads a stream up to the first event that can't belong to it.
+
+    Events have data and numeric ids that increase. ``last_id`` is the id of
+    the last event, ``fault`` tells why the stream is not read any further.
+    Comments and blank lines between events are passed on, but are no events.
+    """
+
+    def __init__(
+        self, *, fields: frozenset[bytes], last_id: str | None
+    ) -> None:
+        """Expect the stream to go on after the event ``last_id``.
+
+        One that is no number sets no lower bound. ``fields`` are the names of
+        the fields that an event may have.
+        """
+        self.last_id = last_id
+        self.fault = ''
+        self.event_count = 0
+        self._fields = fields
+        self._last_number = _parse_id((last_id or '').encode())
+        self._partial = bytearray()
+        self._blank_bytes = 0
+        self._search_from = 0
 
     @property
     def is_complete(self) -> bool:
-        """Return whether the last event has its end, or there is none."""
-        return not self._tail or self._tail.endswith(_EVENT_ENDINGS)
+        """Return whether the stream may end here."""
+        return not self.fault and self._blank_bytes == len(self._partial)
 
-    def feed(self, body: bytes) -> None:
-        """Add bytes."""
-        end = body[-_MAX_END_BYTES:]
-        self._tail = (self._tail + end)[-_MAX_END_BYTES:]
+    def feed(self, body: bytes) -> bytes:
+        """Add bytes; return the valid events that they complete."""
+        if self.fault:
+            return b''
+        self._partial += body
+        start = 0
+        while not self.fault:
+            end = self._find_end(start)
+            if end is None:
+                break
+            self._check(bytes(self._partial[start:end]))
+            start = start if self.fault else end
+        valid = bytes(self._partial[:start])
+        del self._partial[:start]
+        self._blank_bytes = max(0, self._blank_bytes - start)
+        self._search_from = max(0, len(self._partial) - _MAX_END_BYTES + 1)
+        if len(self._partial) > _MAX_EVENT_BYTES:
+            self.fault = self.fault or 'too_long'
+        return valid
 
+    def flush(self) -> bytes:
+        """Return the blank lines at the end of a complete stream."""
+        blank = bytes(self._partial)
+        self._partial.clear()
+        return blank
 
-def has_fields(events: bytes) -> bool:
-    """Return whether complete events hold more than comments."""
-    return _EVENT_FIELD.search(events) is not None
+    def _find_end(self, start: int) -> int | None:
+        """Return the end of the event, or comments, that begin at ``start``."""
+        blank = _BLANK_LINES.match(self._partial, max(start, self._blank_bytes))
+        self._blank_bytes = start if blank is None else blank.end()
+        end = _EVENT_END.search(
+            self._partial, max(self._blank_bytes, self._search_from)
+        )
+        return None if end is None else end.end()
 
+    def _check(self, text: bytes) -> None:
+        """Check one event, or comments; set ``fault`` if it is not valid."""
+        pairs = _split_fields(text)
+        if pairs is None or not self._fields.issuperset(dict(pairs)):
+            self.fault = 'not_an_event'
+            return
+        if not pairs:
+            return
+        ids = [content for name, content in pairs if name == b'id']
+        number = _parse_id(ids[0]) if len(ids) == 1 else None
+        if number is None or b'data' not in dict(pairs):
+            self.fault = 'not_numbered'
+        elif self._last_number is not None and number <= self._last_number:
+            self.fault = 'not_increasing'
+        else:
+            self.event_count += 1
+            self._last_number = number
+            self.last_id = ids[0].decode()
 
-class EventSplitter:
-    """Splits a stream into complete events and records the last event's id."""
 
-    def __init__(self, *, last_id: str | None) -> None:
-        """Expect the stream to start after the event ``last_id``."""
-        self.last_id = last_id
-        self._partial = b''
+def _split_fields(text: bytes) -> list[tuple[bytes, bytes]] | None:
+    """Return the names and values of fields, None if it isn't lines of text.
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether no partial event is buffered."""
-        return not self._partial
+    Comments keep a connection open; they are no fields.
+    """
+    text = text.replace(_LINE_ENDS, b'\n')
+    try:
+        text.decode()
+    except UnicodeDecodeError:
+        return None
+    if b'\r' in text:
+        return None
+    lines = [line for line in text.split(b'\n') if line]
+    parts = [
+        line.partition(b':')
+        for line in lines
+        if not line.startswith(_COMMENT_START)
+    ]
+    return [(name, rest.removeprefix(b' ')) for name, _, rest in parts]
 
-    def feed(self, body: bytes) -> bytes:
-        """Add bytes; return the complete events and buffer the rest."""
-        joined = self._partial + body if self._partial else body
-        end = 0
-        for match in _EVENT_END.finditer(joined):
-            end = match.end()
-        if not end and len(joined) > _MAX_PARTIAL_BYTES:
-            end = len(joined)
-        complete = joined[:end]
-        self._partial = joined[end:]
-        ids = _EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode('latin-1')
-        return complete
 
-    def flush(self) -> bytes:
-        """Return the partial event, at a regular end of the stream."""
-        partial = self._partial
-        self._partial = b''
-        return partial
+def _parse_id(text: bytes) -> int | None:
+    return int(text) if _ID_NUMBER.fullmatch(text) else None
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -624,6 +624,14 @@
                 attempt.slowness,
             )
         record.exclude(run.replica, outcome.value)
+        if attempt.fault:
+            self._write_event(
+                'stream_rejected',
+                replica=run.replica,
+                reason=attempt.fault,
+                last_id=self._relay.last_event_id or '',
+                body_bytes=attempt.size_bytes,
+            )
         if outcome is attempts.Result.LOST and not attempt.has_body:
             self._note_lost(run.replica)
         if outcome is attempts.Result.FAILED:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -64,7 +64,10 @@
 
 
 class HeaderCodec(typing.NamedTuple):
-    """Reads and writes a platform's HTTP header fields."""
+    """Reads and writes a platform's HTTP header fields.
+
+    ``event_fields`` are the names of the fields that events may have.
+    """
 
     parse_request: abc.Callable[
         [messages.Request], ParsedRequest | MalformedRequest
@@ -76,3 +79,4 @@
         [messages.ResponseHead, ParsedRequest], ParsedResponse
     ]
     build_local_fields: abc.Callable[[str, float | None], list[messages.Header]]
+    event_fields: frozenset[bytes]
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -15,6 +15,10 @@
 
 # The minimum time between the preparations of two attempts.
 _INTERVAL_S: typing.Final = 0.5
+# What follows such a response on its connection can't be trusted.
+_UNSOUND_RESULTS: typing.Final = frozenset(
+    (attempts.Result.LOST, attempts.Result.INVALID)
+)
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -53,8 +57,11 @@
     def end(self, run: Run) -> None:
         """Remove an attempt; abort its connection if it has no result."""
         self._runs.remove(run)
-        if not run.attempt.done.done():
+        done = run.attempt.done
+        if not done.done():
             run.connection.abort()
+        elif done.result() in _UNSOUND_RESULTS:
+            run.connection.prevent_reuse()
         if not run.attempt.is_identified:
             # Its refusal, if repeated, would be taken for the next one's.
             run.connection.prevent_reuse()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -206,16 +206,17 @@
         % (number, text.replace(b'\n', b'').hex().encode())
         for number, text in enumerate(texts, 1)
     )
-    splitter = events.EventSplitter(last_id=None)
+    reader = events.EventReader(fields=events.FIELDS, last_id=None)
     passed = b''
     while stream:
         size = data.draw(st.integers(1, len(stream)))
-        passed += splitter.feed(stream[:size])
+        passed += reader.feed(stream[:size])
         stream = stream[size:]
         count = passed.count(b'\n\n')
         assert passed == b'' or passed.endswith(b'\n\n')
-        assert splitter.last_id == (str(count) if count else None)
-    assert splitter.is_empty
+        assert reader.last_id == (str(count) if count else None)
+    assert reader.is_complete
+    assert not reader.flush()
 
 
 async def test_the_store_stand_in_lists_written_keys():
--- a/tests/test_repeatedanswers.py
+++ b/tests/test_repeatedanswers.py
@@ -14,10 +14,15 @@
 
 
 def build_answer(request_id, status):
+    body = build_body(request_id)
     head = rawreplica.build_head(
-        request_id, b'Content-Length: %d' % len(request_id), status=status
+        request_id, b'Content-Length: %d' % len(body), status=status
     )
-    return head + request_id
+    return head + body
+
+
+def build_body(request_id):
+    return b'id: 1\ndata: %b\n\n' % request_id
 
 
 class RepeatingReplica(singleinstance.Replica):
@@ -71,7 +76,8 @@
             await asyncio.sleep(0.05)
     for answer, request_id in zip(received[1:], (b'r-2', b'r-3'), strict=True):
         assert answer.status in {200, 502}
-        assert answer.body == (request_id if answer.status == 200 else b'')
+        body = build_body(request_id) if answer.status == 200 else b''
+        assert answer.body == body
     assert received[-1].status == 200
     runs = repeating.runs + sound.runs
     assert runs.count(b'r-2') == 1 or path == '/safe/x'
