Never end a stream without an event as complete

A caller got an empty answer that looked complete, where a replica sent a framed head and then nothing, blank lines or comments; without framing, blank lines or comments were enough.

Cause: the end of a stream was judged by its framing and its last bytes, which are sound if there are none. A run makes at least one event, since a request begins to run with its first token. Only a run that goes on after an event may have none left, and then its framing has to say so.

--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -258,6 +258,11 @@
     def _has_ended(self, head: messages.ResponseHead) -> bool:
         """Return whether a stream may end here.
 
-        One without events is complete only if its framing says so.
+        A run makes at least one event. Without any, a stream that goes on
+        after an earlier event is complete only if its framing says so.
         """
-        return self._reader.is_complete and (self.has_body or head.is_framed)
+        if not self._reader.is_complete:
+            return False
+        if self._reader.event_count:
+            return True
+        return self._reader.last_id is not None and head.is_framed
--- a/tests/test_foreignevents.py
+++ b/tests/test_foreignevents.py
@@ -183,3 +183,26 @@
     ) as instance:
         received = await test_brokenanswers.send(instance, path)
     assert (received.body, received.is_complete) == (b''.join(pieces), True)
+
+
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('body', [b'', b'\n\n', b': a comment\n\n'])
+async def test_a_stream_without_an_event_never_looks_complete(
+    body, framing, path
+):
+    def build(request_id, last_event_id, number):
+        return singleinstance.Answer(
+            b''.join(
+                test_brokenanswers.build_answer(request_id, framing, [body])
+                if body
+                else test_brokenanswers.build_answer(request_id, framing, [])
+            ),
+            'close',
+        )
+
+    async with singleinstance.running(
+        singleinstance.Replica(build)
+    ) as instance:
+        received = await test_brokenanswers.send(instance, path)
+    assert not (received.status == 200 and received.is_complete)
