--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -11,6 +11,10 @@
 _MAX_END_BYTES: typing.Final = 3
 _LINE_ENDS: typing.Final = b'\r\n'
 _COMMENT_START: typing.Final = b':'
+# The form of most events; others are read line by line, which takes longer.
+_COMMON_EVENT: typing.Final = re.compile(
+    rb'id:[ ]?(\d{1,18})\r?\n(?:data:[^\r\n]*\r?\n)+\r?\n'
+)
 _ID_NUMBER: typing.Final = re.compile(rb'\d{1,18}')
 # An event that is longer ends its stream.
 _MAX_EVENT_BYTES: typing.Final = 1_048_576
@@ -36,7 +40,7 @@
         self.fault = ''
         self.event_count = 0
         self._fields = fields
-        self._last_number = _parse_id((last_id or '').encode())
+        self._last_number = _parse_id(last_id)
         self._partial = bytearray()
         self._blank_bytes = 0
         self._search_from = 0
@@ -83,22 +87,33 @@
 
     def _check(self, text: bytes) -> None:
         """Check one event, or comments; set ``fault`` if it is not valid."""
+        common = _COMMON_EVENT.fullmatch(text)
+        if common is not None and text.isascii():
+            self._accept(common.group(1))
+            return
         pairs = _split_fields(text)
         if pairs is None or not self._fields.issuperset(dict(pairs)):
             self.fault = 'not_an_event'
-            return
-        if not pairs:
-            return
+        elif pairs:
+            self._check_fields(pairs)
+
+    def _check_fields(self, pairs: list[tuple[bytes, bytes]]) -> None:
         ids = [content for name, content in pairs if name == b'id']
-        number = _parse_id(ids[0]) if len(ids) == 1 else None
-        if number is None or b'data' not in dict(pairs):
+        is_numbered = len(ids) == 1 and _ID_NUMBER.fullmatch(ids[0]) is not None
+        if is_numbered and b'data' in dict(pairs):
+            self._accept(ids[0])
+        else:
             self.fault = 'not_numbered'
-        elif self._last_number is not None and number <= self._last_number:
+
+    def _accept(self, event_id: bytes) -> None:
+        """Count an event, unless its id is not above the last one."""
+        number = int(event_id)
+        if number <= self._last_number:
             self.fault = 'not_increasing'
-        else:
-            self.event_count += 1
-            self._last_number = number
-            self.last_id = ids[0].decode()
+            return
+        self.event_count += 1
+        self._last_number = number
+        self.last_id = event_id.decode()
 
 
 def _split_fields(text: bytes) -> list[tuple[bytes, bytes]] | None:
@@ -122,5 +137,8 @@
     return [(name, rest.removeprefix(b' ')) for name, _, rest in parts]
 
 
-def _parse_id(text: bytes) -> int | None:
-    return int(text) if _ID_NUMBER.fullmatch(text) else None
+def _parse_id(text: str | None) -> float:
+    """Return an id as a number, below all others if it is none."""
+    if text is None or _ID_NUMBER.fullmatch(text.encode()) is None:
+        return float('-inf')
+    return int(text)
