Replicas: cut off an answer whose framing goes on without end

A replica whose answer is accepted, and that then sends trailers, a trailer's name or value, chunk extensions, or zeros of a chunk's size without end, was read until the request's deadline; trailers were kept, so the process grew with them. Callers got the answer's end, or 504, at their deadline.

Cause: the connection counted bytes only before the head was accepted. llhttp reports trailers through the same callback as header fields, so they were stored, and skips chunk extensions and leading zeros in silence.

A trailer named like a header field was found among the fields of the head.

Each byte received now counts against one bound, and each part of a body passed on takes its own size and an allowance for one chunk's framing off again, never below zero, so no body allows for later framing. An answer over the bound is malformed, and its connection is not reused. Trailers are discarded.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -18,9 +18,10 @@
 _IDLE_MARGIN_S: typing.Final = 0.5
 # Idle timeout if the peer sends no Keep-Alive timeout.
 _DEFAULT_IDLE_TIMEOUT_S: typing.Final = 2.0
-# Maximum size of all that a peer sends apart from the response that is waited
-# for, and of that response's head.
+# Maximum size of all that a peer sends apart from the body of the response that
+# is waited for. Each part of that body allows for its chunk's framing.
 _MAX_UNUSED_BYTES: typing.Final = 262_144
+_CHUNK_FRAMING_BYTES: typing.Final = 256
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -52,6 +53,7 @@
 
     A response that the receiver does not accept is skipped, and the connection
     is not reused. Nor is a connection that sent bytes beyond a response.
+    Trailers are discarded, and a response with too much framing is malformed.
     """
 
     def __init__(self, *, address: str, clock: clocks.Clock) -> None:
@@ -149,13 +151,14 @@
         if self._receiver is None:
             self._prevent_reuse()
             return
+        self._unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._prevent_reuse()
             self._end(messages.Ending.MALFORMED)
             return
-        self._check_unused(len(data))
+        self._check_unused()
 
     def on_message_begin(self) -> None:
         """Begin a response; an unexpected one prevents reuse."""
@@ -166,8 +169,9 @@
             self._prevent_reuse()
 
     def on_header(self, name: bytes, text: bytes | None) -> None:
-        """Store a header field."""
-        self._fields.add(name, (text or b'').strip(b' \t'))
+        """Store a header field, and no trailer."""
+        if not self._head_received:
+            self._fields.add(name, (text or b'').strip(b' \t'))
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or skip a response to another request."""
@@ -194,6 +198,8 @@
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
         if self._receiver is not None and not self._skipping:
+            used_bytes = len(body) + _CHUNK_FRAMING_BYTES
+            self._unused_bytes = max(0, self._unused_bytes - used_bytes)
             self._receiver.receive_body(body)
 
     def on_message_complete(self) -> None:
@@ -207,12 +213,10 @@
         self.idle_since_s = self._clock.read_monotonic()
         self._end(messages.Ending.COMPLETE)
 
-    def _check_unused(self, size_bytes: int) -> None:
-        """End the exchange if the peer sends too much that is no response."""
+    def _check_unused(self) -> None:
+        """End the exchange if the peer sends too much that is no body."""
         if self._receiver is None:
             return
-        if not self._head_received or self._skipping:
-            self._unused_bytes += size_bytes
         if self._unused_bytes > _MAX_UNUSED_BYTES:
             self._end(messages.Ending.MALFORMED)
             self._prevent_reuse()
