Callers: refuse a request whose head or framing goes on without end

A caller that sent blank lines, a header's name, value or whitespace, a chunk's extension, zeros of its size, or a trailer's name or value without end was read until the time limit of its request: all of 64 MB were taken, and the answer was 408. A body of 4 MiB in chunks of two bytes held 90.5 MB. A small trailer after a body larger than max_header_bytes was refused with 431, and a trailer named like a header field, Authorization among them, was found among the request's fields.

Cause: only whole header fields and the body were counted, not the bytes of a field that has not ended, nor those that llhttp skips. Trailers went through the same callback as header fields, counted on top of the body. The body was a list of its chunks, each an object of 35 bytes or more.

All bytes of a request now count against one bound; its body takes off its own size and an allowance for each part's framing, never below zero. The bound is that of the request target and twice max_header_bytes, so that trailers and chunk extensions have as much room as the header fields. Beyond it a request gets 431 before the end of its head and 413 after it, and its connection ends. Trailers are discarded, and the body is one buffer.

--- a/lavenderledge/http1/bounds.py
+++ b/lavenderledge/http1/bounds.py
@@ -1,7 +1,10 @@
-"""Limits of what a client may send on its connection."""
+"""Limits of what a peer may send on its connection."""
 
 import typing
 
+# Each part of a body allows for this much of its chunk's framing.
+CHUNK_FRAMING_BYTES: typing.Final = 256
+
 
 class Bounds(typing.NamedTuple):
     """Limits on the size of a request and on the time to send it."""
--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -10,7 +10,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import messages
+from lavenderledge.http1 import bounds, messages
 
 # The kernel ends a connection when data is unacknowledged for this long.
 _USER_TIMEOUT_MS: typing.Final = 5000
@@ -19,9 +19,8 @@
 # Idle timeout if the peer sends no Keep-Alive timeout.
 _DEFAULT_IDLE_TIMEOUT_S: typing.Final = 2.0
 # Maximum size of all that a peer sends apart from the body of the response that
-# is waited for. Each part of that body allows for its chunk's framing.
+# is waited for.
 _MAX_UNUSED_BYTES: typing.Final = 262_144
-_CHUNK_FRAMING_BYTES: typing.Final = 256
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -198,7 +197,7 @@
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
         if self._receiver is not None and not self._skipping:
-            used_bytes = len(body) + _CHUNK_FRAMING_BYTES
+            used_bytes = len(body) + bounds.CHUNK_FRAMING_BYTES
             self._unused_bytes = max(0, self._unused_bytes - used_bytes)
             self._receiver.receive_body(body)
 
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -145,8 +145,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._fields = messages.Fields()
         self._target = b''
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
+        self._framing_bytes = 0
+        self._head_received = False
         self._task: asyncio.Task[None] | None = None
         self._pending = b''
         self._reading = False
@@ -258,8 +260,9 @@
             return
         self._fields = messages.Fields()
         self._target = b''
-        self._body = []
+        self._body = bytearray()
         self._size = 0
+        self._head_received = False
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -268,7 +271,9 @@
             self._fault = messages.HEADERS_TOO_LARGE
 
     def on_header(self, name: bytes, text: bytes | None) -> None:
-        """Store a header field."""
+        """Store a header field, and no trailer."""
+        if self._head_received:
+            return
         text = text or b''
         self._size += len(name) + len(text) + 4
         if self._size > self._bounds.header_bytes:
@@ -279,6 +284,7 @@
     def on_headers_complete(self) -> None:
         """Refuse ambiguous framing before the body is read."""
         self._size = 0
+        self._head_received = True
         # The parser no longer has this when the message is complete.
         if not self._parser.should_keep_alive():
             self.closing = True
@@ -294,7 +300,9 @@
         if self._size > self._bounds.body_bytes:
             self._fault = messages.CONTENT_TOO_LARGE
             return
-        self._body.append(body)
+        used_bytes = len(body) + bounds.CHUNK_FRAMING_BYTES
+        self._framing_bytes = max(0, self._framing_bytes - used_bytes)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the request as complete; ``_feed`` then handles it."""
@@ -339,6 +347,7 @@
             self._end()
             return
         self._parser = httptools.HttpRequestParser(self)
+        self._framing_bytes = 0
         if self._transport is not None:
             self._transport.resume_reading()
         if self._pending:
@@ -391,25 +400,40 @@
         return self._listener.find_bounds(self.state_since_s)
 
     def _feed(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fault = self._fault or messages.BAD_REQUEST
+        self._check_framing()
         if self._fault:
             self._listener.note_fault(self._fault)
             self.refuse(self._fault)
         elif self._complete:
             self._begin()
 
+    def _check_framing(self) -> None:
+        """Refuse a request if too much of it is neither head nor body.
+
+        Trailers and chunk extensions have as much room as the head's fields.
+        """
+        max_bytes = _MAX_TARGET_BYTES + 2 * self._bounds.header_bytes
+        if not self._fault and self._framing_bytes > max_bytes:
+            self._fault = (
+                messages.CONTENT_TOO_LARGE
+                if self._head_received
+                else messages.HEADERS_TOO_LARGE
+            )
+
     def _begin(self) -> None:
         request = messages.Request(
             method=self._parser.get_method(),
             target=self._target,
             fields=self._fields,
-            body=b''.join(self._body),
+            body=bytes(self._body),
             received_s=self._clock.read_monotonic(),
         )
-        self._body = []
+        self._body = bytearray()
         reply = Reply(self, bodiless=request.method == b'HEAD')
         self._task = asyncio.get_running_loop().create_task(
             self._handle(request, reply)
