Callers: read a body in small chunks without work for each chunk's bounds

Cause: each part of a body looked up the listener's bounds, which merge former ones into new tuples.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -148,6 +148,7 @@
         self._body = bytearray()
         self._size = 0
         self._framing_bytes = 0
+        self._part_count = 0
         self._head_received = False
         self._task: asyncio.Task[None] | None = None
         self._pending = b''
@@ -283,7 +284,6 @@
 
     def on_headers_complete(self) -> None:
         """Refuse ambiguous framing before the body is read."""
-        self._size = 0
         self._head_received = True
         # The parser no longer has this when the message is complete.
         if not self._parser.should_keep_alive():
@@ -295,14 +295,9 @@
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        self._size += len(body)
-        if self._size > self._bounds.body_bytes:
-            self._fault = messages.CONTENT_TOO_LARGE
-            return
-        used_bytes = len(body) + bounds.CHUNK_FRAMING_BYTES
-        self._framing_bytes = max(0, self._framing_bytes - used_bytes)
+        """Append a part of the body; ``_feed`` then checks its size."""
         self._body += body
+        self._part_count += 1
 
     def on_message_complete(self) -> None:
         """Mark the request as complete; ``_feed`` then handles it."""
@@ -400,25 +395,36 @@
         return self._listener.find_bounds(self.state_since_s)
 
     def _feed(self, data: bytes) -> None:
-        self._framing_bytes += len(data)
+        body_bytes = len(self._body)
+        self._part_count = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fault = self._fault or messages.BAD_REQUEST
-        self._check_framing()
+        used_bytes = len(self._body) - body_bytes
+        used_bytes += self._part_count * bounds.CHUNK_FRAMING_BYTES
+        self._framing_bytes = max(
+            0, self._framing_bytes + len(data) - used_bytes
+        )
+        self._check_sizes()
         if self._fault:
             self._listener.note_fault(self._fault)
             self.refuse(self._fault)
         elif self._complete:
             self._begin()
 
-    def _check_framing(self) -> None:
-        """Refuse a request if too much of it is neither head nor body.
+    def _check_sizes(self) -> None:
+        """Refuse a body over its bound, or too much beside head and body.
 
         Trailers and chunk extensions have as much room as the head's fields.
         """
-        max_bytes = _MAX_TARGET_BYTES + 2 * self._bounds.header_bytes
-        if not self._fault and self._framing_bytes > max_bytes:
+        if self._fault:
+            return
+        limits = self._bounds
+        max_framing_bytes = _MAX_TARGET_BYTES + 2 * limits.header_bytes
+        if len(self._body) > limits.body_bytes:
+            self._fault = messages.CONTENT_TOO_LARGE
+        elif self._framing_bytes > max_framing_bytes:
             self._fault = (
                 messages.CONTENT_TOO_LARGE
                 if self._head_received
