Replicas: pass on together what was received together of a body

While a replica sent its answer in chunks of one byte, other callers of the instance could not even connect within 1 s.

Cause: each chunk was passed on by itself, with all the work of a part of an answer, and one read holds thousands of them, so the event loop ran nothing else. On a resumable stream each joined and searched the whole partial event again.

The parts of a body in the bytes of one read are now joined and passed on once, before the response's end or malformed bytes are told.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -70,6 +70,8 @@
         self._head_received = False
         self._skipping = False
         self._unused_bytes = 0
+        # Parts of the body in the bytes that are being parsed.
+        self._parts: list[bytes] = []
         self._not_reusable = False
         self._bodiless = False
         self._peer_closes = False
@@ -155,8 +157,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._prevent_reuse()
+            self._pass_body_on()
             self._end(messages.Ending.MALFORMED)
             return
+        self._pass_body_on()
         self._check_unused()
 
     def on_message_begin(self) -> None:
@@ -195,18 +199,31 @@
             self._prevent_reuse()
 
     def on_body(self, body: bytes) -> None:
-        """Pass on a part of the body."""
+        """Keep a part of the body until it is passed on with others."""
         if self._receiver is not None and not self._skipping:
-            used_bytes = len(body) + bounds.CHUNK_FRAMING_BYTES
-            self._unused_bytes = max(0, self._unused_bytes - used_bytes)
-            self._receiver.receive_body(body)
+            self._parts.append(body)
 
     def on_message_complete(self) -> None:
         """End an accepted response."""
         if self._head_received and not self._skipping:
+            self._pass_body_on()
             self._finish()
         self._head_received = False
 
+    def _pass_body_on(self) -> None:
+        """Pass on the parts of the body that were received together.
+
+        A receiver's work for each call would add up for small chunks.
+        """
+        if not self._parts:
+            return
+        body = b''.join(self._parts)
+        used_bytes = len(body) + len(self._parts) * bounds.CHUNK_FRAMING_BYTES
+        self._unused_bytes = max(0, self._unused_bytes - used_bytes)
+        self._parts.clear()
+        if self._receiver is not None:
+            self._receiver.receive_body(body)
+
     def _finish(self) -> None:
         self._not_reusable = self._not_reusable or self._peer_closes
         self.idle_since_s = self._clock.read_monotonic()
--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -141,3 +141,26 @@
     assert response.is_complete
     assert response.fields.pairs == [(b'Transfer-Encoding', b'chunked')]
     assert is_reusable
+
+
+# What is repeated in chunks of a byte.
+BYTEWISE = {
+    'part of an event': b'1\r\nx\r\n',
+    'events': b''.join(b'1\r\n%c\r\n' % byte for byte in EVENT),
+    'blank lines': b'1\r\n\n\r\n',
+}
+
+
+@pytest.mark.parametrize('case', BYTEWISE)
+@pytest.mark.parametrize('path', PATHS)
+async def test_others_are_answered_while_chunks_of_a_byte_arrive(case, path):
+    def build(request_id):
+        chunked = b'Transfer-Encoding: chunked'
+        return rawreplica.build_head(request_id, chunked)
+
+    replica = rawreplica.RawReplica(
+        'i-9', build, ending='endless', filler=BYTEWISE[case]
+    )
+    async with running(replica) as fleet:
+        _, statuses = await send_beside(fleet, path)
+    assert set(statuses) == {200}
