Tests: wait until a test peer has closed its connection

call() in test_http1 returned while its peer still slept before it closed its side. The test's loop ended, and the writer was left to the garbage collector, which may run during any later test.

--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -136,12 +136,16 @@
             return head.fields.find(b'attempt-id') == request_id
 
     async def serve(reader, writer):
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(data)
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        writer.close()
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        finally:
+            writer.close()
+            served.set()
 
+    served = asyncio.Event()
     peer = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = peer.sockets[0].getsockname()[1]
     pool = platformfleet.make_pool()
@@ -152,6 +156,7 @@
     reusable = opened.ok.is_reusable
     peer.close()
     opened.ok.abort()
+    await asyncio.wait_for(served.wait(), 5)
     return answer, reusable
 
 
