Answer each of several requests that arrive in the same bytes

A client that sent its next request with the last one got one 400 for both, and neither was carried out: the parser goes on to the next request of the same bytes, and that was taken for a fault of the first. The same if the bytes after a whole request were no request, were over a limit, or came after a request with "Connection: close".

Complete requests now wait in a queue, are handled one at a time and answered in order (RFC 9112, section 9.3.2). A fault belongs to the request in which it is found, and is answered when those before it are. If a client sends more than 33 at once, the answer to the last one that is kept ends the connection, so that the client knows which ones were not handled.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: one protocol object for each connection."""
 
 import asyncio
+import collections
 import functools
 import select
 import socket
@@ -21,6 +22,10 @@
 # Values of SO_LINGER: a socket that is closed is reset, or is closed in order.
 _RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 _ORDERLY_CLOSE: typing.Final = struct.pack('ii', 0, 0)
+# Complete requests of one client that wait for the answer to another one. The
+# answer to the last of them ends the connection if there are more.
+_MAX_WAITING_REQUESTS: typing.Final = 32
+_CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 class Reply:
@@ -113,6 +118,14 @@
 ]
 
 
+class _Received(typing.NamedTuple):
+    """A complete request, and what its client expects of the connection."""
+
+    request: messages.Request
+    is_last: bool
+    knows_chunks: bool
+
+
 class Owner(typing.Protocol):
     """The listener of a connection: its limits and its callbacks."""
 
@@ -125,10 +138,10 @@
 
 
 class Connection(asyncio.Protocol):
-    """Reads one request at a time and handles it in a task.
+    """Handles one request at a time in a task.
 
-    The task is cancelled when the client disconnects. Bytes of a further
-    request wait until the answer has been sent.
+    The task is cancelled when the client disconnects. Further requests, and
+    bytes that arrive meanwhile, wait until the answer has been sent.
     """
 
     def __init__(
@@ -151,7 +164,11 @@
         self._pending = b''
         self._reading = False
         self._fault = 0
-        self._complete = False
+        self._received: collections.deque[_Received] = collections.deque()
+        self._is_partial = False
+        self._is_last = False
+        self._is_chunks_known = True
+        self._must_continue = False
         self._has_ended = False
         self._has_left = False
         self._is_unframed = False
@@ -241,7 +258,7 @@
         """Parse received bytes, one request at a time."""
         if self._has_ended:
             return
-        if self._complete:
+        if self._task is not None:
             self._pending += data
             if len(self._pending) > self._bounds.header_bytes:
                 self._pause()
@@ -252,10 +269,8 @@
         self._feed(data)
 
     def on_message_begin(self) -> None:
-        """Begin a request; refuse a second one in the same bytes."""
-        if self._complete:
-            self._fault = messages.BAD_REQUEST
-            return
+        """Begin a request."""
+        self._is_partial = True
         self._fields = messages.Fields()
         self._target = b''
         self._body = []
@@ -280,13 +295,15 @@
         """Refuse ambiguous framing before the body is read."""
         self._size = 0
         # The parser no longer has this when the message is complete.
-        if not self._parser.should_keep_alive():
-            self.closing = True
-        self.knows_chunks = self._parser.get_http_version() != '1.0'
-        if not is_framing_unambiguous(self._fields):
+        self._is_last = not self._parser.should_keep_alive()
+        self._is_chunks_known = self._parser.get_http_version() != '1.0'
+        if (
+            not is_framing_unambiguous(self._fields)
+            or self._parser.should_upgrade()
+        ):
             self._fault = messages.BAD_REQUEST
-        elif self._fields.find(b'expect') and self._transport is not None:
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        elif self._fields.find(b'expect'):
+            self._must_continue = True
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -297,8 +314,25 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Mark the request as complete; ``_feed`` then handles it."""
-        self._complete = True
+        """Keep the request; ``_feed`` then handles it."""
+        self._is_partial = False
+        self._must_continue = False
+        if self._fault:
+            return
+        if len(self._received) > _MAX_WAITING_REQUESTS:
+            self._received[-1] = self._received[-1]._replace(is_last=True)
+            return
+        request = messages.Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            fields=self._fields,
+            body=b''.join(self._body),
+            received_s=self._clock.read_monotonic(),
+        )
+        self._body = []
+        self._received.append(
+            _Received(request, self._is_last, self._is_chunks_known)
+        )
 
     def begin_unframed(self) -> None:
         """Prepare for an answer that ends with the connection.
@@ -332,19 +366,15 @@
         """
         self._task = None
         self._reading = False
-        self._complete = False
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
-        if self.is_end_announced or self._has_left:
+        has_left = self._has_left or self._transport is None
+        if self.is_end_announced or has_left:
             self._end()
-            return
-        self._parser = httptools.HttpRequestParser(self)
-        if self._transport is not None:
-            self._transport.resume_reading()
-        if self._pending:
-            data = self._pending
-            self._pending = b''
-            self.data_received(data)
+        elif self._received or self._fault:
+            self._go_on()
+        else:
+            self._read_next()
 
     def refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close the connection."""
@@ -370,6 +400,7 @@
         self._has_ended = True
         self._reading = False
         self._pending = b''
+        self._received.clear()
         self.state_since_s = self._clock.read_monotonic()
         if self._transport is None:
             return
@@ -395,21 +426,36 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fault = self._fault or messages.BAD_REQUEST
-        if self._fault:
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Handle the next request, refuse it, or wait for the rest of it."""
+        if self._received:
+            self._begin(self._received.popleft())
+        elif self._fault:
             self._listener.note_fault(self._fault)
             self.refuse(self._fault)
-        elif self._complete:
-            self._begin()
+        elif self._must_continue:
+            self._must_continue = False
+            self.write(_CONTINUE)
+
+    def _read_next(self) -> None:
+        """Read on, from the rest of a request or from a new one."""
+        self._reading = self._is_partial
+        if not self._is_partial:
+            self._parser = httptools.HttpRequestParser(self)
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._go_on()
+        if self._pending:
+            data = self._pending
+            self._pending = b''
+            self.data_received(data)
 
-    def _begin(self) -> None:
-        request = messages.Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            fields=self._fields,
-            body=b''.join(self._body),
-            received_s=self._clock.read_monotonic(),
-        )
-        self._body = []
+    def _begin(self, received: _Received) -> None:
+        self.closing = self.closing or received.is_last
+        self.knows_chunks = received.knows_chunks
+        request = received.request
         reply = Reply(self, bodiless=request.method == b'HEAD')
         self._task = asyncio.get_running_loop().create_task(
             self._handle(request, reply)
