Write an instance's entry again when the store lost it

Cause: each attempt to register opened a new lease, and the entry's write has no condition. The late write put the entry under the first lease, which nobody renewed; with its end the entry went. The instance renewed its second lease, got 200 and never compared the list that it follows with its own entry. With no entry left, each ranked nobody, allocated for itself and counted one instance, so each granted the whole quota.

Now the lease of an unanswered write is kept and renewed, and all writes have it, so a late one does no harm. Whatever else takes the entry's place (a write of a former process of that name, a removal) is seen in the followed list, whose entries now carry their lease, and is written again at the next renewal, without further calls otherwise. What is seen during a write counts as later than it; a list that was requested before says nothing. Without its entry an instance counts at least as many instances as before, which is also what divides the retry budget's slack, and before it has listed itself it grants nothing, for 3 s at most, as requests can wait that long.

--- a/lavenderledge/controllers/registration.py
+++ b/lavenderledge/controllers/registration.py
@@ -1,12 +1,14 @@
 """This instance's entry in the store, and those of the others."""
 
 import datetime
+import logging
 import typing
 from collections import abc
 
 import msgspec
 
 from lavenderledge import clock as clocks
+from lavenderledge import logs
 from lavenderledge.controllers import caches
 from lavenderledge.policy import rendezvous
 from lavenderledge.registry import store as stores
@@ -25,6 +27,10 @@
 _ALLOCATOR_KEY: typing.Final = 'slots'
 # An instance is strong if it has this fraction of the largest processor.
 _STRONG_RATIO: typing.Final = 0.7
+# An instance that was not listed within this time after it listed the others
+# takes itself for the only one, seconds: a store may refuse all writes.
+_MAX_UNLISTED_S: typing.Final = 3.0
+_LOGGER = logging.getLogger(__name__)
 
 
 class Member(typing.NamedTuple):
@@ -54,7 +60,16 @@
         self._members: caches.EntryCache[Member] = caches.EntryCache(
             clock=clock
         )
+        self._key = f'{PREFIX}{own.instance}'
+        self._content = msgspec.json.encode(own)
         self._lease: stores.Lease | None = None
+        self._is_written = False
+        self._written_s = float('-inf')
+        # This instance's entry as it was last seen in the store.
+        self._seen: stores.Change | None = None
+        self._loaded_s: float | None = None
+        self._was_listed = False
+        self._last_count = 1
         self._ranked: tuple[str, ...] = (own.instance,)
         self._last_entries: abc.Mapping[str, Member] | None = None
         self._leaving = False
@@ -70,9 +85,27 @@
         return self._ranked
 
     def count_alive(self) -> int:
-        """Return the number of listed instances, at least 1."""
+        """Return the number of instances, at least 1.
+
+        While this instance's entry is missing, those of others may be missing
+        as well: it is at least the number before.
+        """
         self._refresh()
-        return max(len(self._ranked), 1)
+        if self._own.instance in self._ranked or self._leaving:
+            return max(len(self._ranked), 1)
+        return max(len(self._ranked) + 1, self._last_count)
+
+    def may_allocate(self) -> bool:
+        """Return whether the list of instances says who else allocates.
+
+        It does not before it was read with this instance's own entry.
+        """
+        if self._was_listed:
+            return True
+        if self._loaded_s is None:
+            return False
+        waited_s = self._clock.read_monotonic() - self._loaded_s
+        return waited_s > _MAX_UNLISTED_S
 
     def note_outage(self) -> None:
         """Keep instances that expire during an outage of the store."""
@@ -81,12 +114,17 @@
     def note_era(self, era: int) -> None:
         """Give up a lease of another era than the store's."""
         if self._lease is not None and self._lease.era != era:
-            self._lease = None
+            self._give_up_lease()
 
     def apply_list(
         self, changes: abc.Sequence[stores.Change], requested_s: float
     ) -> None:
         """Replace the list of instances."""
+        if self._loaded_s is None:
+            self._loaded_s = self._clock.read_monotonic()
+        if requested_s >= self._written_s:
+            self._seen = None
+        self._note_seen(changes)
         self._members.replace(
             {
                 member.instance: member
@@ -100,6 +138,7 @@
         self, changes: abc.Sequence[stores.Change], requested_s: float
     ) -> None:
         """Apply added, changed and removed instances."""
+        self._note_seen(changes)
         self._members.update(
             (change.key.removeprefix(PREFIX), _read_member(change))
             for change in changes
@@ -124,25 +163,66 @@
         if self._lease is None:
             return await self._register()
         renewed = await self._store.keep_lease(self._lease)
-        if renewed.is_error() and renewed.error.fault in _LOST_LEASE_FAULTS:
-            self._lease = None
+        if renewed.is_error():
+            if renewed.error.fault not in _LOST_LEASE_FAULTS:
+                return False
+            self._give_up_lease()
             return await self._register()
-        return bool(renewed.is_ok())
+        if self._is_written and not self._has_lost_entry():
+            return True
+        return await self._write_entry(self._lease)
 
     async def _register(self) -> bool:
         opened = await self._store.open_lease(LEASE_S)
         if opened.is_error():
             return False
-        put = await self._store.put(
-            f'{PREFIX}{self._own.instance}',
-            msgspec.json.encode(self._own),
-            lease=opened.ok,
-        )
+        self._lease = opened.ok
+        return await self._write_entry(opened.ok)
+
+    async def _write_entry(self, lease: stores.Lease) -> bool:
+        """Write this instance's entry; the lease stays if that fails.
+
+        A write without an answer may take effect later. It has the lease that
+        is renewed, so it does no harm then.
+        """
+        if self._is_written:
+            logs.write_event(
+                _LOGGER,
+                'registration_lost',
+                level=logging.WARNING,
+                instance=self._own.instance,
+                lease='' if self._seen is None else self._seen.lease,
+            )
+        self._is_written = False
+        # A change that is seen during the call may be later than the write.
+        self._seen = stores.Change(self._key, self._content, 0, lease.number)
+        put = await self._store.put(self._key, self._content, lease=lease)
         if put.is_error():
+            if put.error.fault in _LOST_LEASE_FAULTS:
+                self._give_up_lease()
             return False
-        self._lease = opened.ok
+        self._is_written = True
+        self._written_s = self._clock.read_monotonic()
         return True
 
+    def _give_up_lease(self) -> None:
+        self._lease = None
+        self._is_written = False
+
+    def _has_lost_entry(self) -> bool:
+        """Return whether the entry is missing, or not this process's."""
+        seen = self._seen
+        if seen is None or self._lease is None:
+            return True
+        is_own = seen.lease in {None, self._lease.number}
+        return seen.content != self._content or not is_own
+
+    def _note_seen(self, changes: abc.Iterable[stores.Change]) -> None:
+        for change in changes:
+            if change.key == self._key:
+                self._seen = change
+                self._was_listed |= change.content is not None
+
     def _refresh(self) -> None:
         entries = self._members.entries
         if entries is self._last_entries:
@@ -154,6 +234,8 @@
         self._ranked = rank_members(
             member for name, member in entries.items() if name in names
         )
+        if self._own.instance in names:
+            self._last_count = len(names)
         self.notify_addresses()
 
     def notify_addresses(self) -> None:
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -40,6 +40,7 @@
     revision: int = 0
     # The content in standard base64.
     data: str = ''
+    lease_id: int | None = None
     deleted: bool = False
 
 
@@ -309,7 +310,7 @@
         content = base64.b64decode(entry.data, validate=True)
     except ValueError:
         content = b''
-    return stores.Change(entry.key, content, entry.revision)
+    return stores.Change(entry.key, content, entry.revision, entry.lease_id)
 
 
 def _build_entry(key: str, content: bytes) -> dict[str, typing.Any]:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -140,7 +140,7 @@
                 list_replicas=self._watcher.list_replicas,
                 find_quota=self._watcher.find_quota,
                 read_freshness=self._watcher.read_freshness,
-                is_catching_up=self._watcher.is_catching_up,
+                is_catching_up=self._is_catching_up,
                 note_version=self._watcher.configuration.note_peer_version,
                 notices=self._notices,
                 build_update=self._watcher.history.build_update,
@@ -430,6 +430,10 @@
         body, _ = self._metrics.render(())
         reply.send(messages.OK, ((b'Content-Type', b'text/plain'),), body)
 
+    def _is_catching_up(self) -> bool:
+        is_unlisted = not self._registration.may_allocate()
+        return is_unlisted or self._watcher.is_catching_up()
+
     def _is_allocator(self) -> bool:
         return self._requester.allocator == self._settings.instance
 
--- a/lavenderledge/registry/store.py
+++ b/lavenderledge/registry/store.py
@@ -30,11 +30,16 @@
 
 
 class Change(typing.NamedTuple):
-    """The state of a key; ``content`` is None if it was deleted."""
+    """The state of a key; ``content`` is None if it was deleted.
+
+    ``lease`` is the number of the lease that the key is deleted with, 0 without
+    one, None if the service does not tell.
+    """
 
     key: str
     content: bytes | None
     revision: int
+    lease: int | None = None
 
 
 class Listing(typing.NamedTuple):
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -42,6 +42,8 @@
         self.calls = 0
         self.era = 1
         self.next_lease = 100
+        # Writes of keys with this prefix are refused.
+        self.refused_prefix = None
         self._changed = asyncio.Event()
 
     async def handle(self, request, reply):
@@ -183,6 +185,10 @@
         for item in document['write']:
             if item['key'].startswith(('op/', 'servers/')):
                 return 403, {}
+            if self.refused_prefix and item['key'].startswith(
+                self.refused_prefix
+            ):
+                return 503, {}
             lease = item.get('lease_id', 0)
             if lease and lease not in self.leases:
                 return 404, {}
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -74,8 +74,8 @@
     def list_changes(self, prefix, after):
         """Return entries that changed after a revision."""
         listed = [
-            stores.Change(key, content, revision)
-            for key, (content, revision, _) in self.keys.items()
+            stores.Change(key, content, revision, lease)
+            for key, (content, revision, lease) in self.keys.items()
             if key.startswith(prefix) and revision > after
         ]
         listed += [
