Tell a new allocator what customers spent of their quotas

Cause: the buckets lived with the allocator alone, and a new one began with full ones. The bucket for peaks provides for one such fill in a window; a restart of the first-ranked instance makes two, and crashes or restarts in turn make more.

Now each instance remembers the grants of the last window that were charged, and tells an allocator that it changes to, for 2 s in each report, as messages may be lost; an instance that allocated adds what it charged, which covers instances that are gone. The new allocator records each request once, by its id, and makes its buckets as they would be had it charged all that itself. Besides, it bounds what a window gets by the tolerance, so that also what was spent beyond one allocator's buckets counts. A request within the quota fits this bound, so it is not refused more than before. Without any report, as after a loss of all instances, one fill more is what the tolerance provides for. No call to the store is added; reports grow only after a change of the allocator.

The related tests pass. The tests of TokenBuckets pass the request's id, which take and refund need now.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -8,7 +8,7 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
-from lavenderledge.controllers import noticecodec
+from lavenderledge.controllers import noticecodec, spendingcodec
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
     crashevidence,
@@ -16,6 +16,7 @@
     routes,
     slotgrants,
     slots,
+    spending,
     tokenbuckets,
     upstreamnotices,
 )
@@ -160,6 +161,15 @@
         for name in self._senders:
             self._send_beat(name)
 
+    def list_spendings(self) -> abc.Sequence[spending.Spending]:
+        """Return the quotas' spendings in the last window, without waiters."""
+        waiting: set[str] = set()
+        for service in self.slot_state.services.values():
+            for name in self._senders:
+                waiting.update(service.queue.list_ids(name))
+        listed = self._buckets.list_spendings(self._clock.read_monotonic())
+        return [spent for spent in listed if spent.request_id not in waiting]
+
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
@@ -216,6 +226,7 @@
             spec.customer,
             quota,
             spec.cost,
+            request_id=spec.request_id,
             share=self.slot_state.share,
             now_s=now_s,
         )
@@ -224,7 +235,11 @@
         for service in self.slot_state.services.values():
             waiting = service.queue.remove(release.request_id)
             if waiting is not None and release.refund:
-                self._buckets.refund(waiting.spec.customer, release.refund)
+                self._buckets.refund(
+                    waiting.spec.customer,
+                    release.refund,
+                    request_id=release.request_id,
+                )
         holding = self.slot_state.free(release.request_id)
         reading = release.reading
         if holding is None or reading is None:
@@ -290,6 +305,9 @@
                 ),
                 service=slot.service,
             )
+        self._buckets.merge(
+            spendingcodec.decode(report.spendings, now_s), now_s
+        )
         self._note_evidence(report, now_s)
         self._on_peer_address(report.sender, report.address)
         self._send_beat(report.sender)
@@ -444,7 +462,10 @@
         )
 
     def _refuse(self, refused: slotgrants.Refused) -> None:
-        self._buckets.refund(refused.customer, refused.cost)
+        if refused.cost:
+            self._buckets.refund(
+                refused.customer, refused.cost, request_id=refused.request_id
+            )
         self._log_decision(
             'slot_refused',
             id=refused.request_id,
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -9,9 +9,13 @@
 import expression
 
 from lavenderledge import clock as clocks
-from lavenderledge.controllers import noticecodec, slotallocator
+from lavenderledge.controllers import (
+    noticecodec,
+    slotallocator,
+    spendingcodec,
+)
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import crashevidence, upstreamnotices
+from lavenderledge.policy import crashevidence, spending, upstreamnotices
 
 _TICK_MS: typing.Final = 50
 TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
@@ -31,6 +35,8 @@
 # Lost runs are reported again for this long, seconds, since messages may be
 # lost. A new allocator gets all of them.
 _LOST_RUN_REPEAT_S: typing.Final = 2.0
+# A new allocator is told of the quotas' spendings for this long, seconds.
+_SPENDINGS_REPEAT_S: typing.Final = 2.0
 # How many of the first-ranked instances follow the store for the others.
 FOLLOWER_COUNT: typing.Final = 3
 
@@ -94,11 +100,16 @@
 
 
 class OwnState(typing.NamedTuple):
-    """What an instance tells its allocator besides its requests."""
+    """What an instance tells its allocator besides its requests.
+
+    ``list_spendings`` returns what this instance charged as an allocator.
+    """
 
     read_incarnation: abc.Callable[[], int]
     read_version: abc.Callable[[], int]
     notices: upstreamnotices.NoticeBoard
+    list_spendings: abc.Callable[[], abc.Sequence[spending.Spending]]
+    quota_window_s: float
 
 
 class _Entry:
@@ -152,6 +163,12 @@
         self._read_incarnation = own_state.read_incarnation
         self._read_version = own_state.read_version
         self._notices = own_state.notices
+        self._list_spendings = own_state.list_spendings
+        self._quota_window_s = own_state.quota_window_s
+        self._spendings: collections.deque[spending.Spending] = (
+            collections.deque(maxlen=messages.MAX_SPENDINGS)
+        )
+        self._allocator_since_s = float('-inf')
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
@@ -329,6 +346,7 @@
         self._allocator = first
         self._waiting_since_s = None
         now_s = self._clock.read_monotonic()
+        self._allocator_since_s = now_s
         self._report(now_s, lost_within_s=crashevidence.RETENTION_S)
         for entry in tuple(self._entries.values()):
             if not entry.waiter.done():
@@ -418,6 +436,7 @@
             ),
             self._read_version(),
             noticecodec.encode(self._notices, now_s),
+            self._encode_spendings(now_s),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -427,7 +446,36 @@
         ):
             if other == self._allocator:
                 continue
-            self._send(other, report._replace(held=(), waiting=()))
+            self._send(
+                other, report._replace(held=(), waiting=(), spendings=())
+            )
+
+    def _encode_spendings(self, now_s: float) -> tuple[messages.Spending, ...]:
+        """Return what a new allocator has to know, nothing for another one.
+
+        It is repeated, since messages may be lost. What this instance charged
+        as an allocator includes grants to instances that are gone.
+        """
+        min_at_s = now_s - self._quota_window_s
+        while self._spendings and self._spendings[0].at_s < min_at_s:
+            self._spendings.popleft()
+        if now_s - self._allocator_since_s > _SPENDINGS_REPEAT_S:
+            return ()
+        known = {spent.request_id: spent for spent in self._spendings}
+        if self._allocator != self._instance:
+            for spent in self._list_spendings():
+                known.setdefault(spent.request_id, spent)
+        return spendingcodec.encode(known.values(), now_s)
+
+    def _note_charged(self, entry: _Entry, now_s: float) -> None:
+        spec = entry.spec
+        if spec.cost and not entry.charged:
+            self._spendings.append(
+                spending.Spending(
+                    spec.request_id, spec.customer, spec.cost, now_s
+                )
+            )
+        entry.charged = True
 
     def _list_lost_runs(
         self, now_s: float, *, within_s: float
@@ -491,11 +539,11 @@
         if now_s - grant.stamp_s > slotallocator.REPORT_TIMEOUT_S:
             self._release_grant(grant)
             self._callbacks.grant_lapsed(grant.request_id)
-            entry.charged = True
+            self._note_charged(entry, now_s)
             self._send_request(entry, now_s)
             return
         entry.replica = grant.replica
-        entry.charged = True
+        self._note_charged(entry, now_s)
         slot = Slot(
             grant.replica,
             grant.address,
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -17,6 +17,7 @@
 MAX_QUARANTINES: typing.Final = 32
 MAX_STEPS: typing.Final = 256
 MAX_UPSTREAM_NOTICES: typing.Final = 1024
+MAX_SPENDINGS: typing.Final = 8192
 
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIER)]
 
@@ -91,6 +92,15 @@
     left_s: bounds.NonNegative
 
 
+class Spending(typing.NamedTuple):
+    """A cost that was charged to a customer ``age_s`` before the report."""
+
+    request_id: bounds.Name
+    customer: bounds.Name
+    cost: bounds.NonNegative
+    age_s: bounds.NonNegative
+
+
 class UpstreamLimit(typing.NamedTuple):
     """The limit that a replica named in an answer ``age_s`` ago.
 
@@ -189,7 +199,8 @@
     allocator may not have read from the store yet. ``lost_runs`` and
     ``quarantines`` are what a new allocator has to know about prompts that
     crash replicas, ``notices`` what replicas say of themselves. ``version`` is
-    the sender's configuration, 0 without one.
+    the sender's configuration, 0 without one. ``spendings`` are what a new
+    allocator has to know of the quotas' last window.
     """
 
     sender: bounds.Name
@@ -209,6 +220,9 @@
     quarantines: _Quarantines = ()
     version: bounds.Count = 0
     notices: UpstreamNotices = UpstreamNotices()
+    spendings: typing.Annotated[
+        tuple[Spending, ...], msgspec.Meta(max_length=MAX_SPENDINGS)
+    ] = ()
 
 
 class UpdateStep(typing.NamedTuple):
--- a/lavenderledge/policy/tokenbuckets.py
+++ b/lavenderledge/policy/tokenbuckets.py
@@ -1,8 +1,9 @@
 """Token buckets of customers' quotas, kept by the allocator."""
 
 import typing
+from collections import abc
 
-from lavenderledge.policy import routes
+from lavenderledge.policy import routes, spending
 
 # Buckets that were not used for this long are full again or belong to a quota
 # that was removed.
@@ -10,7 +11,7 @@
 
 
 # How often the buckets may be filled within one window: at the start, and once
-# more by a new allocator, which does not know what was spent before.
+# more by a new allocator that nobody can tell what was spent before.
 _MAX_FILLS: typing.Final = 2.2
 # Ratio of the capacity that counts as full, because refills add up with
 # rounding errors.
@@ -28,6 +29,11 @@
     overrun: float
     slack: float
 
+    def compute_bound(self, quota: routes.Quota) -> float:
+        """Return what may be spent of a quota in a window."""
+        allowed = quota.rate * self.window_s + quota.burst
+        return allowed * (1 + self.overrun) + self.slack
+
 
 def compute_extra_burst(quota: routes.Quota, tolerance: Tolerance) -> float:
     """Return what may be spent beyond rate and burst, once in a window.
@@ -36,7 +42,7 @@
     a window, so that short peaks within the tolerance are not refused.
     """
     refilled = quota.rate * tolerance.window_s
-    bound = (refilled + quota.burst) * (1 + tolerance.overrun) + tolerance.slack
+    bound = tolerance.compute_bound(quota)
     excess = bound - refilled - quota.burst * _MAX_FILLS
     return max(0, excess / (_MAX_FILLS + 1))
 
@@ -91,13 +97,16 @@
     """Two buckets for each customer.
 
     The first is the quota itself, so that a request within it is never
-    refused. A request beyond it is charged to the second one.
+    refused. A request beyond it is charged to the second one. What other
+    allocators charged is taken from them too, as far as it is known, and a
+    window never gets more than is tolerated.
     """
 
     def __init__(self, *, tolerance: Tolerance) -> None:
         """Start with all buckets full."""
         self._tolerance = tolerance
         self._pairs: dict[str, _BucketPair] = {}
+        self._ledger = spending.SpendingLedger(window_s=tolerance.window_s)
 
     def take(
         self,
@@ -105,6 +114,7 @@
         quota: routes.Quota,
         cost: float,
         *,
+        request_id: str,
         share: float,
         now_s: float,
     ) -> float:
@@ -116,27 +126,42 @@
         """
         if quota.rate <= 0:
             return 0
-        pair = self._fill(customer, quota, share, now_s)
-        burst = quota.burst * share
-        if cost <= burst:
-            return _take_from_either(pair, cost)
-        excess = cost - burst
-        if pair.extra.fits(excess) and pair.quota.fits(burst):
-            pair.quota.take(burst)
-            pair.extra.take(excess)
-            return 0
-        return max(
-            pair.quota.compute_wait_s(burst), pair.extra.compute_wait_s(excess)
+        wait_s = self._ledger.compute_wait_s(
+            customer,
+            cost,
+            bound=self._tolerance.compute_bound(quota),
+            share=share,
+            now_s=now_s,
         )
+        pair = self._fill(customer, quota, share, now_s)
+        wait_s = wait_s or _take_from_pair(pair, quota.burst * share, cost)
+        if not wait_s:
+            self._ledger.charge(
+                spending.Spending(request_id, customer, cost, now_s),
+                share=share,
+            )
+        return wait_s
 
-    def refund(self, customer: str, cost: float) -> None:
+    def refund(self, customer: str, cost: float, *, request_id: str) -> None:
         """Return the cost of a request that did not run."""
+        self._ledger.refund(customer, request_id)
         pair = self._pairs.get(customer)
         if pair is not None:
             pair.quota.take(-cost)
 
+    def merge(
+        self, reported: abc.Iterable[spending.Spending], now_s: float
+    ) -> None:
+        """Take what other allocators charged; what is known is ignored."""
+        self._ledger.merge(reported, now_s)
+
+    def list_spendings(self, now_s: float) -> abc.Sequence[spending.Spending]:
+        """Return what was spent in the last window."""
+        return self._ledger.list_all(now_s)
+
     def drop_idle(self, now_s: float) -> None:
         """Drop buckets that were not used for ``_IDLE_TIMEOUT_S``."""
+        self._ledger.drop_old(now_s)
         for customer, pair in tuple(self._pairs.items()):
             if now_s - pair.quota.filled_at_s > _IDLE_TIMEOUT_S:
                 self._pairs.pop(customer)
@@ -146,18 +171,49 @@
     ) -> _BucketPair:
         burst = quota.burst * share
         extra = compute_extra_burst(quota, self._tolerance) * share
+        window_s = self._tolerance.window_s
+
+        def fill(filled: _BucketPair, at_s: float) -> None:
+            filled.quota.fill(burst, quota.rate * share, at_s)
+            filled.extra.fill(extra, extra / window_s, at_s)
+
         pair = self._pairs.get(customer)
-        if pair is None:
+        spendings = self._ledger.take_change(customer, now_s)
+        if pair is None or spendings is not None:
+            # As it would be now, had all been charged here since then.
+            since_s = now_s - window_s
             pair = _BucketPair(
-                _Bucket(capacity=burst, now_s=now_s),
-                _Bucket(capacity=extra, now_s=now_s),
+                _Bucket(capacity=burst, now_s=since_s),
+                _Bucket(capacity=extra, now_s=since_s),
             )
             self._pairs[customer] = pair
-        pair.quota.fill(burst, quota.rate * share, now_s)
-        pair.extra.fill(extra, extra / self._tolerance.window_s, now_s)
+            for spent in spendings or ():
+                fill(pair, spent.at_s)
+                _charge_pair(pair, spent.cost)
+        fill(pair, now_s)
         return pair
 
 
+def _take_from_pair(pair: _BucketPair, burst: float, cost: float) -> float:
+    """Take a cost from a pair; return 0, or the seconds until it fits."""
+    if cost <= burst:
+        return _take_from_either(pair, cost)
+    excess = cost - burst
+    if pair.extra.fits(excess) and pair.quota.fits(burst):
+        pair.quota.take(burst)
+        pair.extra.take(excess)
+        return 0
+    return max(
+        pair.quota.compute_wait_s(burst), pair.extra.compute_wait_s(excess)
+    )
+
+
+def _charge_pair(pair: _BucketPair, cost: float) -> None:
+    """Take a cost that was charged elsewhere, though it may not fit."""
+    bucket = pair.quota if pair.quota.fits(cost) else pair.extra
+    bucket.take(cost)
+
+
 def _take_from_either(pair: _BucketPair, cost: float) -> float:
     """Take a cost from one bucket; return 0, or the seconds until it fits."""
     if pair.quota.fits(cost):
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -115,6 +115,8 @@
                 read_incarnation=lambda: self._incarnation,
                 read_version=self._watcher.read_version,
                 notices=self._notices,
+                list_spendings=lambda: self._allocator.list_spendings(),
+                quota_window_s=settings.quota_window_s,
             ),
             clock=clock,
             send=self._send,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -36,7 +36,9 @@
         if number == restart:
             buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         cost = (burst + extra) * cost_ratio
-        wait_s = buckets.take('dealer', quota, cost, share=1, now_s=now_s)
+        wait_s = buckets.take(
+            'dealer', quota, cost, request_id=str(number), share=1, now_s=now_s
+        )
         assert wait_s >= 0
         if not wait_s:
             spent.append((now_s, cost))
@@ -63,12 +65,14 @@
     buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
     now_s = filled_at_s = 0
     level = burst
-    for pause_s, cost_ratio in steps:
+    for number, (pause_s, cost_ratio) in enumerate(steps):
         now_s += pause_s
         level = min(burst, level + (now_s - filled_at_s) * rate)
         filled_at_s = now_s
         cost = burst * cost_ratio * 2
-        wait_s = buckets.take('dealer', quota, cost, share=1, now_s=now_s)
+        wait_s = buckets.take(
+            'dealer', quota, cost, request_id=str(number), share=1, now_s=now_s
+        )
         if level >= cost * 1.000001:
             assert not wait_s
         if level >= cost:
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -52,6 +52,8 @@
                 read_incarnation=lambda: incarnation,
                 read_version=lambda: 1,
                 notices=self.notices,
+                list_spendings=lambda: self.allocator.list_spendings(),
+                quota_window_s=8,
             ),
             clock=machine.clock,
             send=self.send,
--- /dev/null
+++ b/tests/test_spending.py
@@ -0,0 +1,298 @@
+"""What customers spent of their quotas outlasts the allocator."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lavenderledge.peers import slotmessages as messages
+from lavenderledge.policy import routes, spending, tokenbuckets
+from tests import test_slotmessages
+
+QUOTA = routes.Quota(10_000, 60_000)
+TOLERANCE = tokenbuckets.Tolerance(8, 0.1, 190_000)
+BOUND = TOLERANCE.compute_bound(QUOTA)
+COST = 4000
+AMOUNTS = st.floats(1, 1e5)
+
+
+class Fleet:
+    """Three instances in virtual time, with one customer's quota."""
+
+    def __init__(self):
+        self.machine = test_slotmessages.Machine()
+        self.names = self.machine.ranked
+        self.spent = []
+        self.count = 0
+        for name in self.names:
+            self.set_quota(name)
+        self.settle()
+
+    def set_quota(self, name):
+        allocator = self.machine.nodes[name].allocator
+        allocator._buckets = tokenbuckets.TokenBuckets(tolerance=TOLERANCE)
+        allocator._state_reader = allocator._state_reader._replace(
+            find_quota=lambda customer: QUOTA
+        )
+
+    def settle(self, seconds=0.5):
+        self.machine.pass_time(seconds)
+
+    def restart(self, *names):
+        for name in names:
+            self.machine.restart(name)
+            self.set_quota(name)
+
+    def leave(self, *names):
+        self.machine.ranked = tuple(
+            name for name in self.names if name not in names
+        )
+        self.settle()
+
+    def return_all(self):
+        self.machine.ranked = self.names
+        self.settle()
+
+    def ask(self, name):
+        self.count += 1
+        spec = messages.RequestSpec(
+            f'{name}-{self.count}', 'model', 'dealer', 0, 100, 0.5, 4, COST
+        )
+        requester = self.machine.nodes[name].requester
+        task = self.machine.loop.create_task(requester.acquire(spec))
+        self.machine.loop.run_until_complete(self.machine.deliver())
+        is_granted = task.done() and task.result().is_ok()
+        if is_granted:
+            self.spent.append((self.machine.clock.now_s, COST))
+            requester.release(spec.request_id)
+        elif not task.done():
+            task.cancel()
+        self.machine.loop.run_until_complete(self.machine.deliver())
+        return is_granted
+
+    def spend_all(self, *names):
+        """Ask through each instance until nothing is granted any more."""
+        asking = set(names or self.names)
+        while asking:
+            asking -= {name for name in sorted(asking) if not self.ask(name)}
+
+    def find_most(self):
+        return max(
+            sum(
+                cost
+                for at_s, cost in self.spent
+                if end_s - TOLERANCE.window_s < at_s <= end_s
+            )
+            for end_s, _ in self.spent
+        )
+
+
+@pytest.fixture
+def fleet():
+    built = Fleet()
+    yield built
+    built.machine.teardown()
+
+
+def test_a_planned_restart_of_the_allocator_hands_out_no_second_burst(fleet):
+    fleet.spend_all()
+    first = fleet.names[0]
+    before = len(fleet.spent)
+    fleet.leave(first)
+    fleet.spend_all()
+    fleet.restart(first)
+    fleet.return_all()
+    fleet.spend_all()
+    # Two pauses of half a second, and the peaks' bucket meanwhile.
+    refilled = (QUOTA.rate + 5200) * 1.2
+    assert (len(fleet.spent) - before) * COST <= refilled
+    assert fleet.find_most() <= BOUND
+
+
+def test_restarts_of_all_instances_in_turn_stay_within_the_quota(fleet):
+    for _ in range(2):
+        for name in fleet.names:
+            fleet.spend_all()
+            fleet.leave(name)
+            fleet.spend_all()
+            fleet.restart(name)
+            fleet.return_all()
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_crashes_of_allocators_in_turn_stay_within_the_quota(fleet):
+    for name in fleet.names[:2] * 2:
+        fleet.spend_all()
+        fleet.machine.paused.add(name)
+        fleet.settle()
+        fleet.spend_all(*(other for other in fleet.names if other != name))
+        fleet.restart(name)
+        fleet.settle(1.2)
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_a_freeze_of_the_allocator_hands_out_no_second_burst(fleet):
+    first = fleet.names[0]
+    for _ in range(2):
+        fleet.spend_all()
+        fleet.machine.paused.add(first)
+        fleet.settle()
+        fleet.spend_all(*fleet.names[1:])
+        fleet.machine.paused.discard(first)
+        fleet.settle(1.2)
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_an_allocator_cut_off_from_one_instance_stays_within_the_quota(fleet):
+    first, second, third = fleet.names
+    for _ in range(2):
+        fleet.spend_all()
+        fleet.machine.cut_link((first, third))
+        fleet.settle(2.5)
+        fleet.spend_all()
+        fleet.machine.cut_link((first, third))
+        fleet.settle(1.2)
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_all_instances_killed_at_once_stay_within_the_quota(fleet):
+    fleet.spend_all()
+    fleet.restart(*fleet.names)
+    fleet.settle()
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_what_waits_is_charged_once_when_the_allocator_changes(fleet):
+    first, second, third = fleet.names
+    allocator = fleet.machine.nodes[first].allocator
+    catching_up = allocator._state_reader
+    allocator._state_reader = catching_up._replace(is_catching_up=lambda: True)
+    spec = messages.RequestSpec(
+        'waiting', 'model', 'dealer', 0, 100, 0.5, 4, COST
+    )
+    loop = fleet.machine.loop
+    task = loop.create_task(fleet.machine.nodes[third].requester.acquire(spec))
+    loop.run_until_complete(fleet.machine.deliver())
+    assert not task.done()
+    fleet.leave(first)
+    assert task.result().is_ok()
+    spent = fleet.machine.nodes[second].allocator.list_spendings()
+    assert [item.cost for item in spent] == [COST]
+
+
+def test_spendings_are_not_reported_again_for_ever(fleet):
+    fleet.spend_all()
+    fleet.leave(fleet.names[0])
+    fleet.settle(3)
+    requester = fleet.machine.nodes[fleet.names[1]].requester
+    assert not requester._encode_spendings(fleet.machine.clock.now_s)
+
+
+@hypothesis.given(
+    rate=AMOUNTS,
+    burst=AMOUNTS,
+    tolerance=st.builds(
+        tokenbuckets.Tolerance,
+        window_s=st.floats(1, 20),
+        overrun=st.floats(0, 0.5),
+        slack=st.floats(0, 1e6),
+    ),
+    steps=st.lists(
+        st.tuples(st.floats(0, 3), st.floats(0.01, 0.5), st.booleans()),
+        max_size=80,
+    ),
+)
+def test_no_window_exceeds_the_tolerance_whatever_allocators_follow(
+    rate, burst, tolerance, steps
+):
+    quota = routes.Quota(rate, burst)
+    buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
+    extra = tokenbuckets.compute_extra_burst(quota, tolerance)
+    spent = []
+    now_s = 0
+    for number, (pause_s, cost_ratio, is_new) in enumerate(steps):
+        now_s += pause_s
+        if is_new:
+            former = buckets
+            buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
+            buckets.merge(former.list_spendings(now_s), now_s)
+        cost = (burst + extra) * cost_ratio
+        if not buckets.take(
+            'dealer', quota, cost, request_id=str(number), share=1, now_s=now_s
+        ):
+            spent.append((now_s, cost))
+    for end_s, _ in spent:
+        window = [
+            cost
+            for at_s, cost in spent
+            if end_s - tolerance.window_s < at_s <= end_s
+        ]
+        assert sum(window) <= tolerance.compute_bound(quota) * 1.000001
+
+
+@hypothesis.given(
+    rate=AMOUNTS,
+    burst=AMOUNTS,
+    steps=st.lists(
+        st.tuples(st.floats(0, 3), st.floats(0.01, 0.5), st.booleans()),
+        max_size=80,
+    ),
+)
+def test_a_request_within_the_quota_is_not_refused_by_a_new_allocator(
+    rate, burst, steps
+):
+    quota = routes.Quota(rate, burst)
+    tolerance = tokenbuckets.Tolerance(8, 0.1, 0)
+    buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
+    now_s = 0
+    level = burst
+    for number, (pause_s, cost_ratio, is_new) in enumerate(steps):
+        now_s += pause_s
+        level = min(burst, level + pause_s * rate)
+        if is_new:
+            former = buckets
+            buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
+            buckets.merge(former.list_spendings(now_s), now_s)
+        cost = burst * cost_ratio
+        if level < cost * 1.000001:
+            continue
+        level -= cost
+        assert not buckets.take(
+            'dealer', quota, cost, request_id=str(number), share=1, now_s=now_s
+        )
+
+
+def test_a_charge_that_is_reported_back_counts_once():
+    ledger = spending.SpendingLedger(window_s=8)
+    charged = spending.Spending('r-0', 'dealer', COST, 100)
+    ledger.charge(charged, share=1)
+    ledger.merge([charged, charged._replace(request_id='r-1')], 101)
+    ledger.merge([charged._replace(request_id='r-1', at_s=100.1)], 101)
+    assert [spent.request_id for spent in ledger.list_all(101)] == [
+        'r-0',
+        'r-1',
+    ]
+    assert not ledger.list_all(108.2)
+
+
+def test_a_refused_request_is_not_spent():
+    buckets = tokenbuckets.TokenBuckets(tolerance=TOLERANCE)
+    buckets.take('dealer', QUOTA, COST, request_id='r-0', share=1, now_s=100)
+    buckets.refund('dealer', COST, request_id='r-0')
+    assert not buckets.list_spendings(100)
+
+
+def test_the_wait_for_a_full_window_ends_with_its_oldest_spending():
+    ledger = spending.SpendingLedger(window_s=8)
+    for number in range(3):
+        spent = spending.Spending(str(number), 'dealer', 10, 100 + number)
+        ledger.charge(spent, share=1)
+    options = {'bound': 30, 'share': 1, 'now_s': 104}
+    assert ledger.compute_wait_s('dealer', 10, **options) == pytest.approx(4)
+    assert ledger.compute_wait_s('dealer', 20, **options) == pytest.approx(5)
+    assert ledger.compute_wait_s('dealer', 99, **options) == pytest.approx(6)
+    assert not ledger.compute_wait_s('other', 99, **options)
