Notice a restart of the allocator that causes no silence

An allocator's process that ends and is back between two reports (0.5 s) has lost its state, and no instance is silent for it: the others neither tell it what was spent nor ask again for what waits, so a quota is handed out again and the requests that waited stay until their deadline.

Now a beat carries the allocator's incarnation, and an instance that sees a higher one introduces itself as to another allocator: report, spendings, waiting requests.

Quarantines outlast such a restart before and after, as each report has them; a test says so.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -106,6 +106,7 @@
         count_alive: abc.Callable[[], int],
         tolerance: tokenbuckets.Tolerance,
         on_peer_address: abc.Callable[[str, str], None],
+        read_incarnation: abc.Callable[[], int],
     ) -> None:
         """Start empty; ``on_peer_address`` gets the senders' addresses."""
         self.slot_state = slots.SlotState()
@@ -115,6 +116,7 @@
         self._state_reader = state_reader
         self._on_peer_address = on_peer_address
         self._count_alive = count_alive
+        self._read_incarnation = read_incarnation
         self._evidence = crashevidence.CrashEvidence()
         self._buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         self._senders: dict[str, _Sender] = {}
@@ -374,6 +376,7 @@
                     self._state_reader.notices, self._clock.read_monotonic()
                 ),
                 self._build_update(sender, freshness.version),
+                self._read_incarnation(),
             ),
         )
 
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -169,6 +169,7 @@
             collections.deque(maxlen=messages.MAX_SPENDINGS)
         )
         self._allocator_since_s = float('-inf')
+        self._allocator_incarnation = 0
         self._clock = clock
         self._send = send
         self._rank_allocators = rank_allocators
@@ -344,6 +345,11 @@
             return
         self._callbacks.allocator_changed(self._allocator, first)
         self._allocator = first
+        self._allocator_incarnation = 0
+        self._introduce()
+
+    def _introduce(self) -> None:
+        """Tell a new allocator all that it has to know."""
         self._waiting_since_s = None
         now_s = self._clock.read_monotonic()
         self._allocator_since_s = now_s
@@ -505,6 +511,7 @@
 
     def _apply_beat(self, beat: messages.Beat) -> None:
         if beat.sender == self._allocator:
+            self._note_incarnation(beat.incarnation)
             self._apply_quarantines(beat)
         if beat.stamp_s is None:
             return
@@ -525,6 +532,15 @@
             now_s = self._clock.read_monotonic()
             self._callbacks.report_echoed(now_s - beat.stamp_s)
 
+    def _note_incarnation(self, incarnation: int) -> None:
+        """Notice a restart of the allocator that was too short for silence."""
+        former = self._allocator_incarnation
+        if incarnation <= former:
+            return
+        self._allocator_incarnation = incarnation
+        if former and self._allocator != self._instance:
+            self._introduce()
+
     def _apply_grant(self, grant: messages.Grant) -> None:
         entry = self._entries.get(grant.request_id)
         if entry is None or entry.waiter.done():
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -256,7 +256,8 @@
     the allocator's configuration ``version`` ``age_s`` ago and its list of
     replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
     ``notices`` are those that any instance was told. ``update`` leads from the
-    version that the instance reported to ``version``.
+    version that the instance reported to ``version``. ``incarnation`` is the
+    sender's, 0 before it has joined.
     """
 
     sender: bounds.Name
@@ -267,6 +268,7 @@
     quarantines: _Quarantines = ()
     notices: UpstreamNotices = UpstreamNotices()
     update: ConfigurationUpdate | None = None
+    incarnation: bounds.Count = 0
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -154,6 +154,7 @@
                 settings.quota_slack,
             ),
             on_peer_address=self._connect_peer,
+            read_incarnation=lambda: self._incarnation,
         )
         self._forwarder = forwarding.Forwarder(
             deps=exchange.Dependencies(
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -89,6 +89,7 @@
             on_peer_address=lambda sender, address: self.peer_addresses.add(
                 (sender, address)
             ),
+            read_incarnation=lambda: incarnation,
         )
 
     def send(self, to, message):
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import routes, spending, tokenbuckets
+from lavenderledge.policy import crashevidence, routes, spending, tokenbuckets
 from tests import test_slotmessages
 
 QUOTA = routes.Quota(10_000, 60_000)
@@ -296,3 +296,47 @@
     assert ledger.compute_wait_s('dealer', 20, **options) == pytest.approx(5)
     assert ledger.compute_wait_s('dealer', 99, **options) == pytest.approx(6)
     assert not ledger.compute_wait_s('other', 99, **options)
+
+
+def test_restarts_that_no_instance_notices_stay_within_the_quota(fleet):
+    first = fleet.names[0]
+    fleet.settle(2.5)
+    for _ in range(3):
+        fleet.spend_all()
+        fleet.restart(first)
+        fleet.settle()
+    fleet.spend_all()
+    assert fleet.find_most() <= BOUND
+
+
+def test_what_waits_at_an_allocator_that_restarts_is_asked_for_again(fleet):
+    first, second, _ = fleet.names
+    allocator = fleet.machine.nodes[first].allocator
+    allocator._state_reader = allocator._state_reader._replace(
+        is_catching_up=lambda: True
+    )
+    spec = messages.RequestSpec(
+        'waiting', 'model', 'dealer', 0, 100, 0.5, 4, COST
+    )
+    loop = fleet.machine.loop
+    task = loop.create_task(fleet.machine.nodes[second].requester.acquire(spec))
+    loop.run_until_complete(fleet.machine.deliver())
+    fleet.restart(first)
+    fleet.settle(1)
+    assert task.done() and task.result().is_ok()
+
+
+def test_a_quarantine_outlasts_a_restart_that_no_instance_notices(fleet):
+    first, second, _ = fleet.names
+    fleet.settle(2.5)
+    allocator = fleet.machine.nodes[first].allocator
+    until_s = fleet.machine.clock.now_s + 30
+    allocator._evidence.merge(
+        crashevidence.Quarantine('model', frozenset({'dead'}), until_s)
+    )
+    fleet.settle()
+    requester = fleet.machine.nodes[second].requester
+    assert requester.find_quarantine_s('model', {'dead'})
+    fleet.restart(first)
+    fleet.settle(1)
+    assert requester.find_quarantine_s('model', {'dead'})
