--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -115,6 +115,8 @@
                 read_incarnation=lambda: self._incarnation,
                 read_version=self._watcher.read_version,
                 notices=self._notices,
+                list_spendings=lambda: self._allocator.list_spendings(),
+                quota_window_s=settings.quota_window_s,
             ),
             clock=clock,
             send=self._send,
@@ -140,7 +142,7 @@
                 list_replicas=self._watcher.list_replicas,
                 find_quota=self._watcher.find_quota,
                 read_freshness=self._watcher.read_freshness,
-                is_catching_up=self._watcher.is_catching_up,
+                is_catching_up=self._is_catching_up,
                 note_version=self._watcher.configuration.note_peer_version,
                 notices=self._notices,
                 build_update=self._watcher.history.build_update,
@@ -152,6 +154,7 @@
                 settings.quota_slack,
             ),
             on_peer_address=self._connect_peer,
+            read_incarnation=lambda: self._incarnation,
         )
         self._forwarder = forwarding.Forwarder(
             deps=exchange.Dependencies(
@@ -430,6 +433,10 @@
         body, _ = self._metrics.render(())
         reply.send(messages.OK, ((b'Content-Type', b'text/plain'),), body)
 
+    def _is_catching_up(self) -> bool:
+        is_unlisted = not self._registration.may_allocate()
+        return is_unlisted or self._watcher.is_catching_up()
+
     def _is_allocator(self) -> bool:
         return self._requester.allocator == self._settings.instance
 
