Fill a quota's buckets anew as the allocator's share grows

Instances reach a new allocator one after the other, and a customer's first request there fixed the level of its buckets at the share of those that had reported by then: of nine, a burst of 60,000 held 6,667, and grew at the rate only. So requests within the quota were refused after a takeover.

Now the buckets are made from the spendings of the last window again when the share has grown, as they are when spendings are reported.

The related tests pass.

--- a/lavenderledge/policy/spending.py
+++ b/lavenderledge/policy/spending.py
@@ -142,12 +142,16 @@
             if not (is_old or account.is_known(spending.request_id)):
                 account.report(spending)
 
-    def take_change(self, customer: str, now_s: float) -> list[Spending] | None:
-        """Return all spendings if some were merged since the last call."""
+    def take_change(self, customer: str) -> bool:
+        """Return whether spendings were merged since the last call."""
         account = self._find(customer)
-        if not account.is_changed:
-            return None
+        is_changed = account.is_changed
         account.is_changed = False
+        return is_changed
+
+    def list_customer(self, customer: str, now_s: float) -> list[Spending]:
+        """Return a customer's spendings in the order of time."""
+        account = self._find(customer)
         account.expire(now_s - self._window_s)
         return account.list_all()
 
--- a/lavenderledge/policy/tokenbuckets.py
+++ b/lavenderledge/policy/tokenbuckets.py
@@ -87,10 +87,14 @@
 
 
 class _BucketPair(typing.NamedTuple):
-    """The buckets of a customer's quota and of the tolerated excess."""
+    """The buckets of a customer's quota and of the tolerated excess.
+
+    They have a share of the quota.
+    """
 
     quota: _Bucket
     extra: _Bucket
+    share: float
 
 
 class TokenBuckets:
@@ -178,18 +182,19 @@
             filled.extra.fill(extra, extra / window_s, at_s)
 
         pair = self._pairs.get(customer)
-        spendings = self._ledger.take_change(customer, now_s)
-        if pair is None or spendings is not None:
+        is_changed = self._ledger.take_change(customer)
+        if pair is None or is_changed or share > pair.share:
             # As it would be now, had all been charged here since then.
             since_s = now_s - window_s
             pair = _BucketPair(
                 _Bucket(capacity=burst, now_s=since_s),
                 _Bucket(capacity=extra, now_s=since_s),
+                share,
             )
-            self._pairs[customer] = pair
-            for spent in spendings or ():
+            for spent in self._ledger.list_customer(customer, now_s):
                 fill(pair, spent.at_s)
-                _charge_pair(pair, spent.cost)
+                _charge_pair(pair, burst, spent.cost)
+        self._pairs[customer] = pair._replace(share=share)
         fill(pair, now_s)
         return pair
 
@@ -208,10 +213,13 @@
     )
 
 
-def _charge_pair(pair: _BucketPair, cost: float) -> None:
-    """Take a cost that was charged elsewhere, though it may not fit."""
-    bucket = pair.quota if pair.quota.fits(cost) else pair.extra
-    bucket.take(cost)
+def _charge_pair(pair: _BucketPair, burst: float, cost: float) -> None:
+    """Take a cost that was granted before, though it may not fit now."""
+    within = min(cost, burst)
+    if not pair.quota.fits(within):
+        within = 0
+    pair.quota.take(within)
+    pair.extra.take(cost - within)
 
 
 def _take_from_either(pair: _BucketPair, cost: float) -> float:
