Discard comments of a stream, and bound an event's lines

After the events of a run, a caller still got bytes that no run made, if they were formed as a comment: ": " and control characters. The comments of two silent runs came in turn. Carriage returns after the last event were passed on, too, and an event of 1 MiB of short lines held up to 79 MB and the event loop for 0.43 s.

Cause: comments and blank lines were passed on unchecked, since they have no meaning. For that reason they can as well be left out: what is relayed is valid events, and nothing else. Their line ends stay as they are. An event may have 16,384 lines.

--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -202,14 +202,11 @@
             self._relay_bytes(body)
 
     def _relay_events(self, body: bytes) -> None:
-        reader = self._reader
-        event_count = reader.event_count
-        valid = reader.feed(body)
-        if reader.event_count > event_count:
+        valid = self._reader.feed(body)
+        if valid:
             self._make_progress()
-        if valid and self._relay.source in {None, self}:
             self._relay_bytes(valid)
-        if reader.fault:
+        if self._reader.fault:
             self.end(Result.INVALID)
 
     def _relay_bytes(self, body: bytes) -> None:
@@ -250,8 +247,6 @@
             return Result.LOST
         self._make_progress()
         self._relay.begin(head, is_stream=self._is_stream)
-        if self._is_stream:
-            self._relay.reply.write(self._reader.flush())
         self._relay.reply.finish()
         return Result.DELIVERED
 
--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -6,18 +6,19 @@
 # The fields of server-sent events.
 FIELDS: typing.Final = frozenset((b'id', b'event', b'data', b'retry'))
 
-_BLANK_LINES: typing.Final = re.compile(rb'[\r\n]*')
+_BLANK_LINES: typing.Final = re.compile(rb'(?:\r?\n)*')
 _EVENT_END: typing.Final = re.compile(rb'\n\r?\n')
 _MAX_END_BYTES: typing.Final = 3
-_LINE_ENDS: typing.Final = b'\r\n'
-_COMMENT_START: typing.Final = b':'
+# A comment or a blank line.
+_NO_FIELD: typing.Final = re.compile(rb'[:\r\n]')
 # The form of most events; others are read line by line, which takes longer.
 _COMMON_EVENT: typing.Final = re.compile(
     rb'id:[ ]?(\d{1,18})\r?\n(?:data:[^\r\n]*\r?\n)+\r?\n'
 )
 _ID_NUMBER: typing.Final = re.compile(rb'\d{1,18}')
-# An event that is longer ends its stream.
+# An event that is longer, or has more lines, ends its stream.
 _MAX_EVENT_BYTES: typing.Final = 1_048_576
+_MAX_EVENT_LINES: typing.Final = 16_384
 
 
 class EventReader:
@@ -25,7 +26,7 @@
 
     Events have data and numeric ids that increase. ``last_id`` is the id of
     the last event, ``fault`` tells why the stream is not read any further.
-    Comments and blank lines between events are passed on, but are no events.
+    Comments and further blank lines, which have no meaning, are discarded.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         self.fault = ''
         self.event_count = 0
         self._fields = fields
-        self._last_number = _parse_id(last_id)
+        self.last_number = _parse_id(last_id)
         self._partial = bytearray()
         self._blank_bytes = 0
         self._search_from = 0
@@ -56,25 +57,19 @@
             return b''
         self._partial += body
         start = 0
+        valid = []
         while not self.fault:
             end = self._find_end(start)
             if end is None:
                 break
-            self._check(bytes(self._partial[start:end]))
-            start = start if self.fault else end
-        valid = bytes(self._partial[:start])
+            valid.append(self._read_event(bytes(self._partial[start:end])))
+            start = end
         del self._partial[:start]
         self._blank_bytes = max(0, self._blank_bytes - start)
         self._search_from = max(0, len(self._partial) - _MAX_END_BYTES + 1)
         if len(self._partial) > _MAX_EVENT_BYTES:
             self.fault = self.fault or 'too_long'
-        return valid
-
-    def flush(self) -> bytes:
-        """Return the blank lines at the end of a complete stream."""
-        blank = bytes(self._partial)
-        self._partial.clear()
-        return blank
+        return b''.join(valid)
 
     def _find_end(self, start: int) -> int | None:
         """Return the end of the event, or comments, that begin at ``start``."""
@@ -85,56 +80,58 @@
         )
         return None if end is None else end.end()
 
-    def _check(self, text: bytes) -> None:
-        """Check one event, or comments; set ``fault`` if it is not valid."""
+    def _read_event(self, text: bytes) -> bytes:
+        """Return a valid event without comments; else set ``fault``."""
         common = _COMMON_EVENT.fullmatch(text)
         if common is not None and text.isascii():
-            self._accept(common.group(1))
-            return
-        pairs = _split_fields(text)
-        if pairs is None or not self._fields.issuperset(dict(pairs)):
+            return text if self._accept(common.group(1)) else b''
+        lines = _split_lines(text)
+        if lines is None:
+            self.fault = 'not_text'
+            return b''
+        fields = [line for line in lines if not _NO_FIELD.match(line)]
+        pairs = [_split_field(line) for line in fields]
+        if not self._fields.issuperset(dict(pairs)):
             self.fault = 'not_an_event'
-        elif pairs:
-            self._check_fields(pairs)
+            return b''
+        is_valid = bool(fields) and self._check_fields(pairs)
+        return b''.join((*fields, lines[-1])) if is_valid else b''
 
-    def _check_fields(self, pairs: list[tuple[bytes, bytes]]) -> None:
+    def _check_fields(self, pairs: list[tuple[bytes, bytes]]) -> bool:
         ids = [content for name, content in pairs if name == b'id']
         is_numbered = len(ids) == 1 and _ID_NUMBER.fullmatch(ids[0]) is not None
         if is_numbered and b'data' in dict(pairs):
-            self._accept(ids[0])
-        else:
-            self.fault = 'not_numbered'
+            return self._accept(ids[0])
+        self.fault = 'not_numbered'
+        return False
 
-    def _accept(self, event_id: bytes) -> None:
+    def _accept(self, event_id: bytes) -> bool:
         """Count an event, unless its id is not above the last one."""
         number = int(event_id)
-        if number <= self._last_number:
+        if number <= self.last_number:
             self.fault = 'not_increasing'
-            return
+            return False
         self.event_count += 1
-        self._last_number = number
+        self.last_number = number
         self.last_id = event_id.decode()
+        return True
 
 
-def _split_fields(text: bytes) -> list[tuple[bytes, bytes]] | None:
-    """Return the names and values of fields, None if it isn't lines of text.
-
-    Comments keep a connection open; they are no fields.
-    """
-    text = text.replace(_LINE_ENDS, b'\n')
+def _split_lines(text: bytes) -> list[bytes] | None:
+    """Return lines with their ends, None unless it is lines of text."""
+    is_torn = b'\r' in text.replace(b'\r\n', b'')
+    if is_torn or text.count(b'\n') > _MAX_EVENT_LINES:
+        return None
     try:
         text.decode()
     except UnicodeDecodeError:
         return None
-    if b'\r' in text:
-        return None
-    lines = [line for line in text.split(b'\n') if line]
-    parts = [
-        line.partition(b':')
-        for line in lines
-        if not line.startswith(_COMMENT_START)
-    ]
-    return [(name, rest.removeprefix(b' ')) for name, _, rest in parts]
+    return text.splitlines(keepends=True)
+
+
+def _split_field(line: bytes) -> tuple[bytes, bytes]:
+    name, _, content = line.rstrip(b'\r\n').partition(b':')
+    return name, content.removeprefix(b' ')
 
 
 def _parse_id(text: str | None) -> float:
