Let no empty run end a stream that another run goes on with

A caller got two of four events as a whole answer: the replica that made them was silent for more than 1.2 s, and a second one answered the further run with a framed head and nothing else, or blank lines, comments or 204. A caller that asked for what follows its event 0 got an empty answer as a whole one.

Cause: a further run without events was taken as the stream's end because its framing was complete. Now it has to be an empty 200, after an event, and no other run may be left that can still go on; otherwise it is a run that was lost. Where no other run is left, an empty answer can't be told from a true end.

--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -43,9 +43,15 @@
     attempt may go on after ``last_event_id``.
     """
 
-    def __init__(self, *, reply: server.Reply) -> None:
-        """Relay to ``reply``, as a response that can't be resumed."""
+    def __init__(
+        self, *, reply: server.Reply, is_alone: abc.Callable[[], bool]
+    ) -> None:
+        """Relay to ``reply``, as a response that can't be resumed.
+
+        ``is_alone`` returns whether only one attempt of the request runs.
+        """
         self.reply = reply
+        self.is_alone = is_alone
         self.is_resumable = False
         self.last_event_id: str | None = None
         self.source: Attempt | None = None
@@ -253,11 +259,18 @@
     def _has_ended(self, head: messages.ResponseHead) -> bool:
         """Return whether a stream may end here.
 
-        A run makes at least one event. Without any, a stream that goes on
-        after an earlier event is complete only if its framing says so.
+        A run makes at least one event. A further run may have none left: then
+        its response is empty, and no other run may still go on.
         """
         if not self._reader.is_complete:
             return False
         if self._reader.event_count:
             return True
-        return self._reader.last_id is not None and head.is_framed
+        is_empty = head.status == messages.OK and not self.size_bytes
+        has_earlier = self._reader.last_number > 0
+        return (
+            is_empty
+            and has_earlier
+            and head.is_framed
+            and self._relay.is_alone()
+        )
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -103,8 +103,10 @@
         self._record = requestrecord.RequestRecord(
             request_id=parsed.request_id, started_s=request.received_s
         )
-        self._relay = attempts.ResponseRelay(reply=reply)
         self._running = hedging.RunningAttempts(clock=deps.clock)
+        self._relay = attempts.ResponseRelay(
+            reply=reply, is_alone=lambda: len(self._running) == 1
+        )
         self._hedges = hedging.Hedges()
         self._slot_count = 0
         self._match: routes.RouteMatch | None = None
