Take no success for signed whose seal is not passed on

A caller got a 200 without a seal: the replica listed its seal in Connection, so the field applied to its connection alone and was dropped after it had been found; or it sent a seal without a value.

Now a success counts as signed only if the seal has a value and is among the fields that are passed on.

--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -127,7 +127,7 @@
     return headercodec.ParsedResponse(
         matches_request=matches_request,
         has_id=echoed_id is not None,
-        is_signed=fields.find(_RESPONSE_SEAL) is not None,
+        is_signed=_is_signed(fields),
         has_not_run=not_run or misdirected,
         is_encoded=fields.find(b'content-encoding') is not None,
         slowness=_read_slowness(fields.find(_SERVER_LOAD)),
@@ -159,6 +159,16 @@
 )
 
 
+def _is_signed(fields: messages.Fields) -> bool:
+    """Return whether a response's seal reaches the caller."""
+    if not fields.find(_RESPONSE_SEAL):
+        return False
+    if fields.find(b'connection') is None:
+        return True
+    passed = messages.Fields(messages.list_end_to_end(fields))
+    return passed.find(_RESPONSE_SEAL) is not None
+
+
 def _read_text(text: bytes | None) -> str:
     return '' if text is None else text.decode('latin-1')
 
