Pass on no body that has another coding than chunks

A caller got a whole 200 whose body was still coded, or had the framing of chunks in it: a replica named other transfer codings, alone, beside chunked or twice. Of a large body, parts were relayed before it ended.

Cause: any Transfer-Encoding was taken for chunked; only Content-Encoding was looked at. Both are codings that are not removed here, so both are no success.

--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -129,7 +129,7 @@
         has_id=echoed_id is not None,
         is_signed=_is_signed(fields),
         has_not_run=not_run or misdirected,
-        is_encoded=fields.find(b'content-encoding') is not None,
+        is_encoded=_is_encoded(fields),
         slowness=_read_slowness(fields.find(_SERVER_LOAD)),
         notice=upstreamnotices.Notice(
             limit_per_s=_read_number(fields.find(_SERVER_LIMIT)),
@@ -169,6 +169,17 @@
     return passed.find(_RESPONSE_SEAL) is not None
 
 
+def _is_encoded(fields: messages.Fields) -> bool:
+    """Return whether a body has a coding that is not removed here."""
+    if fields.find(b'content-encoding') is not None:
+        return True
+    coding = fields.find(b'transfer-encoding')
+    if coding is None:
+        return False
+    is_repeated = fields.count(b'transfer-encoding') > 1
+    return is_repeated or coding.lower() != b'chunked'
+
+
 def _read_text(text: bytes | None) -> str:
     return '' if text is None else text.decode('latin-1')
 
--- a/tests/test_untrustedheads.py
+++ b/tests/test_untrustedheads.py
@@ -5,6 +5,8 @@
 from tests import rawreplica, singleinstance, test_brokenanswers
 
 EVENT = b'id: 1\ndata: 1\n\n'
+# More than is buffered until a plain response is complete.
+LARGE = b'x' * 400_000
 PLAIN_PATHS = ('/safe/x', '/once/x')
 PATHS = (*PLAIN_PATHS, '/stream/x')
 
@@ -39,6 +41,25 @@
     assert (received.status, received.body) == (502, b'')
 
 
+@pytest.mark.parametrize('path', PLAIN_PATHS)
+@pytest.mark.parametrize('body', [b'hello', LARGE])
+@pytest.mark.parametrize(
+    'coding',
+    [
+        b'gzip, chunked',
+        b'identity, chunked',
+        b'chunked, gzip',
+        b'chunked;a=b',
+        b'xchunked',
+        b'chunked\r\nTransfer-Encoding: chunked',
+    ],
+)
+async def test_a_body_with_another_coding_is_not_passed_on(coding, body, path):
+    fields = [b'Transfer-Encoding: ' + coding]
+    received = await receive(path, fields, chunk(body) + b'\r\n')
+    assert (received.status, received.body) == (502, b'')
+
+
 @pytest.mark.parametrize('path', PLAIN_PATHS)
 @pytest.mark.parametrize(
     'trailer',
