Take no refusal without an id for the answer on a used connection

A request that may run once ran twice: after a whole answer on a kept connection, a refusal without an id came as the next request was on its way. It was taken for that request's, which was sent to another replica while it ran at the first.

Cause: a refusal without an id was accepted, since a replica may refuse a request before it has read the id. On a connection that was used before, it may as well be an extra answer, and only an id tells them apart. It is skipped there like any answer to another request; the answer behind it is used.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -75,6 +75,7 @@
         self._not_reusable = False
         self._bodiless = False
         self._peer_closes = False
+        self.was_used = False
 
     @property
     def is_open(self) -> bool:
@@ -98,6 +99,7 @@
     ) -> None:
         """Send a request; ``bodiless`` means a response without a body."""
         assert self._transport is not None
+        self.was_used = True
         self._receiver = receiver
         self._parser = httptools.HttpResponseParser(self)
         self._head_received = False
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -98,6 +98,7 @@
         self.done: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
         )
+        self.must_be_identified = False
         self.buffered: BufferedResponse | None = None
         self.started_s = clock.read_monotonic()
         self.first_byte_delay_s = float(0)
@@ -137,9 +138,15 @@
         return self._reader.fault
 
     def accepts(self, head: messages.ResponseHead) -> bool:
-        """Return whether the response belongs to this request."""
-        self._parsed = self._header_codec.parse_response(head, self._request)
-        return self._parsed.matches_request
+        """Return whether the response belongs to this request.
+
+        One without an id may be a repetition of an earlier response, unless
+        the connection is new.
+        """
+        parsed = self._header_codec.parse_response(head, self._request)
+        self._parsed = parsed
+        has_id = parsed.has_id or not self.must_be_identified
+        return parsed.matches_request and has_id
 
     def receive_head(self, head: messages.ResponseHead) -> None:
         """Decide whether to relay the response or to buffer it."""
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -493,6 +493,7 @@
             ),
             on_progress=self._note_progress,
         )
+        attempt.must_be_identified = connection.was_used
         run = hedging.Run(attempt, connection, slot.replica)
         self._running.add(run)
         context = headercodec.ForwardContext(
--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -58,3 +58,32 @@
         writer.close()
     assert [answer.status for answer in received] == [503, 200]
     assert repeating.runs + sound.runs == [b'r-2']
+
+
+@pytest.mark.parametrize('status', [b'503 Full', b'429 Busy', b'421 Other'])
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x'])
+async def test_a_refusal_after_an_answer_is_not_taken_for_another_request(
+    path, status
+):
+    """It comes without an id, as the next request is on its way."""
+    runs = []
+
+    def build(request_id, last_event_id, number):
+        runs.append(request_id)
+        refusal = build_refusal(status, None) if number else b''
+        head = rawreplica.build_head(request_id, b'Content-Length: 2')
+        return singleinstance.Answer(refusal + head + b'ok', 'keep')
+
+    async with singleinstance.running(
+        singleinstance.Replica(build), singleinstance.Replica(build)
+    ) as instance:
+        reader, writer = await instance.connect()
+        received = []
+        for request_id in (b'r-1', b'r-2'):
+            writer.write(
+                singleinstance.build_request(path, request_id=request_id)
+            )
+            received.append(await singleinstance.receive(reader))
+        writer.close()
+    assert [answer.status for answer in received] == [200, 200]
+    assert runs == [b'r-1', b'r-2']
