Decide requests for slots although a message is lost

A request whose Ask, Grant or Refusal was lost between two instances waited until its time ended, and was then refused, if others kept the link to the allocator in use. The same if the Ask overtook a report that was written before it, and if the allocator forgot an instance that was silent for two seconds: it removed the waiting requests, and nobody asked again.

Delivery between instances is at most once, so state has to be sent again. The report, which is sent every half second, names all requests that wait; the allocator only used it to remove others. It now repeats a grant that its instance has not got after 0.2 s, and answers for a request that it does not know, whose instance then asks again, unless it asked within the last 0.2 s: a new allocator gets the report first. A repeated grant is not charged again.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -29,6 +29,9 @@
 # Interval of messages to instances with waiting requests, seconds: two fit
 # into the requester's ALLOCATOR_TIMEOUT_S.
 BEAT_INTERVAL_S: typing.Final = 0.09
+# A request that waits by its instance's report, although it was granted a slot
+# earlier than this, seconds, has not got the grant.
+_GRANT_ARRIVAL_S: typing.Final = 0.2
 # The maximum age that is reported, seconds.
 _MAX_REPORTED_AGE_S: typing.Final = 3600.0
 
@@ -290,10 +293,45 @@
                 ),
                 service=slot.service,
             )
+        for request_id in report.waiting:
+            self._confirm_waiting(report.sender, request_id, now_s)
         self._note_evidence(report, now_s)
         self._on_peer_address(report.sender, report.address)
         self._send_beat(report.sender)
 
+    def _confirm_waiting(
+        self, sender: str, request_id: str, now_s: float
+    ) -> None:
+        """Repeat a grant, or ask for a request, that was lost on the way."""
+        holding = self.slot_state.held_slots.get(request_id)
+        if holding is not None:
+            if now_s - holding.since_s > _GRANT_ARRIVAL_S:
+                self._repeat_grant(request_id, holding)
+            return
+        services = self.slot_state.services.values()
+        if any(request_id in service.queue for service in services):
+            return
+        self._send(
+            sender,
+            messages.Refusal(
+                self._instance, request_id, messages.UNKNOWN_REQUEST, 0
+            ),
+        )
+
+    def _repeat_grant(self, request_id: str, holding: slots.HeldSlot) -> None:
+        replica = self.slot_state.find_replica(holding.replica)
+        if replica is None:
+            return
+        self._send_grant(
+            slotgrants.Granted(
+                holding.sender,
+                request_id,
+                holding.replica,
+                replica.info.address,
+                replica.info.started_ms,
+            )
+        )
+
     def _note_evidence(self, report: messages.Report, now_s: float) -> None:
         for run in report.lost_runs:
             self._evidence.note_lost(
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -111,6 +111,7 @@
         self.spec = spec
         self.waiter = waiter
         self.requested_s = now_s
+        self.asked_s = now_s
         self.objective_s = now_s + spec.objective_left_s
         self.expires_s = now_s + spec.remaining_s
         self.charged = False
@@ -372,6 +373,7 @@
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
         entry.paused = self._notices.list_paused(now_s)
+        entry.asked_s = now_s
         self._send(
             self._allocator,
             messages.Ask(
@@ -524,12 +526,21 @@
             return
         if refusal.sender != self._allocator:
             return
+        if refusal.reason == messages.UNKNOWN_REQUEST:
+            self._ask_again(entry)
+            return
         self._entries.pop(refusal.request_id)
         self._resolve(
             entry,
             expression.Error(Refusal(refusal.reason, refusal.retry_after_s)),
         )
 
+    def _ask_again(self, entry: _Entry) -> None:
+        """Repeat a request that was lost, unless it may be on its way."""
+        now_s = self._clock.read_monotonic()
+        if now_s - entry.asked_s > ALLOCATOR_TIMEOUT_S:
+            self._send_request(entry, now_s)
+
     def _resolve(self, entry: _Entry, decision: Decision) -> None:
         if not entry.waiter.done():
             entry.waiter.set_result(decision)
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -13,6 +13,8 @@
 MAX_EXCLUDED: typing.Final = 64
 _MAX_TIER = 1000
 _MAX_PARTS = 32
+# Reason of a refusal that asks for the request once more.
+UNKNOWN_REQUEST: typing.Final = 'unknown_request'
 MAX_LOST_RUNS: typing.Final = 32
 MAX_QUARANTINES: typing.Final = 32
 MAX_STEPS: typing.Final = 256
@@ -161,7 +163,11 @@
 
 
 class Refusal(typing.NamedTuple):
-    """The refusal of a slot, and when to retry."""
+    """The refusal of a slot, and when to retry.
+
+    With the reason ``UNKNOWN_REQUEST``, the allocator does not know the request
+    and its sender asks again.
+    """
 
     sender: bounds.Name
     request_id: bounds.Name
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -112,6 +112,7 @@
         self.network = []
         self.cut = set()
         self.paused = set()
+        self.lost_kinds = ()
         self.ranked = tuple(rendezvous.rank('slots', NAMES))
         self.count = 0
         self.nodes = {name: Node(name, 1, self) for name in NAMES}
@@ -140,6 +141,8 @@
             sent_messages, self.network = self.network, []
             for sender, to, message in sent_messages:
                 is_lost = frozenset((sender, to)) in self.cut
+                if isinstance(message, self.lost_kinds):
+                    continue
                 if is_lost or to in self.paused or sender in self.paused:
                     continue
                 self.nodes[to].receive(message)
@@ -488,3 +491,126 @@
     machine.clock.now_s += slotallocator.REPORT_TIMEOUT_S + 0.1
     machine.turn()
     assert asked.result().is_ok()
+
+
+QUOTA = routes.Quota(rate=1, burst=100)
+
+
+def limit(machine):
+    for node in machine.nodes.values():
+        allocator = node.allocator
+        allocator._state_reader = allocator._state_reader._replace(
+            find_quota=lambda customer: QUOTA
+        )
+
+
+def ask_with_loss(machine, node, lost, *, cost):
+    """Ask while such messages are lost; others still arrive."""
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    machine.lost_kinds = (lost,)
+    asked = start_asking(machine, node, 'asked', cost=cost)
+    machine.lost_kinds = ()
+    node.requester._report(machine.clock.now_s)
+    machine.turn()
+    machine.pass_time(2 * slotrequester.REPORT_INTERVAL_S)
+    return asked
+
+
+@pytest.mark.parametrize('lost', [messages.Ask, messages.Grant])
+def test_a_request_is_granted_though_a_message_is_lost(machine, lost):
+    allocating, node = (machine.nodes[name] for name in machine.ranked[:2])
+    limit(machine)
+    asked = ask_with_loss(machine, node, lost, cost=60)
+    # The rest of the quota is left: it was charged once.
+    other = start_asking(machine, node, 'other', cost=40)
+    assert asked.done()
+    assert asked.result().is_ok()
+    assert other.result().is_ok()
+    assert len(allocating.allocator.slot_state.held_slots) == 2
+
+
+@pytest.mark.parametrize('lost', [messages.Ask, messages.Refusal])
+def test_a_request_is_refused_though_a_message_is_lost(machine, lost):
+    limit(machine)
+    node = machine.nodes[machine.ranked[1]]
+    machine.pass_time(2 * slotrequester.REPORT_INTERVAL_S)
+    first = start_asking(machine, node, 'first', cost=60)
+    asked = ask_with_loss(machine, node, lost, cost=60)
+    assert first.result().is_ok()
+    assert asked.done()
+    assert asked.result().error.reason == 'quota'
+
+
+def fill(machine, node):
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    for _ in range(len(INFOS) * SLOTS):
+        machine.ask(node.name, 0)
+
+
+def test_a_request_waits_on_if_its_message_overtakes_a_report(machine):
+    node = machine.nodes[machine.ranked[1]]
+    fill(machine, node)
+    node.requester._report(machine.clock.now_s)
+    earlier = machine.network
+    machine.network = []
+    asked = start_asking(machine, node, 'asked')
+    machine.network = earlier
+    machine.turn()
+    machine.pass_time(2 * slotrequester.REPORT_INTERVAL_S)
+    assert not asked.done()
+    machine.end(node.name)
+    assert asked.done()
+    assert asked.result().is_ok()
+
+
+def test_a_request_waits_on_though_its_instance_was_forgotten(machine):
+    node, other = (machine.nodes[name] for name in machine.ranked[1:3])
+    fill(machine, other)
+    asked = start_asking(machine, node, 'asked')
+    machine.pass_time(0.1)
+    machine.paused.add(node.name)
+    machine.pass_time(slotallocator.REPORT_TIMEOUT_S + 0.1)
+    machine.paused.clear()
+    machine.pass_time(2 * slotrequester.REPORT_INTERVAL_S)
+    assert not asked.done()
+    machine.end(other.name)
+    assert asked.done()
+    assert asked.result().is_ok()
+
+
+def test_a_decided_request_is_not_decided_again(machine):
+    """Its instance reports that it waits, as the decision is under way."""
+    allocating, node = (machine.nodes[name] for name in machine.ranked[:2])
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    machine.lost_kinds = (messages.Grant,)
+    asked = start_asking(machine, node, 'asked')
+    sent = []
+    allocating.allocator._send = lambda name, message: sent.append(message)
+    node.requester._report(machine.clock.now_s)
+    machine.turn()
+    assert not [each for each in sent if isinstance(each, messages.Grant)]
+    assert not [each for each in sent if isinstance(each, messages.Refusal)]
+    asked.cancel()
+
+
+def test_a_new_allocator_is_asked_once(machine):
+    """It gets a report of the waiting requests before it is asked for them."""
+    first, node, other = (machine.nodes[name] for name in machine.ranked)
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    for _ in range(len(INFOS) * SLOTS):
+        machine.ask(other.name, 0)
+    asked = start_asking(machine, other, 'asked')
+    sent = []
+    send = other.requester._send
+
+    def record(name, message):
+        if isinstance(message, messages.Ask):
+            sent.append(name)
+        send(name, message)
+
+    other.requester._send = record
+    machine.paused.add(first.name)
+    machine.pass_time(2 * slotrequester.REPORT_INTERVAL_S)
+    assert other.requester.allocator == node.name
+    assert sent == [node.name]
+    asked.cancel()
