Refuse requests beyond a quota's burst when there is no tolerance

Where the operators tolerate no excess of a quota, a request above its burst left a debt in a bucket that is never refilled. For the next one the time until it fits was infinite: the allocator failed with an OverflowError as it logged the refusal, no refusal was sent, and the request waited until its time ended.

The time is now that after which an unused bucket is dropped. The test failed with the OverflowError before; what is charged does not change.

--- a/lavenderledge/policy/tokenbuckets.py
+++ b/lavenderledge/policy/tokenbuckets.py
@@ -77,7 +77,8 @@
         missing = min(cost, self._capacity) - self._level
         if missing <= 0:
             return 0
-        return missing / self._rate if self._rate else float('inf')
+        # A debt that is not paid off ends when the bucket is dropped.
+        return missing / self._rate if self._rate else _IDLE_TIMEOUT_S
 
 
 class _BucketPair(typing.NamedTuple):
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -614,3 +614,16 @@
     assert other.requester.allocator == node.name
     assert sent == [node.name]
     asked.cancel()
+
+
+def test_requests_beyond_a_quota_without_tolerance_are_refused(machine):
+    """A refusal whose time was infinite could not be sent."""
+    node = machine.nodes[machine.ranked[1]]
+    limit(machine)
+    machine.pass_time(slotrequester.REPORT_INTERVAL_S)
+    cost = QUOTA.burst + 1
+    first = start_asking(machine, node, 'first', cost=cost)
+    second = start_asking(machine, node, 'second', cost=cost)
+    assert first.result().is_ok()
+    assert second.result().error.reason == 'quota'
+    assert 0 < second.result().error.retry_after_s < float('inf')
