Tests: a relayed part of a large answer is output of its run

The check took the first output of a plain answer for its end. It now takes what exceeds the buffer as output, and is otherwise the same. A new test shows the case by itself.

--- a/tests/changingreplicas.py
+++ b/tests/changingreplicas.py
@@ -14,7 +14,8 @@
 # For how long some replicas keep idle connections.
 KEEP_S = 1
 KEEP_ALIVE = ((b'Keep-Alive', b'timeout=1'),)
-# More than what an instance buffers of a plain answer.
+# What an instance buffers of a plain answer, and more than that.
+BUFFERED_BYTES = 262_144
 PADDING = b'p' * 400_000
 
 
@@ -144,6 +145,10 @@
             output_s = end_s
             body = f'{replica.name} ran {request_id}'.encode()
             body += replica.padding
+            parts = action.after if pause_s else 0
+            if len(body) * parts // replica.events > BUFFERED_BYTES:
+                # The instance relays what it can't buffer, before the pause.
+                output_s -= pause_s
         return answerrules.Run(
             replica.name,
             self._services[replica.name],
--- a/tests/test_concurrentruns.py
+++ b/tests/test_concurrentruns.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lavenderledge.http1 import messages
-from tests import platformfleet
+from tests import changingreplicas, platformfleet, platformreplica
 
 
 def make_stream_route(max_attempts=3, **changes):
@@ -184,3 +184,28 @@
         await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
         runs = fleet.list_runs()
     assert len(runs) == 1
+
+
+async def test_a_large_answer_that_is_relayed_ends_the_silent_run():
+    """It can't be taken back when it falls silent, nor joined with another."""
+    actions = [platformreplica.Pause(0, 2), platformreplica.Pause(5, 30)]
+    chosen = []
+
+    async with platformfleet.running(replicas=2) as fleet:
+        for replica in fleet.replicas.values():
+            replica.padding = changingreplicas.PADDING
+
+            def choose(request, replica=replica):
+                chosen.append(replica)
+                return actions[len(chosen) - 1]
+
+            replica.choose = choose
+        response, _ = await fleet.begin('/safe/x')
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+        (request_id,) = {name for name in fleet.list_runs()}
+    silent, relayed = chosen
+    body = f'{relayed.name} ran {request_id}'.encode() + relayed.padding
+    assert silent.cancelled == [request_id]
+    assert response.status == messages.OK
+    assert not response.is_complete
+    assert response.body == body[: len(body) * 5 // relayed.events]
