--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -203,3 +203,43 @@
     writer.close()
     server.listener.stop()
     assert list_bodies(list_answers(data)) == [b'/1', b'/2', b'/9']
+
+
+async def drain(server):
+    server.listener.drain()
+
+
+async def fail(server):
+    """Let the handler end without an answer."""
+    (connection,) = server.listener.connections
+    connection._task.cancel()
+
+
+async def half_close(server):
+    (connection,) = server.listener.connections
+    connection.eof_received()
+
+
+@pytest.mark.parametrize('end', [drain, fail, half_close])
+@pytest.mark.parametrize('is_parsed', [True, False])
+async def test_a_request_is_dropped_only_after_an_announced_end(end, is_parsed):
+    server = Server()
+    server.may_answer.clear()
+    await server.listener.listen('127.0.0.1', 0)
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', server.listener.port
+    )
+    writer.write(build(1) + (build(2) if is_parsed else b''))
+    await platformfleet.wait_until(lambda: server.targets)
+    (connection,) = server.listener.connections
+    if not is_parsed:
+        writer.write(build(2))
+        await platformfleet.wait_until(lambda: connection._pending)
+    await end(server)
+    server.may_answer.set()
+    data = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    server.listener.stop()
+    (answer,) = list_answers(data)
+    assert answer.fields[b'connection'] == b'close'
+    assert server.targets == [b'/1']
