Check what an engine's stream holds where it is relayed

What callers saw: all lines between two events were passed on with the next event, whatever they were: bytes from 128 to 255, `HTTP/1.1 500 ...`, fields of a head, `id:`, an `event:` of another kind, comments. So were data that is no UTF-8, a carriage return inside a line, which is a line's end to callers, and a second copy's further events after its first ones had been left out as repeated. Data nested too deeply ended the request with an internal error. An engine that sent nothing but foreign events was asked again until the deadline.

Cause: EventParser looked at data fields alone and joined all lines of an event; msgspec doesn't check the strings that it skips; RecursionError is none of the read errors; a number that was not greater than the last one was left out, though it shows that this connection isn't the stream that was asked for.

Bytes that a blank line ends without data, and data that is no JSON or has no whole number, did not reach callers.

A stream is now what a parser accepts: event and data fields, comments, which it drops, JSON in UTF-8 with a kind, numbers that grow by one. Anything else raises ForeignError, ends the connection and is logged; the stream is resumed after the last event passed on. A further answer without an event isn't taken for contact, as with one that is cut short.

--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -4,17 +4,19 @@
 import contextlib
 import enum
 import http
+import logging
 import typing
 from collections import abc
 
 import aiohttp
 import expression
-import msgspec
 
 from lavenderledge import clock as clocks
-from lavenderledge import timing
+from lavenderledge import logs, timing
 from lavenderledge.upstreams import connection, events
 
+_LOGGER = logging.getLogger(__name__)
+
 _ACCEPT_STREAM = {'Accept': 'text/event-stream'}
 _JSON_HEADERS = {'Content-Type': 'application/json', **_ACCEPT_STREAM}
 _RESUME_DELAY_S = 0.5
@@ -24,7 +26,6 @@
     aiohttp.ClientError,
     OSError,
     ValueError,
-    msgspec.MsgspecError,
 )
 
 
@@ -59,10 +60,14 @@
 
     SILENT = 'silent'
     BROKEN = 'broken'
+    FOREIGN = 'foreign'
     CUT_SHORT = 'cut_short'
     UNOPENED = 'unopened'
 
 
+# After these, an answer to a request to resume shows no progress.
+_FRUITLESS = frozenset((ReadFailure.CUT_SHORT, ReadFailure.FOREIGN))
+
 ReadResult: typing.TypeAlias = expression.Result[str, ReadFailure]
 
 
@@ -379,7 +384,7 @@
         self._last_answer = answer
         if answer.is_ok() and failure is not None:
             self._keep_only((source, self._main))
-            if failure is not ReadFailure.CUT_SHORT:
+            if failure not in _FRUITLESS:
                 self._last_contact_s = self._clock.read_monotonic()
 
     async def _read(
@@ -393,6 +398,9 @@
                 event = await _read_event(lines, parser)
             except _READ_ERRORS:
                 return expression.Error(ReadFailure.BROKEN)
+            except events.ForeignError as error:
+                _log_foreign(self._response_id, self.last_sequence, error)
+                return expression.Error(ReadFailure.FOREIGN)
             if event is None or event.sequence > self.last_sequence + 1:
                 return expression.Error(ReadFailure.CUT_SHORT)
             if event.sequence <= self.last_sequence:
@@ -446,6 +454,19 @@
         return None
 
 
+def _log_foreign(
+    response_id: str, last_sequence: int, error: events.ForeignError
+) -> None:
+    logs.write_event(
+        _LOGGER,
+        'stream_foreign',
+        level=logging.WARNING,
+        response_id=response_id,
+        last_sequence=last_sequence,
+        detail=str(error),
+    )
+
+
 def _describe(answer: CreateResult | None) -> str:
     if answer is None or answer.is_ok():
         return 'the stream ended without a terminal event'
--- a/lavenderledge/upstreams/events.py
+++ b/lavenderledge/upstreams/events.py
@@ -5,7 +5,8 @@
 import msgspec
 
 _BLANK_LINES = (b'\n', b'\r\n')
-_DATA_PREFIX = b'data:'
+_KIND_FIELD = b'event'
+_DATA_FIELD = b'data'
 
 TERMINAL_KINDS = frozenset(
     (
@@ -27,50 +28,87 @@
     document: bytes
 
 
+class ForeignError(Exception):
+    """A stream has something that no run of its response sends."""
+
+
 class _Head(msgspec.Struct):
     sequence_number: int
-    type: str = ''
+    type: str
 
 
 _decode_head = msgspec.json.Decoder(_Head).decode
 
 
 class EventParser:
-    """Assembles events from lines; only ``data`` fields are parsed."""
+    """Assembles the events of one connection from its lines.
+
+    An event has ``data`` fields and may have ``event`` fields; its raw bytes
+    are these lines. Comments are left out. Sequence numbers grow by one.
+    """
 
     def __init__(self) -> None:
         """Start at the beginning of an event."""
+        self._last_sequence: int | None = None
         self._lines: list[bytes] = []
+        self._kinds: list[bytes] = []
         self._documents: list[bytes] = []
 
     def feed(self, line: bytes) -> Event | None:
         """Parse one line with its line end; return an event it completes.
 
-        Raises ``msgspec.DecodeError`` if the event's data is not a JSON
-        object with a sequence number.
+        Raises ``ForeignError`` if no run of the response sends this.
         """
-        if line not in _BLANK_LINES:
+        if line in _BLANK_LINES:
+            return self._complete(line)
+        if not line.startswith(b':'):
             self._add(line)
-            return None
-        if not self._documents:
-            self._lines.clear()
-            return None
-        return self._complete(line)
+        return None
 
     def _add(self, line: bytes) -> None:
+        text = line.removesuffix(b'\n').removesuffix(b'\r')
+        name, colon, content = text.partition(b':')
+        # A caller takes a carriage return for the end of a line.
+        if not colon or b'\r' in content:
+            raise ForeignError('a line is no field')
+        content = content.removeprefix(b' ')
+        if name == _DATA_FIELD:
+            self._documents.append(content)
+        elif name == _KIND_FIELD:
+            self._kinds.append(content)
+        else:
+            raise ForeignError('a field is neither event nor data')
         self._lines.append(line)
-        if line.startswith(_DATA_PREFIX):
-            self._documents.append(line[len(_DATA_PREFIX) :].strip())
 
-    def _complete(self, blank: bytes) -> Event:
+    def _complete(self, blank: bytes) -> Event | None:
+        if not self._lines:
+            return None
         document = b'\n'.join(self._documents)
-        raw = b''.join(self._lines) + blank
+        head = _read_head(document)
+        if any(kind != head.type.encode() for kind in self._kinds):
+            raise ForeignError('the event field differs from the data')
+        self._check_order(head.sequence_number)
+        raw = b''.join((*self._lines, blank))
         self._lines.clear()
+        self._kinds.clear()
         self._documents.clear()
-        head = _decode_head(document)
         return Event(head.sequence_number, head.type, raw, document)
 
+    def _check_order(self, sequence: int) -> None:
+        last = self._last_sequence
+        if sequence < 0 or (last is not None and sequence != last + 1):
+            raise ForeignError('the sequence number does not follow')
+        self._last_sequence = sequence
+
 
 def format_error(document: bytes) -> bytes:
     """Return an error event with the JSON document as its data."""
     return b'event: error\ndata: %b\n\n' % document
+
+
+def _read_head(document: bytes) -> _Head:
+    try:
+        document.decode()
+        return _decode_head(document)
+    except (ValueError, RecursionError) as error:
+        raise ForeignError(f'the data is no event: {error}') from error
