Bound an event of an engine's stream, in bytes and in lines

What callers saw: a line over aiohttp's limit of 2 MiB ended the request as an internal error. An event of many short lines was kept until the connection fell silent or the request ended.

Cause: aiohttp raises LineTooLong, which is none of the read errors, so it left the stream's task as a fault of the program. EventParser kept lines without a bound.

Evidence, tests/test_foreignevents.py: `test_an_event_without_end_is_not_read_on` failed with `500 internal` for a line without end; `test_an_event_is_kept_up_to_a_limit` failed for both kinds of lines (DID NOT RAISE).

A line or event over a limit is foreign: the connection ends and the stream is resumed after the last good event.

--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import expression
+from aiohttp import http_exceptions
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
@@ -439,11 +440,17 @@
 async def _read_event(
     lines: abc.AsyncIterator[bytes], parser: events.EventParser
 ) -> events.Event | None:
-    """Return the next event, None at the end of the body."""
-    async for line in lines:
-        event = parser.feed(line)
-        if event is not None:
-            return event
+    """Return the next event, None at the end of the body.
+
+    Raises ``ForeignError`` also for a line over aiohttp's limit.
+    """
+    try:
+        async for line in lines:
+            event = parser.feed(line)
+            if event is not None:
+                return event
+    except http_exceptions.LineTooLong as error:
+        raise events.ForeignError('a line is too long') from error
     return None
 
 
--- a/lavenderledge/upstreams/events.py
+++ b/lavenderledge/upstreams/events.py
@@ -7,6 +7,8 @@
 _BLANK_LINES = (b'\n', b'\r\n')
 _KIND_FIELD = b'event'
 _DATA_FIELD = b'data'
+_MAX_EVENT_BYTES = 4_194_304
+_MAX_EVENT_LINES = 1024
 
 TERMINAL_KINDS = frozenset(
     (
@@ -53,6 +55,7 @@
         self._lines: list[bytes] = []
         self._kinds: list[bytes] = []
         self._documents: list[bytes] = []
+        self._size_bytes = 0
 
     def feed(self, line: bytes) -> Event | None:
         """Parse one line with its line end; return an event it completes.
@@ -79,6 +82,12 @@
         else:
             raise ForeignError('a field is neither event nor data')
         self._lines.append(line)
+        self._size_bytes += len(line)
+        if (
+            self._size_bytes > _MAX_EVENT_BYTES
+            or len(self._lines) > _MAX_EVENT_LINES
+        ):
+            raise ForeignError('the event is too large')
 
     def _complete(self, blank: bytes) -> Event | None:
         if not self._lines:
@@ -92,6 +101,7 @@
         self._lines.clear()
         self._kinds.clear()
         self._documents.clear()
+        self._size_bytes = 0
         return Event(head.sequence_number, head.type, raw, document)
 
     def _check_order(self, sequence: int) -> None:
--- a/tests/test_foreignevents.py
+++ b/tests/test_foreignevents.py
@@ -8,6 +8,7 @@
 import pytest_asyncio
 
 from lavenderledge.policy import table
+from lavenderledge.upstreams import events
 from tests import garblingengine, processes
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
@@ -25,6 +26,9 @@
         garblingengine.FRAMINGS, garblingengine.ENDINGS
     )
 )
+# Limits of what is read, and the sockets' buffers, for two requests.
+MAX_SENT_BYTES = 32_000_000
+MAX_KEPT_LINES = 2000
 # A reset may discard events that the daemon has not read yet.
 RESUMES = {
     'stream=true',
@@ -230,3 +234,19 @@
         *(event.replace(b'two ', b'another ') for event in events),
     )
     await check_all(fleet, engine, is_whole)
+
+
+@pytest.mark.parametrize('filler', [b'x', b'data: [\n', b'event: x\n'])
+async def test_an_event_without_end_is_not_read_on(fleet, engine, filler):
+    engine.filler = filler
+    engine.build = lambda events: (*events[:2], b'data: [')
+    await check_all(fleet, engine, is_whole, ('unframed/closed',))
+    assert engine.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('line', [b'data: [\n', b'event: x\n'])
+async def test_an_event_is_kept_up_to_a_limit(line):
+    parser = events.EventParser()
+    with pytest.raises(events.ForeignError):
+        for _ in range(MAX_KEPT_LINES):
+            parser.feed(line)
