Hold events of another response for foreign

What callers saw: an event whose `response` has another id was passed on like their own, and one that ends the other response ended theirs as complete; a caller that does not stream got the other response as its answer.

Cause: the id in an event was never compared with that of the response asked for. The daemon chooses this id (`request_id` in an engine's body), and reads and cancels by it.

An id that is given has to be this response's. A last event without a response still ends as `answer_incomplete`, as test_streams asks.

--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -392,7 +392,7 @@
         self, source: _Source, response: aiohttp.ClientResponse
     ) -> ReadResult:
         """Pass on events in order; stop at a gap in sequence numbers."""
-        parser = events.EventParser()
+        parser = events.EventParser(response_id=self._response_id)
         lines = aiter(response.content)
         while True:
             try:
--- a/lavenderledge/upstreams/events.py
+++ b/lavenderledge/upstreams/events.py
@@ -34,9 +34,14 @@
     """A stream has something that no run of its response sends."""
 
 
+class _Response(msgspec.Struct):
+    id: str = ''
+
+
 class _Head(msgspec.Struct):
     sequence_number: int
     type: str
+    response: _Response | None = None
 
 
 _decode_head = msgspec.json.Decoder(_Head).decode
@@ -46,11 +51,13 @@
     """Assembles the events of one connection from its lines.
 
     An event has ``data`` fields and may have ``event`` fields; its raw bytes
-    are these lines. Comments are left out. Sequence numbers grow by one.
+    are these lines. Comments are left out. Sequence numbers grow by one, and
+    what names a response names this one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, response_id: str) -> None:
         """Start at the beginning of an event."""
+        self._response_id = response_id
         self._last_sequence: int | None = None
         self._lines: list[bytes] = []
         self._kinds: list[bytes] = []
@@ -97,6 +104,7 @@
         if any(kind != head.type.encode() for kind in self._kinds):
             raise ForeignError('the event field differs from the data')
         self._check_order(head.sequence_number)
+        self._check_response(head.response)
         raw = b''.join((*self._lines, blank))
         self._lines.clear()
         self._kinds.clear()
@@ -110,6 +118,10 @@
             raise ForeignError('the sequence number does not follow')
         self._last_sequence = sequence
 
+    def _check_response(self, response: _Response | None) -> None:
+        if response and response.id not in {'', self._response_id}:
+            raise ForeignError('the event is of another response')
+
 
 def format_error(document: bytes) -> bytes:
     """Return an error event with the JSON document as its data."""
