Refuse a service's answer whose head can't be sent to a caller

What callers saw: a closed connection without an answer if a service's header value had a control character or its status was over 599 or below 100; a plain `500 Internal Server Error`, without outcome, if a value had bytes from 128 to 255, or was UTF-8 beyond Latin-1; `101 Switching Protocols` as their own, after which HTTP reads what follows as another protocol.

Cause: plain passed on all that aiohttp reads. uvicorn knows statuses up to 599 and sends no control characters; aiohttp decodes values as UTF-8 with surrogates, which Latin-1 has no bytes for.

Such a head is refused as `upstream_lost`, outcome unknown, since the call may have run. Values with other bytes are passed on as the service sent them.

--- a/lavenderledge/upstreams/plain.py
+++ b/lavenderledge/upstreams/plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import re
 import typing
 from collections import abc
 
@@ -10,6 +11,10 @@
 
 from lavenderledge.upstreams import connection
 
+_MIN_STATUS = 200
+_MAX_STATUS = 599
+# Servers send no header value that has one of these.
+_CONTROL_CHARACTERS = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -103,5 +108,20 @@
         body.extend(chunk)
         if len(body) > max_answer_bytes:
             return expression.Error(TooLarge(max_answer_bytes))
-    headers = tuple(select_headers(response.headers).items())
+    headers = _read_headers(response)
+    is_valid = _MIN_STATUS <= response.status <= _MAX_STATUS and not any(
+        _CONTROL_CHARACTERS.search(text) for _, text in headers
+    )
+    if not is_valid:
+        return expression.Error(connection.Lost('the head is invalid'))
     return expression.Ok(ServiceAnswer(response.status, headers, bytes(body)))
+
+
+def _read_headers(
+    response: aiohttp.ClientResponse,
+) -> tuple[tuple[str, str], ...]:
+    """Return the end-to-end headers; a character stands for each byte."""
+    return tuple(
+        (name, text.encode('utf-8', 'surrogateescape').decode('latin-1'))
+        for name, text in select_headers(response.headers).items()
+    )
