Platform store: bound the size of an answer, of a listing, of its entries

An answer of the key-value service with a body without end was read and kept for up to 10 s, all of 64 MB, and pages without end were listed for ever. An answer of 4 MB in small entries took 0.68 s of the event loop and 59 MB.

Cause: the answer's parts were collected until its end or its time limit, and pages until one says that no more follow.

Evidence: before the change, five kinds of body without end each reached the 64 MB of the test, to the client alone and to an instance that serves callers; and pages of 100 kB did not end in 30 s. Callers of that instance got their answers in both cases.

An answer over 4 MiB, a listing over 8 MiB and a page or watch of more than 20,000 entries now fail as malformed, the connection is closed, and the caller goes on with its last state. A configuration of 1,400 routes is 0.5 MB as an answer.

--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -17,6 +17,11 @@
 # The timeout of a whole answer from its first byte.
 _TRANSFER_TIMEOUT_S: typing.Final = 10.0
 _CONNECT_TIMEOUT_S: typing.Final = 0.5
+# Many times the configuration of a large site. Decoded, small entries take ten
+# times as much.
+_MAX_RESPONSE_BYTES: typing.Final = 4_194_304
+_MAX_LISTING_BYTES: typing.Final = 8_388_608
+_MAX_ENTRIES: typing.Final = 20_000
 # Short, because the service does not state its idle timeout.
 _MAX_IDLE_S: typing.Final = 3.0
 _MILLISECONDS: typing.Final = 1000
@@ -44,16 +49,21 @@
     deleted: bool = False
 
 
+_Entries: typing.TypeAlias = typing.Annotated[
+    list[_Entry], msgspec.Meta(max_length=_MAX_ENTRIES)
+]
+
+
 class _RangePage(msgspec.Struct):
     # The service's revision when it responded.
     at: int
-    entries: list[_Entry] = []
+    entries: _Entries = []
     has_more: bool = False
 
 
 class _WatchResult(msgspec.Struct):
     at: int
-    events: list[_Entry] = []
+    events: _Entries = []
 
 
 class _Lease(msgspec.Struct):
@@ -61,14 +71,17 @@
 
 
 class _ResponseCollector:
-    """Collects one response; each part of it extends the timeout."""
+    """Collects one response; each part of it extends the timeout.
+
+    A body that is too large ends it as malformed.
+    """
 
     def __init__(self) -> None:
         self.status = 0
         self.timeout: asyncio.Timeout | None = None
         self._end_s: float | None = None
         self.era = 0
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.ended: asyncio.Future[messages.Ending] = (
             asyncio.get_running_loop().create_future()
         )
@@ -83,8 +96,12 @@
         self._extend_timeout()
 
     def receive_body(self, body: bytes) -> None:
-        self.body.append(body)
+        if self.ended.done():
+            return
+        self.body += body
         self._extend_timeout()
+        if len(self.body) > _MAX_RESPONSE_BYTES:
+            self.ended.set_result(messages.Ending.MALFORMED)
 
     def receive_end(self, ending: messages.Ending) -> None:
         if not self.ended.done():
@@ -126,18 +143,15 @@
         """Return all keys with a prefix, read page by page.
 
         The revision is that of the first page: a watch from there reports
-        any change made between two pages.
+        any change made between two pages. MALFORMED if it is too large.
         """
+        size_bytes = 0
         entries: list[stores.Change] = []
         revision: int | None = None
         era: int | None = None
         after = ''
         while True:
-            query = {'path_prefix': prefix}
-            if after:
-                query['after'] = after
-            if may_be_old:
-                query['outdated'] = '1'
+            query = _build_range_query(prefix, after, may_be_old=may_be_old)
             response = await self._get('/api/kv-range', query)
             page = _decode(response, _RangePage)
             if page.is_error():
@@ -147,6 +161,12 @@
                     stores.Fault.RESTORED,
                     f'era {era} at the first page, then {response.ok.era}',
                 )
+            size_bytes += len(response.ok.body)
+            if size_bytes > _MAX_LISTING_BYTES:
+                return _fail(
+                    stores.Fault.MALFORMED,
+                    f'keys without end, {size_bytes} bytes so far',
+                )
             era = response.ok.era
             revision = page.ok.at if revision is None else revision
             entries += [_parse_entry(entry) for entry in page.ok.entries]
@@ -287,19 +307,34 @@
                 response.timeout = timeout
                 ending = await response.ended
         except TimeoutError:
-            received_bytes = sum(map(len, response.body))
             return _fail(
                 stores.Fault.UNREACHABLE,
-                f'timed out after {received_bytes} bytes of a response',
+                f'timed out after {len(response.body)} bytes of a response',
             )
         finally:
             self._pool.release(connection)
+        if ending is messages.Ending.MALFORMED:
+            return _fail(
+                stores.Fault.MALFORMED,
+                f'malformed or too large after {len(response.body)} bytes',
+            )
         if ending is not messages.Ending.COMPLETE:
             return _fail(stores.Fault.UNREACHABLE, ending.value)
         if response.status != messages.OK:
             fault = _STATUS_FAULTS.get(response.status, stores.Fault.MALFORMED)
             return _fail(fault, f'status {response.status}')
-        return expression.Ok(_Response(b''.join(response.body), response.era))
+        return expression.Ok(_Response(bytes(response.body), response.era))
+
+
+def _build_range_query(
+    prefix: str, after: str, *, may_be_old: bool
+) -> dict[str, str]:
+    query = {'path_prefix': prefix}
+    if after:
+        query['after'] = after
+    if may_be_old:
+        query['outdated'] = '1'
+    return query
 
 
 def _parse_entry(entry: _Entry) -> stores.Change:
