Key-value service, instance list, reports: bound what is read

An answer with a body without end, from the key-value service, the instance list or an engine's page, was read and kept for the whole time of the call, all of the 64 MB that the test sends within 2 s.

Cause: the answers were read by aiohttp's read(), which has no bound; it bounds heads and trailers itself.

These answers are now read up to 8 MB; a larger one fails like a payload that is broken off, and its connection is closed. The command line reads lists of edits, up to 200 of 200 kB, and has a bound of 64 MB.

--- a/lavenderledge/core.py
+++ b/lavenderledge/core.py
@@ -24,6 +24,8 @@
     abc.Coroutine[typing.Any, typing.Any, status.ExitStatus],
 ]
 
+# A list of all kept edits: 200 of at most 200 kB, in base64.
+_MAX_ANSWER_BYTES: typing.Final = 64_000_000
 _RUNNERS: typing.Final[abc.Mapping[definition.Command, RunCommand]] = {
     definition.TABLE_SHOW: tablecommands.run_show,
     definition.TABLE_SET: editcommands.run_set,
@@ -90,6 +92,7 @@
                     session=session,
                     addresses=cli_settings.keyvalue,
                     timeout=min(keyvalue.CALL_TIMEOUT, cli_settings.timeout),
+                    max_answer_bytes=_MAX_ANSWER_BYTES,
                 ),
                 instances=instancelist.InstanceList(
                     session=session, address=cli_settings.instance_list
--- a/lavenderledge/registry/instancelist.py
+++ b/lavenderledge/registry/instancelist.py
@@ -10,8 +10,11 @@
 import expression
 import msgspec
 
+from lavenderledge import answers
+
 PATH = '/apis/discovery.k8s.io/v1/endpointslices'
 POLL_TIMEOUT = datetime.timedelta(seconds=2)
+MAX_LIST_BYTES = 8_000_000
 
 POOL_LABEL = 'kubernetes.io/service-name'
 KIND_LABEL = 'lavenderledge/kind'
@@ -140,7 +143,7 @@
         async with self._session.get(
             self._url, headers=headers, timeout=self._timeout
         ) as response:
-            body = await response.read()
+            body = await answers.read_body(response, max_bytes=MAX_LIST_BYTES)
             status = response.status
             etag = response.headers.get('ETag')
         if status == http.HTTPStatus.NOT_MODIFIED:
--- a/lavenderledge/registry/keyvalue.py
+++ b/lavenderledge/registry/keyvalue.py
@@ -16,10 +16,12 @@
 import expression
 import msgspec
 
+from lavenderledge import answers
 from lavenderledge.registry import gateway, operations, schemas, watches
 
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
 MAX_OPERATIONS = 128
+MAX_ANSWER_BYTES = 8_000_000
 
 _MAX_DETAIL_BYTES = 200
 _CONNECT_ERRORS = (
@@ -51,8 +53,13 @@
         session: aiohttp.ClientSession,
         addresses: abc.Sequence[str],
         timeout: datetime.timedelta = CALL_TIMEOUT,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
-        """Use an open session, which its owner closes."""
+        """Use an open session, which its owner closes.
+
+        A call whose answer is over ``max_answer_bytes`` fails.
+        """
+        self._max_answer_bytes = max_answer_bytes
         self._session = session
         self._addresses = tuple(base.rstrip('/') for base in addresses)
         self._preferred = 0
@@ -236,7 +243,9 @@
             timeout=self._timeout,
             allow_redirects=False,
         ) as response:
-            answer = await response.read()
+            answer = await answers.read_body(
+                response, max_bytes=self._max_answer_bytes
+            )
             status = response.status
         if status == http.HTTPStatus.OK:
             return expression.Ok(answer)
--- a/lavenderledge/upstreams/observation.py
+++ b/lavenderledge/upstreams/observation.py
@@ -7,10 +7,12 @@
 import msgspec
 from prometheus_client import parser
 
+from lavenderledge import answers
 from lavenderledge.policy import prefix
 
 _TIMEOUT_S = 2.0
 _KEEP_ALIVE_S = 15.0
+_MAX_REPORT_BYTES = 8_000_000
 _OK = 200
 _UNAVAILABLE = 503
 _RUNNING = 'vllm:num_requests_running'
@@ -114,7 +116,9 @@
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                body = await response.read()
+                body = await answers.read_body(
+                    response, max_bytes=_MAX_REPORT_BYTES
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return expression.Error(ReportFailure(repr(error)))
         return expression.Ok(_Response(response.status, body))
--- a/tests/test_endlessstore.py
+++ b/tests/test_endlessstore.py
@@ -1,4 +1,4 @@
-"""Answers of the store that go on without end."""
+"""Answers of the store, instance list and engines that go on without end."""
 
 import asyncio
 import contextlib
@@ -8,7 +8,9 @@
 
 from lavenderledge.daemon import formats
 from lavenderledge.platform import store
+from lavenderledge.registry import instancelist, keyvalue
 from lavenderledge.registry import store as stores
+from lavenderledge.upstreams import observation
 from tests import platformfleet, platformstore
 
 # Limits of what is read, and the sockets' buffers on both sides.
@@ -201,3 +203,35 @@
         await server.stop()
     assert set(statuses) == {200}
     assert server.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('case', BODIES)
+async def test_an_answer_of_the_key_value_service_is_given_up(case):
+    async with serving(case) as server, keyvalue.open_session() as session:
+        address = f'http://127.0.0.1:{server.port}'
+        client = keyvalue.KeyValue(session=session, addresses=[address])
+        read = await client.read('key')
+        written = await client.replace_if('key', expected=0, value=b'')
+    assert read.is_error()
+    assert written.is_error()
+    assert server.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('case', BODIES)
+async def test_an_instance_list_without_end_is_given_up(case):
+    async with serving(case) as server, keyvalue.open_session() as session:
+        address = f'http://127.0.0.1:{server.port}'
+        client = instancelist.InstanceList(session=session, address=address)
+        polled = await client.poll()
+    assert polled.is_error()
+    assert server.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('case', BODIES)
+async def test_a_report_without_end_is_given_up(case):
+    async with serving(case) as server, keyvalue.open_session() as session:
+        observer = observation.Observer(session=session)
+        address = f'127.0.0.1:{server.port}'
+        load = await observer.read_load(address)
+    assert load.is_error()
+    assert server.sent_bytes < MAX_SENT_BYTES
