Daemon: bound heads, trailers, framing and pipelines of its clients

A client of the daemon's servers could send header fields or trailers without end, which were kept: 64 MB of them grew the process from 28 MB to 948 MB, a single value or target to 133 to 143 MB. 12 MB of requests sent ahead of their answers grew it to 1009 MB and blocked the event loop for up to 0.67 s. A trailer was found among the header fields of its request's scope.

Cause: uvicorn's connections on httptools bound none of these. While requests wait, reading resumes after each answer, so more are queued than answered.

Evidence: nine kinds of bytes without end failed before the change, eight with all of the 64 MB taken, the requests ahead of answers by the time of the test; and the trailer that is no header field.

A subclass counts what is not body against 64 KiB, as h11 does, with the allowance for chunks of lavenderledge.http1, discards trailers, and ends a connection with over 16 requests that wait; it answers 400 if no answer has begun.

--- a/lavenderledge/daemon/server.py
+++ b/lavenderledge/daemon/server.py
@@ -9,7 +9,7 @@
 import uvicorn
 from starlette import types
 
-from lavenderledge.daemon import formats
+from lavenderledge.daemon import formats, protocol
 
 _BACKLOG = 2048
 _KEEP_ALIVE_S = 30
@@ -54,6 +54,7 @@
     return Server(
         uvicorn.Config(
             application,
+            http=protocol.Protocol,
             log_config=None,
             access_log=False,
             lifespan='off',
