--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -96,13 +96,16 @@
             reply.abort()
             return
         fields = request.fields
+        echoed_id = (b'Attempt-Id', fields.find(b'attempt-id'))
         expected = (fields.find(b'expect-instance') or b'').decode()
         if expected != self.name:
-            reply.send(421, ((b'Instance-Id', self.name.encode()),), b'')
+            own_id = (b'Instance-Id', self.name.encode())
+            reply.send(421, (echoed_id, own_id), b'')
             return
         action = self._choose_action(request)
         if action == 'full':
-            reply.send(503, ((b'Not-Executed', b'1'), *self.notices), b'')
+            refused = (b'Not-Executed', b'1')
+            reply.send(503, (echoed_id, refused, *self.notices), b'')
             return
         if action == 'early':
             reply.abort()
