Join no answer of a plain route with a stream that has begun

A caller of a resumable stream got the head and body of another answer inside its own: the route became a plain one while a run went on, the run broke off, and a further run of the plain route was relayed as plain bytes.

Cause: that a response can be resumed was judged by the kind of the route when it began, that a request may be sent again by the present one. Now a stream that has begun goes on only where both are resumable streams.

--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -690,9 +690,10 @@
         Once a part was relayed, only a resumable stream can go on.
         """
         route_type = self._get_match().route.route_type
-        return route_type.is_repeatable and (
-            self._relay.is_resumable or not self._relay.reply.started
-        )
+        if self._relay.reply.started:
+            is_resumable = route_type is routes.RouteType.STREAM_RESUMABLE
+            return is_resumable and self._relay.is_resumable
+        return route_type.is_repeatable
 
     def _has_attempts_left(self) -> bool:
         max_attempts = self._get_match().route.max_attempts
--- a/tests/test_changedroutes.py
+++ b/tests/test_changedroutes.py
@@ -53,3 +53,28 @@
     else:
         assert response.is_complete
         assert response.body == test_streampauses.EXPECTED
+
+
+@pytest.mark.parametrize('route_type', ['safe', 'unsafe'])
+async def test_a_stream_whose_route_became_plain_is_joined_with_nothing(
+    route_type,
+):
+    stream = make_route('stream', resumable=True)
+    plain = platformfleet.make_route('stream', route_type, max_attempts=3)
+    async with platformfleet.running(replicas=1, routes=[stream]) as fleet:
+        running = fleet.instances['entry-0']
+        fleet.replicas['i-0'].default_action = 'cut'
+        fleet.replicas['i-0'].event_gap_s = 0.3
+        response, _ = await fleet.begin('/stream/x', deadline_ms=6000)
+        await platformfleet.wait_until(lambda: response.body)
+        fleet.store.write(
+            'op/config', platformfleet.make_configuration(2, routes=[plain])
+        )
+        await platformfleet.wait_until(
+            lambda: running._watcher.read_version() == 2
+        )
+        await fleet.add_replica('i-1')
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+    assert response.status == 200
+    assert not response.is_complete
+    assert test_streampauses.EXPECTED.startswith(response.body)
