Forward the last id of a caller as it was sent

A Last-Event-Id with bytes above 127 reached the replica changed: it was read as latin-1 and written as UTF-8. Evidence: a test that failed before and passes now.

--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -105,7 +105,9 @@
     if context.customer is not None:
         fields.append((b'Tenant', context.customer.encode()))
     if context.last_event_id is not None:
-        fields.append((b'Last-Event-Id', context.last_event_id.encode()))
+        fields.append(
+            (b'Last-Event-Id', context.last_event_id.encode('latin-1'))
+        )
     return messages.format_request(
         request.method, request.target, fields, request.body
     )
--- a/tests/test_foreignevents.py
+++ b/tests/test_foreignevents.py
@@ -217,3 +217,15 @@
     ) as instance:
         received = await test_brokenanswers.send(instance, path)
     assert not (received.status == 200 and received.is_complete)
+
+
+async def test_the_last_id_of_a_caller_is_forwarded_byte_by_byte():
+    replica = singleinstance.Replica(None)
+    async with singleinstance.running(replica) as instance:
+        reader, writer = await instance.connect()
+        field = b'Last-Event-Id: \xe4'
+        request = singleinstance.build_request(PATHS[1])
+        writer.write(request.replace(b'\r\n', b'\r\n' + field + b'\r\n', 1))
+        await singleinstance.receive(reader)
+        writer.close()
+    assert field in replica.heads[0].split(b'\r\n')
