Tests: a stream whose route became plain is run once

It counts the runs now; with the former _is_repeatable the safe case fails (two runs), the unsafe one passes.

--- a/tests/test_changedroutes.py
+++ b/tests/test_changedroutes.py
@@ -75,6 +75,8 @@
         )
         await fleet.add_replica('i-1')
         await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+        runs = fleet.list_runs()
     assert response.status == 200
+    assert len(runs) == 1
     assert not response.is_complete
     assert test_streampauses.EXPECTED.startswith(response.body)
