Read an event of many short lines with one bound, and name it too long

The common form of an event had no bound on its lines, so that 1 MiB of empty data fields was matched at once; it is used up to 64 lines now, and longer events are bounded like others. The kind of test_foreignevents with too many lines has data fields with a colon now; without the bound it reaches the caller. One log event, stream_rejected, tells of both paths: the daemon's was named stream_foreign.

--- a/lavenderledge/proxy/events.py
+++ b/lavenderledge/proxy/events.py
@@ -13,7 +13,7 @@
 _NO_FIELD: typing.Final = re.compile(rb'[:\r\n]')
 # The form of most events; others are read line by line, which takes longer.
 _COMMON_EVENT: typing.Final = re.compile(
-    rb'id:[ ]?(\d{1,18})\r?\n(?:data:[^\r\n]*\r?\n)+\r?\n'
+    rb'id:[ ]?(\d{1,18})\r?\n(?:data:[^\r\n]*\r?\n){1,64}+\r?\n'
 )
 _ID_NUMBER: typing.Final = re.compile(rb'\d{1,18}')
 # An event that is longer, or has more lines, ends its stream.
@@ -85,6 +85,9 @@
         common = _COMMON_EVENT.fullmatch(text)
         if common is not None and text.isascii():
             return text if self._accept(common.group(1)) else b''
+        if text.count(b'\n') > _MAX_EVENT_LINES:
+            self.fault = 'too_long'
+            return b''
         lines = _split_lines(text)
         if lines is None:
             self.fault = 'not_text'
@@ -119,8 +122,7 @@
 
 def _split_lines(text: bytes) -> list[bytes] | None:
     """Return lines with their ends, None unless it is lines of text."""
-    is_torn = b'\r' in text.replace(b'\r\n', b'')
-    if is_torn or text.count(b'\n') > _MAX_EVENT_LINES:
+    if b'\r' in text.replace(b'\r\n', b''):
         return None
     try:
         text.decode()
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -466,7 +466,7 @@
 ) -> None:
     logs.write_event(
         _LOGGER,
-        'stream_foreign',
+        'stream_rejected',
         level=logging.WARNING,
         response_id=response_id,
         last_sequence=last_sequence,
--- a/tests/test_foreignevents.py
+++ b/tests/test_foreignevents.py
@@ -48,7 +48,7 @@
     'carriage returns': lambda number: b'\r\r\n\r\n',
     'carriage returns at the end': lambda number: b'\n\n\r\r',
     'too many lines': lambda number: (
-        b'id: %d\n%b\n' % (number, b'data\n' * 100_000)
+        b'id: %d\n%b\n' % (number, b'data:\n' * 100_000)
     ),
     'half an event': lambda number: EVENTS[number - 1][:8],
 }
