--- a/tests/garblingengine.py
+++ b/tests/garblingengine.py
@@ -85,9 +85,11 @@
         return listening
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
             await self._answer(reader, writer)
-        writer.close()
 
     async def _answer(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Each caller gets the complete answer to its own request, or an error."""
 
 import asyncio
+import contextlib
 import json
 import signal
 
@@ -60,6 +61,10 @@
         self._asked = asyncio.Event()
 
     async def serve(self, reader, writer):
+        with contextlib.closing(writer):
+            await self._answer(reader, writer)
+
+    async def _answer(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
         if head.startswith(b'POST /v1/responses '):
             self.creations += 1
@@ -77,7 +82,6 @@
             if head.startswith(b'GET /v1/responses/'):
                 self._asked.set()
         await writer.drain()
-        writer.close()
 
 
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
--- a/tests/test_upstreampauses.py
+++ b/tests/test_upstreampauses.py
@@ -47,9 +47,11 @@
         return [event.replace(b'ID', self.response_id) for event in EVENTS]
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
             await self._answer(reader, writer)
-        writer.close()
 
     async def _answer(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
