Tests: copies of earlier answers to a request that is sent again, failing

A replica refuses a request on a kept connection, the request comes to be sent on it again, and a copy of the refusal arrives before the answer: it is taken for the answer, and the request runs at another replica too, or its caller is told that it has not run. Copies of other answers are passed on in place of the second run's.

--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -1,4 +1,4 @@
-"""A replica that writes an earlier refusal once more on a kept connection."""
+"""A replica that writes an earlier answer once more on a kept connection."""
 
 import asyncio
 
@@ -87,3 +87,117 @@
         writer.close()
     assert [answer.status for answer in received] == [200, 200]
     assert runs == [b'r-1', b'r-2']
+
+
+STATUSES = [b'503 Full', b'429 Busy', b'421 Other']
+PATHS = ['/once/x', '/safe/x', '/stream/x', '/stream/resumable/x']
+EVENT = b'id: 1\ndata: 1\n\n'
+
+
+class CopyingReplica:
+    """Refuses a request once, and copies that if it comes again.
+
+    It copies it on a connection that was used before.
+    """
+
+    def __init__(self, status):
+        self.runs = []
+        self._status = status
+        self._refusals = {}
+
+    def build(self, request_id, last_event_id, number):
+        if request_id not in self._refusals:
+            refusal = build_refusal(self._status, request_id)
+            self._refusals[request_id] = refusal
+            return singleinstance.Answer(refusal, 'keep')
+        self.runs.append(request_id)
+        copy = self._refusals[request_id] if number else b''
+        head = rawreplica.build_head(
+            request_id, b'Content-Length: %d' % len(EVENT)
+        )
+        return singleinstance.Answer(copy + head + EVENT, 'keep')
+
+
+class Alias:
+    """A replica that is listed under another id at the same address."""
+
+    def __init__(self, replica):
+        self._replica = replica
+
+    @property
+    def port(self):
+        return self._replica.port
+
+    async def start(self):
+        """Leave that to the replica."""
+
+    async def stop(self):
+        """Leave that to the replica."""
+
+
+@pytest.mark.parametrize('status', STATUSES)
+@pytest.mark.parametrize('path', PATHS)
+async def test_a_copy_of_a_refusal_does_not_free_a_request_that_runs(
+    path, status
+):
+    """The replica that refused it is listed under a new id."""
+    copying = CopyingReplica(status)
+    sound = CopyingReplica(status)
+    replica = singleinstance.Replica(copying.build)
+    async with singleinstance.running(
+        replica, Alias(replica), singleinstance.Replica(sound.build)
+    ) as instance:
+        reader, writer = await instance.connect()
+        writer.write(singleinstance.build_request(path))
+        received = await singleinstance.receive(reader)
+        writer.close()
+    assert (received.status, received.body) == (200, EVENT)
+    assert copying.runs + sound.runs == [b'r-0']
+
+
+@pytest.mark.parametrize('others', [0, 1])
+@pytest.mark.parametrize('status', STATUSES)
+@pytest.mark.parametrize('path', PATHS)
+async def test_a_copy_of_a_refusal_does_not_refuse_a_request_that_runs(
+    path, status, others
+):
+    """The caller sends its request with the same id again."""
+    copying = [CopyingReplica(status) for _ in range(1 + others)]
+    async with singleinstance.running(
+        *[singleinstance.Replica(replica.build) for replica in copying]
+    ) as instance:
+        reader, writer = await instance.connect()
+        received = []
+        for _ in range(2):
+            writer.write(singleinstance.build_request(path))
+            received.append(await singleinstance.receive(reader))
+        writer.close()
+    assert [answer.status for answer in received] == [503, 200]
+    assert sum((replica.runs for replica in copying), []) == [b'r-0']
+
+
+@pytest.mark.parametrize('status', [b'200 OK', b'500 Error'])
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x'])
+async def test_a_copy_of_an_answer_is_not_that_of_a_request_sent_again(
+    path, status
+):
+    runs = []
+
+    def build(request_id, last_event_id, number):
+        runs.append(request_id)
+        head = rawreplica.build_head(
+            request_id, b'Content-Length: 1', status=status
+        )
+        copy = head + b'1' if number else b''
+        return singleinstance.Answer(copy + head + b'%d' % len(runs), 'keep')
+
+    async with singleinstance.running(
+        singleinstance.Replica(build)
+    ) as instance:
+        reader, writer = await instance.connect()
+        received = []
+        for _ in range(2):
+            writer.write(singleinstance.build_request(path))
+            received.append(await singleinstance.receive(reader))
+        writer.close()
+    assert [answer.body for answer in received] == [b'1', b'2']
