Send no request again on a connection that has its id

What callers saw: a request that must run once ran twice (TWICE), or got a 503 although it ran (REFUSED), where a replica repeated its refusal on a kept connection.

Cause: an id was taken for a proof that an answer belongs to what was just sent. It proves nothing on a connection on which the same request was sent before: a copy of the earlier answer has the same id. A request comes there again if its replica is listed under a new id at the same address (requests exclude replicas by id, connections are kept by address), or if its caller sends the id again.

Why this works: a connection knows the ids that were sent on it, as hashes, and the pool passes it over for a request that has one of them. So each id is sent on a connection at most once, and what names it is the answer to that. Nothing is decided by status, so copies of all answers are covered. After 256 requests a connection is closed, which bounds what it keeps to 2 KiB. Closing each connection that refused was weighed: it would cost connections just when replicas are full, and leave copies of other answers.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client: connections and a pool of idle connections."""
 
+import array
 import asyncio
 import re
 import socket
@@ -21,6 +22,8 @@
 # Maximum size of all that a peer sends apart from the body of the response that
 # is waited for.
 _MAX_UNUSED_BYTES: typing.Final = 262_144
+# How many requests with an id are sent on a connection.
+_MAX_IDENTIFIED_REQUESTS: typing.Final = 256
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -51,8 +54,10 @@
     """One connection, for one exchange at a time.
 
     A response that the receiver does not accept is skipped, and the connection
-    is not reused. Nor is a connection that sent bytes beyond a response.
-    Trailers are discarded, and a response with too much framing is malformed.
+    is not reused. Nor is a connection that sent bytes beyond a response. It is
+    not reused for a request whose id was sent on it before: a copy of the
+    earlier response could not be told from the new one. Trailers are discarded,
+    and a response with too much framing is malformed.
     """
 
     def __init__(self, *, address: str, clock: clocks.Clock) -> None:
@@ -75,6 +80,8 @@
         self._not_reusable = False
         self._bodiless = False
         self._peer_closes = False
+        # Hashes of the ids, which may collide: that costs a connection.
+        self._sent_ids = array.array('q')
         self.was_used = False
 
     @property
@@ -94,12 +101,26 @@
         """Return whether the peer may have reached its idle timeout."""
         return now_s - self.idle_since_s >= self.idle_timeout_s
 
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent here before."""
+        return hash(request_id) in self._sent_ids
+
     def begin(
-        self, request: bytes, receiver: Receiver, *, bodiless: bool = False
+        self,
+        request: bytes,
+        receiver: Receiver,
+        *,
+        request_id: str | None = None,
+        bodiless: bool = False,
     ) -> None:
-        """Send a request; ``bodiless`` means a response without a body."""
+        """Send a request; ``bodiless`` means a response without a body.
+
+        ``request_id`` is what its response names, None if it names nothing.
+        """
         assert self._transport is not None
         self.was_used = True
+        if request_id is not None:
+            self._note_sent(request_id)
         self._receiver = receiver
         self._parser = httptools.HttpResponseParser(self)
         self._head_received = False
@@ -212,6 +233,11 @@
             self._finish()
         self._head_received = False
 
+    def _note_sent(self, request_id: str) -> None:
+        self._sent_ids.append(hash(request_id))
+        if len(self._sent_ids) >= _MAX_IDENTIFIED_REQUESTS:
+            self._not_reusable = True
+
     def _pass_body_on(self) -> None:
         """Pass on the parts of the body that were received together.
 
@@ -272,10 +298,18 @@
         self._idle: dict[str, list[Connection]] = {}
 
     async def open(
-        self, address: str, *, timeout_s: float, max_idle_s: float
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        max_idle_s: float,
+        request_id: str | None = None,
     ) -> expression.Result[Connection, ConnectFailure]:
-        """Return a connection idle for at most ``max_idle_s``, or a new one."""
-        idle = self._take_idle(address, max_idle_s)
+        """Return a connection idle for at most ``max_idle_s``, or a new one.
+
+        No request with ``request_id`` was sent on it before.
+        """
+        idle = self._take_idle(address, max_idle_s, request_id)
         if idle is not None:
             return expression.Ok(idle)
         host, _, port = address.rpartition(':')
@@ -322,14 +356,19 @@
         for address in tuple(self._idle):
             self.close_address(address)
 
-    def _take_idle(self, address: str, max_idle_s: float) -> Connection | None:
-        idle = self._idle.get(address)
+    def _take_idle(
+        self, address: str, max_idle_s: float, request_id: str | None
+    ) -> Connection | None:
+        idle = self._idle.get(address, [])
         now_s = self._clock.read_monotonic()
-        while idle:
-            connection = idle[-1]
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
             if now_s - connection.idle_since_s > max_idle_s:
-                return None
-            idle.pop()
+                break
+            if request_id is not None and connection.has_sent(request_id):
+                self._count('upstream_connections', outcome='passed_over')
+                continue
+            idle.pop(index)
             if connection.is_reusable and not connection.is_expired(now_s):
                 return connection
             connection.abort()
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -385,6 +385,7 @@
             max_idle_s=_REPEATABLE_MAX_IDLE_S
             if repeatable
             else _ONCE_MAX_IDLE_S,
+            request_id=self._parsed.request_id,
         )
         if opened.is_error():
             self._record.exclude(slot.replica, 'connect_failed')
@@ -511,6 +512,7 @@
                 self._request, context
             ),
             attempt,
+            request_id=self._parsed.request_id,
             bodiless=bodiless,
         )
         return run
--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -201,3 +201,28 @@
             received.append(await singleinstance.receive(reader))
         writer.close()
     assert [answer.body for answer in received] == [b'1', b'2']
+
+
+@pytest.mark.parametrize(('requests', 'expected'), [(2, 1), (256, 1), (257, 2)])
+async def test_a_connection_is_kept_for_other_requests(requests, expected):
+    opened = []
+
+    def build(request_id, last_event_id, number):
+        if not number:
+            opened.append(request_id)
+        head = rawreplica.build_head(request_id, b'Content-Length: 2')
+        return singleinstance.Answer(head + b'ok', 'keep')
+
+    async with singleinstance.running(
+        singleinstance.Replica(build)
+    ) as instance:
+        reader, writer = await instance.connect()
+        for number in range(requests):
+            request_id = b'r-%d' % number
+            writer.write(
+                singleinstance.build_request('/safe/x', request_id=request_id)
+            )
+            received = await singleinstance.receive(reader)
+            assert received.status == 200
+        writer.close()
+    assert len(opened) == expected
