--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -33,10 +33,10 @@
     (sends a second response), ``promise`` (runs, but sends a 503 that means
     "not run"), or a ``Pause``. With an empty script it does
     ``default_action``; ``choose``, if set, gets each request that could run
-    and returns its action instead of both. A prompt with
-    ``poison_part`` crashes it when it begins to answer; it is back after
-    ``DOWN_S``. ``notices`` are header fields that it adds to its answers, and
-    ``padding`` ends its plain bodies.
+    and returns its action instead of both. A prompt with ``poison_part``, or a
+    request for which ``is_poison`` is true, crashes it when it begins to answer;
+    it is back after ``DOWN_S``. ``notices`` are header fields that it adds to
+    its answers, and ``padding`` ends its plain bodies.
     """
 
     def __init__(
@@ -63,6 +63,7 @@
         self.cancelled = []
         self.cancelled_s = {}
         self.poison_part = b'(none)'
+        self.is_poison = self._has_poison_part
         self.poison_runs_s = []
         self.is_down = False
         self.padding = b''
@@ -142,7 +143,7 @@
             await asyncio.sleep(self.work_s)
         if isinstance(action, Pause) and not action.after:
             await asyncio.sleep(action.seconds)
-        if self.poison_part in (request.fields.find(b'prompt-prefix') or b''):
+        if self.is_poison(request):
             self._crash()
             return
         if action == 'reset':
@@ -158,6 +159,10 @@
         else:
             await self._respond(action, reply, response_fields, request_id)
 
+    def _has_poison_part(self, request):
+        prefix = request.fields.find(b'prompt-prefix') or b''
+        return self.poison_part in prefix
+
     def _crash(self):
         loop = asyncio.get_running_loop()
         self.poison_runs_s.append(loop.time())
--- /dev/null
+++ b/tests/test_crashingrequests.py
@@ -0,0 +1,134 @@
+"""Requests that crash each replica that begins to run them."""
+
+import asyncio
+import collections
+import itertools
+
+import pytest
+
+from lavenderledge.http1 import messages
+from tests import platformfleet
+
+PATHS = ['/safe/x', '/once/x', '/stream/x', '/stream/resumable/x']
+POISON = b'poison'
+OTHER_KEY = 'key-of-other'
+PAUSE_S = 0.3
+# The rule counts requests that are sent this long after the third crash.
+CONTACT_S = 3.0
+MAX_LATE_RUNS = 3
+OBSERVED_S = 5.0
+MIN_SERVED = 0.95
+
+
+def make_tenants():
+    """Return two customers without a quota."""
+    (dealer,) = platformfleet.make_configuration()['tenants']
+    other = {**dealer, 'name': 'other', 'api_keys': [OTHER_KEY]}
+    return [dealer, other]
+
+
+def is_poison(request):
+    """Return whether a request at a replica is the one that crashes it."""
+    customer = request.fields.find(b'tenant')
+    return request.body == POISON and customer == b'dealer'
+
+
+def format_own_part(number):
+    """Return a prompt that shares no part with another one."""
+    return ((b'Prompt-Prefix', b'own-%d:60' % number),)
+
+
+class Callers:
+    """Requests at one instance after the other, until ``stop``."""
+
+    def __init__(self, fleet, path, *, has_prompt):
+        self.served = collections.Counter()
+        self.refused = []
+        self._fleet = fleet
+        self._path = path
+        self._has_prompt = has_prompt
+        self._numbers = itertools.count()
+        self._instances = itertools.cycle(fleet.instances)
+        self._stopped = False
+
+    def stop(self):
+        self._stopped = True
+
+    async def send_poison(self):
+        while not self._stopped:
+            response = await self._send(body=POISON)
+            if response.status == messages.UNAVAILABLE:
+                self.refused.append(response)
+            await asyncio.sleep(PAUSE_S)
+
+    async def send_other_bodies(self):
+        while not self._stopped:
+            body = b'sound-%d' % next(self._numbers)
+            self._count(await self._send(body=body))
+            await asyncio.sleep(0.02)
+
+    async def send_same_body(self):
+        """Send the same as another customer."""
+        while not self._stopped:
+            self._count(await self._send(body=POISON, key=OTHER_KEY))
+            await asyncio.sleep(0.02)
+
+    def _count(self, response):
+        is_served = response.status == messages.OK and response.body
+        self.served[bool(is_served)] += 1
+
+    async def _send(self, **options):
+        fields = ()
+        if self._has_prompt:
+            fields = format_own_part(next(self._numbers))
+        return await self._fleet.send(
+            self._path,
+            instance=next(self._instances),
+            fields=fields,
+            **options,
+        )
+
+
+async def start(fleet, path, *, has_prompt=False):
+    """Let replicas crash by the poison request; return callers and tasks."""
+    for replica in fleet.replicas.values():
+        replica.is_poison = is_poison
+        replica.work_s = 0.03
+    callers = Callers(fleet, path, has_prompt=has_prompt)
+    sends = (
+        callers.send_poison,
+        callers.send_other_bodies,
+        callers.send_same_body,
+    )
+    return callers, [asyncio.create_task(send()) for send in sends]
+
+
+def list_crashes(fleet):
+    """Return the times of all crashes."""
+    return sorted(
+        itertools.chain.from_iterable(
+            replica.poison_runs_s for replica in fleet.replicas.values()
+        )
+    )
+
+
+@pytest.mark.parametrize('has_prompt', [False, True])
+@pytest.mark.parametrize('path', PATHS)
+async def test_a_request_does_not_crash_one_replica_after_the_other(
+    path, has_prompt
+):
+    async with platformfleet.running(
+        replicas=3, instances=3, tenants=make_tenants()
+    ) as fleet:
+        callers, tasks = await start(fleet, path, has_prompt=has_prompt)
+        await platformfleet.wait_until(lambda: len(list_crashes(fleet)) > 2)
+        await asyncio.sleep(CONTACT_S)
+        callers.served.clear()
+        await asyncio.sleep(OBSERVED_S)
+        callers.stop()
+        await asyncio.gather(*tasks)
+        crashes_s = list_crashes(fleet)
+    late = [at_s for at_s in crashes_s if at_s > crashes_s[2] + CONTACT_S]
+    assert len(late) <= MAX_LATE_RUNS
+    assert callers.served[True] >= MIN_SERVED * callers.served.total()
+    assert callers.refused[-1].fields.find(b'retry-after') is not None
