Refuse a request that was lost in three crashes of replicas

Cause: what crashes replicas was known by the shared parts of prompts alone. A request without a prompt, or with a part of its own, was in no evidence, so that each crash counted against its replica, and the request went to the next one.

Three crashes without an answer in between make a request guilty. Blame is not shared among the runs that were lost together, since each of them has its own digest: a sound one is in one crash, two with a retry. Crashes in which a request was lost that is in more of them, or was never answered, are explained by that one. An answer clears a request of earlier crashes: instances know what they have answered and say so of what is quarantined. Losses at several replicas in the same moment count once: a rack that fails is no request's fault.

test_lost_runs_without_a_shared_prompt_cause_no_reports held the fault itself: it asked for no report. In its place such runs must be no evidence on prompts, impose nothing, and carry no parts.

--- a/lavenderledge/capacity/logline.py
+++ b/lavenderledge/capacity/logline.py
@@ -80,7 +80,7 @@
     request_record.granted_s = 1
     request_record.first_byte_s = 2
     request_record.write(
-        _ANSWERED, now_s=3, age_s=1, allocator='edge-accra-d-2'
+        _ANSWERED, now_s=3, age_s=1, allocator='edge-accra-d-2', digest=''
     )
 
 
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -8,11 +8,16 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge import logs
-from lavenderledge.controllers import noticecodec, spendingcodec
+from lavenderledge.controllers import (
+    noticecodec,
+    quarantinecodec,
+    spendingcodec,
+)
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
     crashevidence,
     incarnations,
+    requestcrashes,
     routes,
     slotgrants,
     slots,
@@ -121,6 +126,7 @@
         self._count_alive = count_alive
         self._read_incarnation = read_incarnation
         self._evidence = crashevidence.CrashEvidence()
+        self._request_crashes = requestcrashes.RequestCrashes()
         self._buckets = tokenbuckets.TokenBuckets(tolerance=tolerance)
         self._senders: dict[str, _Sender] = {}
         self._decision_scheduled = False
@@ -363,6 +369,19 @@
                     now_s - run.age_s,
                 )
             )
+            if run.digest:
+                self._request_crashes.note_lost(
+                    run.digest,
+                    requestcrashes.Crash(run.replica, now_s - run.age_s),
+                )
+        for answered in report.answered:
+            self._request_crashes.note_answered(
+                answered.digest, now_s - answered.age_s
+            )
+        for request_quarantine in quarantinecodec.decode(
+            report.request_quarantines, now_s
+        ):
+            self._request_crashes.merge(request_quarantine)
         for quarantine in report.quarantines:
             self._evidence.merge(
                 crashevidence.Quarantine(
@@ -383,7 +402,19 @@
                 parts=','.join(sorted(quarantine.parts)),
                 replicas=','.join(self._evidence.list_crashed(quarantine)),
             )
-        if imposed:
+        verdict = self._request_crashes.judge(now_s)
+        for request_quarantine in verdict.imposed:
+            digest = request_quarantine.digest
+            self._log(
+                'request_quarantined',
+                level=logging.WARNING,
+                digest=digest,
+                replicas=','.join(self._request_crashes.list_crashed(digest)),
+                for_s=round(request_quarantine.until_s - now_s),
+            )
+        for withdrawn in verdict.withdrawn:
+            self._log('request_released', digest=withdrawn)
+        if imposed or verdict.imposed or verdict.withdrawn:
             self.notify_all()
 
     def _list_quarantines(self) -> tuple[messages.Quarantine, ...]:
@@ -401,6 +432,7 @@
     def _send_beat(self, name: str) -> None:
         sender = self._senders.get(name)
         freshness = self._state_reader.read_freshness()
+        now_s = self._clock.read_monotonic()
         self._send(
             name,
             messages.Beat(
@@ -410,11 +442,12 @@
                 min(freshness.age_s, _MAX_REPORTED_AGE_S),
                 min(freshness.list_age_s, _MAX_REPORTED_AGE_S),
                 self._list_quarantines(),
-                noticecodec.encode(
-                    self._state_reader.notices, self._clock.read_monotonic()
-                ),
+                noticecodec.encode(self._state_reader.notices, now_s),
                 self._build_update(sender, freshness.version),
                 self._read_incarnation(),
+                quarantinecodec.encode(
+                    self._request_crashes.list_quarantines(now_s), now_s
+                ),
             ),
         )
 
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -11,11 +11,17 @@
 from lavenderledge import clock as clocks
 from lavenderledge.controllers import (
     noticecodec,
+    quarantinecodec,
     slotallocator,
     spendingcodec,
 )
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import crashevidence, spending, upstreamnotices
+from lavenderledge.policy import (
+    crashevidence,
+    requestcrashes,
+    spending,
+    upstreamnotices,
+)
 
 _TICK_MS: typing.Final = 50
 TICK: typing.Final = datetime.timedelta(milliseconds=_TICK_MS)
@@ -187,6 +193,8 @@
             collections.deque(maxlen=messages.MAX_LOST_RUNS)
         )
         self._quarantines: tuple[crashevidence.Quarantine, ...] = ()
+        self._request_quarantines: dict[str, requestcrashes.Quarantine] = {}
+        self._answered = requestcrashes.AnsweredRequests()
 
     @property
     def allocator(self) -> str:
@@ -198,6 +206,13 @@
         self._lost_runs.append(run)
         self._report(self._clock.read_monotonic())
 
+    def note_answered(self, digest: str) -> None:
+        """Note an answer; report that of a quarantined request at once."""
+        now_s = self._clock.read_monotonic()
+        self._answered.note(digest, now_s)
+        if digest in self._request_quarantines:
+            self._report(now_s)
+
     def refuse_first_attempts(self, reason: str) -> None:
         """Refuse the waiting requests that were never sent to a replica."""
         for entry in tuple(self._entries.values()):
@@ -239,6 +254,13 @@
             default=0,
         )
 
+    def find_request_quarantine_s(self, digest: str) -> float:
+        """Return for how many seconds a request must not be sent, or 0."""
+        quarantine = self._request_quarantines.get(digest)
+        if quarantine is None:
+            return 0
+        return max(0, quarantine.until_s - self._clock.read_monotonic())
+
     async def acquire(self, spec: messages.RequestSpec) -> Decision:
         """Wait for a slot, a refusal or the deadline.
 
@@ -445,6 +467,10 @@
             self._read_version(),
             noticecodec.encode(self._notices, now_s),
             self._encode_spendings(now_s),
+            quarantinecodec.encode(
+                tuple(self._request_quarantines.values()), now_s
+            ),
+            self._list_answered(now_s),
         )
         if self._waiting_since_s is None:
             self._waiting_since_s = now_s
@@ -495,13 +521,38 @@
                 run.replica,
                 tuple(sorted(run.parts)),
                 now_s - run.at_s,
+                run.digest,
             )
             for run in self._lost_runs
             if now_s - run.at_s < within_s
         )
 
+    def _list_answered(
+        self, now_s: float
+    ) -> tuple[messages.AnsweredRequest, ...]:
+        """Return the quarantined requests that were answered here."""
+        answered = {
+            digest: self._answered.find(digest)
+            for digest in self._request_quarantines
+        }
+        return tuple(
+            messages.AnsweredRequest(digest, now_s - at_s)
+            for digest, at_s in answered.items()
+            if at_s is not None
+        )
+
     def _apply_quarantines(self, beat: messages.Beat) -> None:
         now_s = self._clock.read_monotonic()
+        former = self._request_quarantines
+        self._request_quarantines = {
+            quarantine.digest: quarantine
+            for quarantine in quarantinecodec.decode(
+                beat.request_quarantines, now_s
+            )
+        }
+        added = self._request_quarantines.keys() - former.keys()
+        if any(self._answered.find(digest) is not None for digest in added):
+            self._report(now_s)
         self._quarantines = tuple(
             crashevidence.Quarantine(
                 quarantine.service,
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -17,6 +17,7 @@
 UNKNOWN_REQUEST: typing.Final = 'unknown_request'
 MAX_LOST_RUNS: typing.Final = 32
 MAX_QUARANTINES: typing.Final = 32
+MAX_REQUEST_QUARANTINES: typing.Final = 64
 MAX_STEPS: typing.Final = 256
 MAX_UPSTREAM_NOTICES: typing.Final = 1024
 MAX_SPENDINGS: typing.Final = 8192
@@ -76,7 +77,8 @@
 class LostRun(typing.NamedTuple):
     """A run that was lost before its first byte, ``age_s`` before the report.
 
-    ``parts`` are those of its prompt that other requests may share.
+    ``parts`` are those of its prompt that other requests may share. ``digest``
+    is the same for the same request.
     """
 
     request_id: bounds.Name
@@ -84,6 +86,7 @@
     replica: bounds.Name
     parts: PromptParts
     age_s: bounds.NonNegative
+    digest: bounds.Name = ''
 
 
 class Quarantine(typing.NamedTuple):
@@ -94,6 +97,24 @@
     left_s: bounds.NonNegative
 
 
+class RequestQuarantine(typing.NamedTuple):
+    """A request that is not sent for ``left_s``.
+
+    Its last crash was ``age_s`` ago.
+    """
+
+    digest: bounds.Name
+    age_s: bounds.NonNegative
+    left_s: bounds.NonNegative
+
+
+class AnsweredRequest(typing.NamedTuple):
+    """A quarantined request that was answered ``age_s`` ago."""
+
+    digest: bounds.Name
+    age_s: bounds.NonNegative
+
+
 class Spending(typing.NamedTuple):
     """A cost that was charged to a customer ``age_s`` before the report."""
 
@@ -141,6 +162,10 @@
 _Quarantines: typing.TypeAlias = typing.Annotated[
     tuple[Quarantine, ...], msgspec.Meta(max_length=MAX_QUARANTINES)
 ]
+_RequestQuarantines: typing.TypeAlias = typing.Annotated[
+    tuple[RequestQuarantine, ...],
+    msgspec.Meta(max_length=MAX_REQUEST_QUARANTINES),
+]
 
 
 class Ask(typing.NamedTuple):
@@ -206,7 +231,9 @@
     ``quarantines`` are what a new allocator has to know about prompts that
     crash replicas, ``notices`` what replicas say of themselves. ``version`` is
     the sender's configuration, 0 without one. ``spendings`` are what a new
-    allocator has to know of the quotas' last window.
+    allocator has to know of the quotas' last window. ``request_quarantines``
+    are those that the sender keeps, ``answered`` those of them that it has seen
+    answered.
     """
 
     sender: bounds.Name
@@ -229,6 +256,11 @@
     spendings: typing.Annotated[
         tuple[Spending, ...], msgspec.Meta(max_length=MAX_SPENDINGS)
     ] = ()
+    request_quarantines: _RequestQuarantines = ()
+    answered: typing.Annotated[
+        tuple[AnsweredRequest, ...],
+        msgspec.Meta(max_length=MAX_REQUEST_QUARANTINES),
+    ] = ()
 
 
 class UpdateStep(typing.NamedTuple):
@@ -260,7 +292,8 @@
 
     ``stamp_s`` echoes that report's, None without one. The store confirmed
     the allocator's configuration ``version`` ``age_s`` ago and its list of
-    replicas ``list_age_s`` ago. ``quarantines`` replaces the last beat's.
+    replicas ``list_age_s`` ago. ``quarantines`` and ``request_quarantines``
+    replace the last beat's.
     ``notices`` are those that any instance was told. ``update`` leads from the
     version that the instance reported to ``version``. ``incarnation`` is the
     sender's, 0 before it has joined.
@@ -275,6 +308,7 @@
     notices: UpstreamNotices = UpstreamNotices()
     update: ConfigurationUpdate | None = None
     incarnation: bounds.Count = 0
+    request_quarantines: _RequestQuarantines = ()
 
 
 Message: typing.TypeAlias = Ask | Grant | Refusal | Release | Report | Beat
--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -34,7 +34,7 @@
     """A run that ended with its connection before the first byte of a body.
 
     ``parts`` are those of its prompt that other requests may share, ``at_s``
-    is monotonic.
+    is monotonic. ``digest`` is the same for the same request.
     """
 
     request_id: str
@@ -42,6 +42,7 @@
     replica: str
     parts: frozenset[str]
     at_s: float
+    digest: str = ''
 
 
 class Quarantine(typing.NamedTuple):
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -11,7 +11,13 @@
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
 from lavenderledge.policy import crashevidence, retrybudget, routes
-from lavenderledge.proxy import attempts, headercodec, hedging, requestrecord
+from lavenderledge.proxy import (
+    attempts,
+    headercodec,
+    hedging,
+    identity,
+    requestrecord,
+)
 
 # A final response is sent this long before the request's deadline.
 _RESPONSE_MARGIN_S: typing.Final = 0.03
@@ -113,6 +119,7 @@
         self._buffered: attempts.BufferedResponse | None = None
         self._last_progress_s = request.received_s
         self._shared_parts = frozenset(parsed.shared_parts)
+        self._digest = ''
 
     @property
     def is_finished(self) -> bool:
@@ -150,6 +157,7 @@
             now_s=now_s,
             age_s=deps.configuration.age_s(),
             allocator=deps.requester.allocator,
+            digest=self._digest,
         )
 
     def refuse(
@@ -252,6 +260,10 @@
         )
         if match.customer is not None:
             record.customer = match.customer.name
+        if not self._digest:
+            self._digest = identity.compute_digest(
+                self._request, host=self._parsed.host, customer=record.customer
+            )
         if not self._running and not self._relay.reply.started:
             route_type = match.route.route_type
             is_resumable = route_type is routes.RouteType.STREAM_RESUMABLE
@@ -272,9 +284,13 @@
         return True
 
     def _check_quarantine(self) -> bool:
-        """Refuse a prompt that crashes replicas; return whether it may run."""
-        left_s = self._deps.requester.find_quarantine_s(
-            self._record.service, self._shared_parts
+        """Refuse what crashes replicas; return whether it may run."""
+        requester = self._deps.requester
+        left_s = max(
+            requester.find_quarantine_s(
+                self._record.service, self._shared_parts
+            ),
+            requester.find_request_quarantine_s(self._digest),
         )
         if not left_s:
             return True
@@ -651,9 +667,7 @@
         return _build_reading(slotallocator.FAILED)
 
     def _note_lost(self, replica: str) -> None:
-        """Report a run whose prompt may have crashed its replica."""
-        if not self._shared_parts:
-            return
+        """Report a run whose request may have crashed its replica."""
         self._deps.requester.note_lost(
             crashevidence.LostRun(
                 self._record.request_id,
@@ -661,6 +675,7 @@
                 replica,
                 self._shared_parts,
                 self._deps.clock.read_monotonic(),
+                self._digest,
             )
         )
 
@@ -672,6 +687,7 @@
                 record.first_byte_s - record.started_s,
                 tier=record.rank,
             )
+        self._deps.requester.note_answered(self._digest)
         self.log(Ending(attempt.status, 'answered', ''))
         if attempt.buffered is not None:
             self._relay.reply.send(*attempt.buffered)
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -70,9 +70,19 @@
         self.last_failure = failure
 
     def write(
-        self, ending: Ending, *, now_s: float, age_s: float, allocator: str
+        self,
+        ending: Ending,
+        *,
+        now_s: float,
+        age_s: float,
+        allocator: str,
+        digest: str,
     ) -> None:
-        """Log the request; ``age_s`` is the age of its configuration."""
+        """Log the request.
+
+        ``age_s`` is the age of its configuration, ``digest`` the same for each
+        request that replicas can't tell from this one.
+        """
         is_failure = ending.outcome != 'answered'
         logs.write_event(
             _LOGGER,
@@ -91,6 +101,7 @@
             runs=self.runs,
             excluded=','.join(self.excluded),
             failure=self.last_failure,
+            digest=digest if is_failure else '',
             framing=self._framing,
             ending=self._ending,
             body_bytes=self._body_bytes,
--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -34,7 +34,7 @@
     "not run"), or a ``Pause``. With an empty script it does
     ``default_action``; ``choose``, if set, gets each request that could run
     and returns its action instead of both. A prompt with ``poison_part``, or a
-    request for which ``is_poison`` is true, crashes it when it begins to answer;
+    request for which ``is_poison`` is true, crashes it when it begins to run;
     it is back after ``DOWN_S``. ``notices`` are header fields that it adds to
     its answers, and ``padding`` ends its plain bodies.
     """
--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -123,6 +123,12 @@
     def find_quarantine_s(self, service, parts):
         return 0
 
+    def find_request_quarantine_s(self, digest):
+        return 0
+
+    def note_answered(self, digest):
+        """Ignore an answer."""
+
     def note_notice(self, upstream, notice):
         """Ignore what a replica says of itself."""
 
--- a/tests/test_poisonprompts.py
+++ b/tests/test_poisonprompts.py
@@ -120,12 +120,22 @@
     assert after == before
 
 
-async def test_lost_runs_without_a_shared_prompt_cause_no_reports():
+async def test_lost_runs_without_a_shared_prompt_are_no_evidence_on_prompts():
     async with platformfleet.running(replicas=2, instances=1) as fleet:
         for replica in fleet.replicas.values():
             replica.default_action = 'early'
-        requester = fleet.instances['entry-0']._requester
-        responses = [await fleet.send('/once/x') for _ in range(3)]
-        lost_runs = list(requester._lost_runs)
+        instance = fleet.instances['entry-0']
+        responses = [
+            await fleet.send('/once/x', body=b'%d' % number)
+            for number in range(3)
+        ]
+        lost_runs = list(instance._requester._lost_runs)
+        await asyncio.sleep(0.3)
+        evidence = instance._allocator._evidence
+        refused = instance._requester._request_quarantines
+        prompts = instance._requester._quarantines
     assert {response.status for response in responses} <= {502, 503}
-    assert lost_runs == []
+    assert {run.parts for run in lost_runs} == {frozenset()}
+    assert not evidence._lost
+    assert not prompts
+    assert not refused
