Keep quarantined requests in the store

Cause: the quarantines were kept by instances and their allocator alone.

Evidence: test_a_quarantine_outlasts_all_instances failed before (502 from crashed replicas instead of 503). test_a_quarantine_outlasts_the_allocator_that_imposed_it passed before and after: reports tell the next allocator.

Why this works: the allocating instance writes an entry a quarantine, under a lease that ends with it, and reads the entries once when it begins to allocate. Two calls for each quarantine, one read for each change of the allocator; nothing else is called, and what the store does not take is tried again. Evidence of fewer than three crashes is not kept. Quarantines of shared parts of prompts are not in the store.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -181,6 +181,20 @@
         listed = self._buckets.list_spendings(self._clock.read_monotonic())
         return [spent for spent in listed if spent.request_id not in waiting]
 
+    def list_request_quarantines(
+        self,
+    ) -> abc.Sequence[requestcrashes.Quarantine]:
+        """Return the quarantines of requests in force."""
+        now_s = self._clock.read_monotonic()
+        return self._request_crashes.list_quarantines(now_s)
+
+    def merge_request_quarantine(
+        self, quarantine: requestcrashes.Quarantine
+    ) -> None:
+        """Take over a request's quarantine, and tell all instances."""
+        self._request_crashes.merge(quarantine)
+        self.notify_all()
+
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
@@ -445,9 +459,7 @@
                 noticecodec.encode(self._state_reader.notices, now_s),
                 self._build_update(sender, freshness.version),
                 self._read_incarnation(),
-                quarantinecodec.encode(
-                    self._request_crashes.list_quarantines(now_s), now_s
-                ),
+                quarantinecodec.encode(self.list_request_quarantines(), now_s),
             ),
         )
 
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -10,6 +10,7 @@
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
     peersecret,
+    quarantinestore,
     registration,
     slotallocator,
     slotrequester,
@@ -156,6 +157,14 @@
             on_peer_address=self._connect_peer,
             read_incarnation=lambda: self._incarnation,
         )
+        self._quarantines = quarantinestore.QuarantineStore(
+            store=self._store,
+            clock=clock,
+            allocator=self._allocator,
+            is_allocating=lambda: (
+                self._is_allocator() and not self._is_catching_up()
+            ),
+        )
         self._forwarder = forwarding.Forwarder(
             deps=exchange.Dependencies(
                 header_codec=platform.header_codec,
@@ -236,6 +245,7 @@
             ('secret', self._keep_secret),
             ('requester', self._requester.run),
             ('allocator', self._allocator.run),
+            ('quarantines', self._quarantines.run),
             ('sweep', self._enforce_timeouts),
         ):
             self._tasks.keep_running(name, loop)
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lavenderledge.http1 import messages
-from tests import platformfleet
+from tests import platformfleet, platformreplica
 
 PATHS = ['/safe/x', '/once/x', '/stream/x', '/stream/resumable/x']
 POISON = b'poison'
@@ -112,6 +112,29 @@
     )
 
 
+async def wait_for_quarantine(fleet):
+    """Let all instances refuse the request; return the crashes until then."""
+    callers, tasks = await start(fleet, '/once/x')
+    await platformfleet.wait_until(
+        lambda: all(
+            running._requester._request_quarantines
+            for running in fleet.instances.values()
+        )
+    )
+    callers.stop()
+    await asyncio.gather(*tasks)
+    return len(list_crashes(fleet))
+
+
+async def send_poison(fleet):
+    """Send the request at each instance; return the statuses."""
+    responses = [
+        await fleet.send('/once/x', instance=name, body=POISON)
+        for name in fleet.instances
+    ]
+    return {response.status for response in responses}
+
+
 @pytest.mark.parametrize('has_prompt', [False, True])
 @pytest.mark.parametrize('path', PATHS)
 async def test_a_request_does_not_crash_one_replica_after_the_other(
@@ -132,3 +155,38 @@
     assert len(late) <= MAX_LATE_RUNS
     assert callers.served[True] >= MIN_SERVED * callers.served.total()
     assert callers.refused[-1].fields.find(b'retry-after') is not None
+
+
+async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
+    async with platformfleet.running(
+        replicas=3, instances=3, tenants=make_tenants()
+    ) as fleet:
+        crashes = await wait_for_quarantine(fleet)
+        (allocator,) = {
+            running._requester.allocator for running in fleet.instances.values()
+        }
+        await fleet.stop_instance(allocator)
+        await fleet.add_instance('entry-new')
+        await asyncio.sleep(platformreplica.DOWN_S)
+        statuses = await send_poison(fleet)
+        crashed = len(list_crashes(fleet)) - crashes
+    assert statuses == {messages.UNAVAILABLE}
+    assert crashed == 0
+
+
+async def test_a_quarantine_outlasts_all_instances():
+    async with platformfleet.running(
+        replicas=3, instances=3, tenants=make_tenants()
+    ) as fleet:
+        crashes = await wait_for_quarantine(fleet)
+        await asyncio.sleep(platformreplica.DOWN_S)
+        names = tuple(fleet.instances)
+        for name in names:
+            await fleet.stop_instance(name)
+        for name in names:
+            await fleet.add_instance(name)
+        await asyncio.sleep(1)
+        statuses = await send_poison(fleet)
+        crashed = len(list_crashes(fleet)) - crashes
+    assert statuses == {messages.UNAVAILABLE}
+    assert crashed == 0
