Close a connection that is passed over for a repeated id

What callers saw, since: 502 from replicas that take few connections, where a request came again with its id; 100 such requests left 100 connections open.

Cause: the pool passed over a connection that carried the id, kept it, and opened another one beside it.

Why this works: if nothing else is idle, the connection that was passed over last is closed before the new one is opened, so that the count stays.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -359,19 +359,28 @@
     def _take_idle(
         self, address: str, max_idle_s: float, request_id: str | None
     ) -> Connection | None:
+        """Take a connection out of the pool; close one that is passed over.
+
+        A new one takes its place: the peer may accept no more of them.
+        """
         idle = self._idle.get(address, [])
         now_s = self._clock.read_monotonic()
+        passed_over: Connection | None = None
         for index in reversed(range(len(idle))):
             connection = idle[index]
             if now_s - connection.idle_since_s > max_idle_s:
                 break
             if request_id is not None and connection.has_sent(request_id):
-                self._count('upstream_connections', outcome='passed_over')
+                passed_over = connection
                 continue
             idle.pop(index)
             if connection.is_reusable and not connection.is_expired(now_s):
                 return connection
             connection.abort()
+        if passed_over is not None:
+            self._count('upstream_connections', outcome='passed_over')
+            idle.remove(passed_over)
+            passed_over.abort()
         return None
 
     def _remove_idle(self, connection: Connection) -> None:
--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -203,6 +203,58 @@
     assert [answer.body for answer in received] == [b'1', b'2']
 
 
+class CountingReplica(singleinstance.Replica):
+    """Counts open connections, and resets those beyond a limit."""
+
+    def __init__(self, build, *, limit=1000):
+        super().__init__(build)
+        self.most_open = 0
+        self._limit = limit
+        self._open = 0
+
+    async def _answer_all(self, reader, writer):
+        self._open += 1
+        self.most_open = max(self.most_open, self._open)
+        try:
+            if self._open > self._limit:
+                rawreplica.reset(writer)
+                return
+            await super()._answer_all(reader, writer)
+        finally:
+            self._open -= 1
+
+
+def answer_ok(request_id, last_event_id, number):
+    head = rawreplica.build_head(request_id, b'Content-Length: 2')
+    return singleinstance.Answer(head + b'ok', 'keep')
+
+
+async def send(instance, path):
+    """Send a request with the same id on a connection of its own."""
+    reader, writer = await instance.connect()
+    writer.write(singleinstance.build_request(path))
+    received = await singleinstance.receive(reader)
+    writer.close()
+    return received
+
+
+async def test_a_caller_that_repeats_its_id_keeps_few_connections_open():
+    replica = CountingReplica(answer_ok)
+    async with singleinstance.running(replica) as instance:
+        for _ in range(100):
+            received = await send(instance, '/once/x')
+            assert received.status == 200
+    assert replica.most_open <= 4
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x'])
+async def test_a_repeated_id_is_served_at_a_replica_with_few_connections(path):
+    replica = CountingReplica(answer_ok, limit=2)
+    async with singleinstance.running(replica) as instance:
+        statuses = [(await send(instance, path)).status for _ in range(6)]
+    assert statuses == [200] * 6
+
+
 @pytest.mark.parametrize(('requests', 'expected'), [(2, 1), (256, 1), (257, 2)])
 async def test_a_connection_is_kept_for_other_requests(requests, expected):
     opened = []
