Take no success for a request that has not run

What callers saw: a replica's signed stream with Not-Executed was relayed, and the request went to another replica as well, whose events were joined to it (TWICE, ORDER). A plain success of this kind was dropped and its request sent again, also where it must run once.

Cause: whether a request has run was read from one field alone, before the status; a success that has it contradicts itself.

Why this works: such an answer is invalid and counts as a run.

--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -194,6 +194,7 @@
         assert self._parsed is not None
         return (
             self._head.status // 100 == _SUCCESS_CLASS
+            and not self._parsed.has_not_run
             and self._parsed.is_signed
             and not self._parsed.is_encoded
         )
@@ -237,8 +238,10 @@
     def _classify(self, ending: messages.Ending) -> Result:
         if self._head is None or self._parsed is None:
             return Result.LOST
+        succeeded = self._head.status // 100 == _SUCCESS_CLASS
         if self._parsed.has_not_run:
-            return Result.NOT_RUN
+            # A success that says that it has not run contradicts itself.
+            return Result.INVALID if succeeded else Result.NOT_RUN
         if ending is not messages.Ending.COMPLETE:
             return Result.LOST
         if self._is_relaying:
@@ -251,7 +254,6 @@
         if self._is_success():
             self._make_progress()
             return Result.DELIVERED
-        succeeded = self._head.status // 100 == _SUCCESS_CLASS
         return Result.INVALID if succeeded else Result.FAILED
 
     def _finish_relay(self, head: messages.ResponseHead) -> Result:
--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -278,3 +278,27 @@
             assert received.status == 200
         writer.close()
     assert len(opened) == expected
+
+
+@pytest.mark.parametrize('body', [EVENT, b'a' * 300_000])
+@pytest.mark.parametrize('path', PATHS)
+async def test_a_success_that_says_not_run_is_not_sent_again_as_not_run(
+    path, body
+):
+    """It contradicts itself, and may have run."""
+    runs = []
+
+    def build(request_id, last_event_id, number):
+        runs.append(request_id)
+        head = rawreplica.build_head(
+            request_id, b'Not-Executed: 1', b'Content-Length: %d' % len(body)
+        )
+        return singleinstance.Answer(head + body, 'keep')
+
+    async with singleinstance.running(
+        singleinstance.Replica(build), singleinstance.Replica(build)
+    ) as instance:
+        received = await send(instance, path)
+    is_repeatable = path in {'/safe/x', '/stream/resumable/x'}
+    assert len(runs) == (2 if is_repeatable else 1)
+    assert received.status == 502
