Name slots by instance and number, not by the caller's id

What callers saw: of two requests with the same id at one instance, one got no answer, not even at its deadline; if one of them left, the other never got its slot.

Cause: slots were named by the id that the caller sent, as if it were unique: the second one replaced the first in the requester's table.

Why this works: a name that no other slot in the fleet has can't be mistaken for that of another one. It begins with the id, so the log still shows it.

--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import datetime
+import itertools
 import typing
 from collections import abc
 
@@ -43,6 +44,8 @@
 _LOST_RUN_REPEAT_S: typing.Final = 2.0
 # A new allocator is told of the quotas' spendings for this long, seconds.
 _SPENDINGS_REPEAT_S: typing.Final = 2.0
+# Characters of a request's id in the names of its slots, for the log.
+_MAX_ID_CHARACTERS: typing.Final = 100
 # How many of the first-ranked instances follow the store for the others.
 FOLLOWER_COUNT: typing.Final = 3
 
@@ -183,6 +186,7 @@
         self._callbacks = callbacks
         self._last_echo_s = float('-inf')
         self._entries: dict[str, _Entry] = {}
+        self._slot_numbers = itertools.count()
         self._allocator = instance
         self._waiting_since_s: float | None = None
         self._reported_s = float('-inf')
@@ -261,6 +265,15 @@
             return 0
         return max(0, quarantine.until_s - self._clock.read_monotonic())
 
+    def name_slot(self, request_id: str) -> str:
+        """Return a name for a slot that no other one in the fleet has.
+
+        Callers may send an id twice, and several requests with it at a time.
+        """
+        number = next(self._slot_numbers)
+        shown_id = request_id[:_MAX_ID_CHARACTERS]
+        return f'{shown_id}/{self._instance}/{number}'
+
     async def acquire(self, spec: messages.RequestSpec) -> Decision:
         """Wait for a slot, a refusal or the deadline.
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -114,7 +114,6 @@
             reply=reply, is_alone=lambda: len(self._running) == 1
         )
         self._hedges = hedging.Hedges()
-        self._slot_count = 0
         self._match: routes.RouteMatch | None = None
         self._buffered: attempts.BufferedResponse | None = None
         self._last_progress_s = request.received_s
@@ -333,20 +332,13 @@
 
     async def _try_replica(self) -> None:
         """Send the request to a replica, if one is granted."""
-        slot_id = self._name_slot()
+        slot_id = self._deps.requester.name_slot(self._parsed.request_id)
         decision = await self._acquire(slot_id)
         if decision.is_error():
             self._handle_refusal(decision.error)
         else:
             await self._try_slot(slot_id, decision.ok)
 
-    def _name_slot(self) -> str:
-        """Return a name for the next slot: a request may hold several."""
-        number = self._slot_count
-        self._slot_count += 1
-        request_id = self._parsed.request_id
-        return f'{request_id}/{number}' if number else request_id
-
     async def _acquire(self, slot_id: str) -> slotrequester.Decision:
         requested_s = self._deps.clock.read_monotonic()
         spec = self._build_spec(slot_id)
--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -107,6 +107,9 @@
         self._replicas = replicas
         self._clock = clock
 
+    def name_slot(self, request_id):
+        return request_id
+
     async def acquire(self, spec):
         now_s = self._clock.read_monotonic()
         for name, replica in self._replicas.items():
