Soak: end also a daemon that was being started

One of them was from test_a_run_with_restored_stores_has_no_violations, by its environment: the soak's end cancels restarts, and one that had begun to start a process forgot it.

Two of four cases of test_soakdaemons fail before and none after: a start is known from its begin, and the end waits for it.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -20,6 +20,7 @@
         self.ports = [platformfleet.find_port() for _ in range(4)]
         self.paused = False
         self.process = None
+        self._starting = None
         self._directory = directory
         self.store = store
         self._log = None
@@ -54,6 +55,11 @@
         return b' 200 ' in status_line
 
     async def start(self):
+        """Start a process; one that is cancelled meanwhile is still known."""
+        self._starting = asyncio.create_task(self._start())
+        await asyncio.shield(self._starting)
+
+    async def _start(self):
         path = os.path.join(self._directory, f'{self.name}.env')
         names = ('LISTEN', 'READY_LISTEN', 'METRICS_LISTEN', 'PEER_LISTEN')
         lines = [
@@ -98,6 +104,8 @@
 
     async def kill(self):
         """Kill the process, wait for its exit and close the log."""
+        if self._starting is not None:
+            await asyncio.wait([self._starting])
         if self.is_running:
             self.resume()
             self.signal(signal.SIGKILL)
--- /dev/null
+++ b/tests/test_soakdaemons.py
@@ -0,0 +1,33 @@
+"""The soak leaves no process behind."""
+
+import asyncio
+import os
+
+import pytest
+
+from tests.soak import daemons
+
+
+@pytest.mark.parametrize('delay_s', [0, 0.001, 0.01, 0.1])
+async def test_a_start_that_is_cancelled_leaves_no_process(tmp_path, delay_s):
+    daemon = daemons.Daemon('entry-0', str(tmp_path), store='127.0.0.1:9')
+    started = []
+    create = asyncio.create_subprocess_exec
+
+    async def create_slowly(*args, **options):
+        process = await create(*args, **options)
+        started.append(process)
+        await asyncio.sleep(0.05)
+        return process
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(asyncio, 'create_subprocess_exec', create_slowly)
+        starting = asyncio.create_task(daemon.start())
+        await asyncio.sleep(delay_s)
+        starting.cancel()
+        await asyncio.gather(starting, return_exceptions=True)
+        await daemon.kill()
+    for process in started:
+        assert process.returncode is not None
+        with pytest.raises(ProcessLookupError):
+            os.kill(process.pid, 0)
