Clear a request of crashes by any answer but a failure

What callers would see: a request that replicas answer with 404 each time, lost in three crashes that had another cause, was refused for ten minutes although it was answered in between.

Cause: only a success counted as an answer. A replica that answers 404 has survived the request as well; one that answers 500 may be about to crash, so that clears nothing.

Evidence: the case of 404 in the new test failed before; those of 200 and 500 passed.

--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -649,6 +649,7 @@
             self._note_lost(run.replica)
         if outcome is attempts.Result.FAILED:
             self._buffered = attempt.buffered
+            self._note_failed(attempt)
         self._retry_or_fail()
         if outcome is attempts.Result.FAILED:
             return _build_reading(slotallocator.ERROR)
@@ -658,6 +659,14 @@
             return None
         return _build_reading(slotallocator.FAILED)
 
+    def _note_failed(self, attempt: attempts.Attempt) -> None:
+        """Note that a replica has survived a request that it refused.
+
+        One that fails may be about to crash.
+        """
+        if attempt.status < messages.INTERNAL_ERROR:
+            self._deps.requester.note_answered(self._digest)
+
     def _note_lost(self, replica: str) -> None:
         """Report a run whose request may have crashed its replica."""
         self._deps.requester.note_lost(
--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -26,6 +26,7 @@
     """One replica; ``script`` holds its actions for the next requests.
 
     Actions: ``ok``, ``full`` (does not run, 503), ``error`` (runs, 500),
+    ``absent`` (runs, 404),
     ``reset`` (runs, then resets), ``early`` (resets before it runs), ``hang``,
     ``cut`` (breaks off during the response), ``comments`` and ``bytes`` (stalls
     after an event, but sends comments or single bytes), ``unsigned`` (no seal),
@@ -148,6 +149,8 @@
             return
         if action == 'reset':
             reply.abort()
+        elif action == 'absent':
+            reply.send(404, response_fields, b'')
         elif action == 'error':
             reply.send(500, response_fields, b'failed')
         elif action == 'promise':
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -190,3 +190,23 @@
         crashed = len(list_crashes(fleet)) - crashes
     assert statuses == {messages.UNAVAILABLE}
     assert crashed == 0
+
+
+@pytest.mark.parametrize(
+    ('action', 'is_refused'),
+    [('ok', False), ('absent', False), ('error', True)],
+)
+async def test_a_request_that_replicas_answer_between_losses_is_not_refused(
+    action, is_refused
+):
+    """One that fails may crash the next replica."""
+    async with platformfleet.running(replicas=4) as fleet:
+        actions = itertools.cycle(('reset', action))
+        for replica in fleet.replicas.values():
+            replica.choose = lambda request: next(actions)
+        for _ in range(12):
+            await fleet.send('/once/x', body=b'same')
+            await asyncio.sleep(0.25)
+        requester = fleet.instances['entry-0']._requester
+        quarantined = bool(requester._request_quarantines)
+    assert quarantined == is_refused
