--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -19,12 +19,13 @@
         # Requests. ``age_ms`` is the age of the configuration ``version`` that
         # the request was checked against, ``list_age_ms`` that of the list of
         # replicas behind the last grant, when the request was sent. The last
-        # attempt's response made progress at ``progress_ms``.
+        # attempt's response made progress at ``progress_ms``. Failed requests
+        # that replicas can't tell from each other have the same ``digest``.
         REQUEST: _list_fields(
             'id route service customer rank status outcome reason replica '
             'sends runs excluded failure framing ending body_bytes '
             'list_age_ms waited_ms first_ms progress_ms total_ms version '
-            'age_ms allocator'
+            'age_ms allocator digest'
         ),
         # A silent attempt is kept while another one is tried; the first of them
         # to make progress ends the others.
@@ -39,6 +40,10 @@
             'instance id sender reason retry_after_ms share list_age_ms'
         ),
         'prompt_quarantined': _list_fields('instance service parts replicas'),
+        'request_quarantined': _list_fields('instance digest replicas for_s'),
+        'request_released': _list_fields('instance digest'),
+        'quarantine_restored': _list_fields('digest'),
+        'quarantine_unreadable': _list_fields('key'),
         # State read from the store.
         'configuration_accepted': _list_fields(
             'instance version revision source size_bytes read_ms'
