Soak: start a daemon once that was signalled twice

A daemon that is signalled again before it ends had two restarts waiting: each started a process, and the first was forgotten. It went on at the daemon's ports, so that the second one ended.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -55,8 +55,14 @@
         return b' 200 ' in status_line
 
     async def start(self):
-        """Start a process; one that is cancelled meanwhile is still known."""
-        self._starting = asyncio.create_task(self._start())
+        """Start a process, unless one runs or another call is starting it.
+
+        A process is known although its start is cancelled.
+        """
+        if self.is_running:
+            return
+        if self._starting is None or self._starting.done():
+            self._starting = asyncio.create_task(self._start())
         await asyncio.shield(self._starting)
 
     async def _start(self):
