Trace: find the slots of a request by their names

What operators saw since: lavenderledge trace ID missed the allocator's line on a request's slot if another allocator was in charge when the request ended.

Cause: it compared ids for equality, and the id in such lines is the slot's name now, which begins with the request's.

Evidence: the new test failed before (the slot's line is missing) and passes now.

--- a/lavenderledge/cli/tracecommand.py
+++ b/lavenderledge/cli/tracecommand.py
@@ -71,7 +71,7 @@
     answered and the allocator it requested a slot from.
     """
     ordered = sorted(lines, key=lambda line: line.time_s)
-    own = [line for line in ordered if line.fields.get('id') == request_id]
+    own = [line for line in ordered if _names(line, request_id)]
     if not own:
         return []
     end_s = own[-1].time_s
@@ -83,6 +83,7 @@
         for line in ordered
         if begin_s <= line.time_s <= end_s
         and line.event != logevents.REQUEST
+        and not _names(line, request_id)
         and (
             line.source in sources or line.fields.get('instance') in allocators
         )
@@ -90,6 +91,12 @@
     return sorted((*changes, *own), key=lambda line: line.time_s)
 
 
+def _names(line: Line, request_id: str) -> bool:
+    """Return whether a line is about a request or one of its slots."""
+    line_id = line.fields.get('id', '')
+    return line_id == request_id or line_id.startswith(f'{request_id}/')
+
+
 def _read_time(text: str) -> float:
     try:
         return float(text)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import pathlib
+import re
 
 import expression
 
@@ -115,6 +116,24 @@
     assert core.main(('trace', 'r9', *paths), env) is status.ExitStatus.ERROR
 
 
+def test_trace_finds_the_slots_that_a_former_allocator_granted(tmp_path):
+    former = tmp_path / 'z.log'
+    former.write_text(
+        'time=1.000 level=debug event=slot_granted instance=z id=r1/b/0\n'
+        'time=1.001 level=debug event=slot_granted instance=z id=r10/b/1\n'
+    )
+    own = tmp_path / 'b.log'
+    own.write_text('time=1.100 level=info event=request id=r1 allocator=a\n')
+    out = io.StringIO()
+    env = environment.Environment(
+        stdout=out, stderr=io.StringIO(), variables={}
+    )
+    exit_status = core.main(('trace', 'r1', str(former), str(own)), env)
+    ids = re.findall(r' id=(\S+)', out.getvalue())
+    assert exit_status is status.ExitStatus.SUCCESS
+    assert [found for found in ids if found != 'r10/b/1'] == ['r1/b/0', 'r1']
+
+
 class RecordCollector(logging.Handler):
     """Collects log records."""
 
