Log calls that keep no quarantine in the store

What operators would see: nothing, while the allocator can't read or write quarantines, and a restart of all instances would forget them. Failed calls were dropped without a line, against the house rule, and the lines there were named no instance.

The new check in test_quarantinestore failed by the missing line (there was no such event before).

--- a/lavenderledge/controllers/quarantinestore.py
+++ b/lavenderledge/controllers/quarantinestore.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+import expression
 import msgspec
 
 from lavenderledge import clock as clocks
@@ -54,12 +55,14 @@
     def __init__(
         self,
         *,
+        instance: str,
         store: stores.Store,
         clock: clocks.Clock,
         allocator: Allocator,
         is_allocating: abc.Callable[[], bool],
     ) -> None:
         """Start without any reading of the store."""
+        self._instance = instance
         self._store = store
         self._clock = clock
         self._allocator = allocator
@@ -68,6 +71,7 @@
         # The lease of each entry, and the crash that imposed its quarantine.
         self._leases: dict[str, stores.Lease] = {}
         self._imposed_s: dict[str, float] = {}
+        self._has_failed = False
 
     async def run(self) -> None:
         """Read and write while this instance allocates, until cancelled."""
@@ -98,6 +102,7 @@
 
     async def _load(self) -> None:
         listing = await self._store.list_keys(PREFIX)
+        self._note_call(listing)
         if listing.is_error():
             return
         self._is_loaded = True
@@ -105,7 +110,11 @@
         for change in listing.ok.changes:
             entry = _read_entry(change)
             if entry is None:
-                self._log('quarantine_unreadable', key=change.key)
+                self._log(
+                    'quarantine_unreadable',
+                    level=logging.WARNING,
+                    key=change.key,
+                )
                 continue
             digest = change.key.removeprefix(PREFIX)
             self._imposed_s[digest] = now_s
@@ -126,6 +135,7 @@
         left_s = quarantine.until_s - self._clock.read_monotonic()
         left_s = min(max(left_s, _MIN_LEASE_S), _MAX_LEASE_S)
         opened = await self._store.open_lease(left_s)
+        self._note_call(opened)
         if opened.is_error():
             return
         put = await self._store.put(
@@ -133,6 +143,7 @@
             msgspec.json.encode(_Entry(left_s)),
             lease=opened.ok,
         )
+        self._note_call(put)
         if put.is_ok():
             self._leases[digest] = opened.ok
             self._imposed_s[digest] = quarantine.imposed_s
@@ -146,9 +157,24 @@
         if has_gone:
             self._leases.pop(digest)
             self._imposed_s.pop(digest, None)
+        else:
+            self._note_call(ended)
+
+    def _note_call(
+        self, outcome: expression.Result[typing.Any, stores.StoreFailure]
+    ) -> None:
+        """Log the first of several failures in a row: calls are repeated."""
+        if outcome.is_error() and not self._has_failed:
+            self._log(
+                'quarantines_unsaved',
+                level=logging.WARNING,
+                fault=outcome.error.fault.value,
+                detail=outcome.error.detail,
+            )
+        self._has_failed = outcome.is_error()
 
     def _log(self, event: str, **fields: typing.Any) -> None:
-        logs.write_event(_LOGGER, event, **fields)
+        logs.write_event(_LOGGER, event, instance=self._instance, **fields)
 
 
 def _read_entry(change: stores.Change) -> _Entry | None:
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -42,8 +42,9 @@
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         'request_quarantined': _list_fields('instance digest replicas for_s'),
         'request_released': _list_fields('instance digest'),
-        'quarantine_restored': _list_fields('digest'),
-        'quarantine_unreadable': _list_fields('key'),
+        'quarantine_restored': _list_fields('instance digest'),
+        'quarantine_unreadable': _list_fields('instance key'),
+        'quarantines_unsaved': _list_fields('instance fault detail'),
         # State read from the store.
         'configuration_accepted': _list_fields(
             'instance version revision source size_bytes read_ms'
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -158,6 +158,7 @@
             read_incarnation=lambda: self._incarnation,
         )
         self._quarantines = quarantinestore.QuarantineStore(
+            instance=settings.instance,
             store=self._store,
             clock=clock,
             allocator=self._allocator,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -255,6 +255,7 @@
         *root.glob('proxy/*.py'),
         *root.glob('peers/*.py'),
         *root.glob('controllers/slot*.py'),
+        *root.glob('controllers/quarantine*.py'),
         root / 'daemon/tasks.py',
     ]
     event_names = set()
--- a/tests/test_quarantinestore.py
+++ b/tests/test_quarantinestore.py
@@ -85,6 +85,7 @@
 def build(store):
     allocator = Allocator()
     keeper = quarantinestore.QuarantineStore(
+        instance='a',
         store=store,
         clock=manualclock.ManualClock(),
         allocator=allocator,
@@ -143,7 +144,7 @@
     assert not store.entries
 
 
-async def test_what_the_store_did_not_take_is_written_later(store):
+async def test_what_the_store_did_not_take_is_written_later(store, caplog):
     allocator, keeper = build(store)
     await update(keeper)
     impose(allocator, for_s=90)
@@ -152,6 +153,7 @@
     store.is_down = False
     await update(keeper)
     assert len(store.entries) == 1
+    assert caplog.messages == ['quarantines_unsaved']
 
 
 async def test_an_instance_that_does_not_allocate_calls_nothing(store):
