--- a/tests/test_repeatedrefusals.py
+++ b/tests/test_repeatedrefusals.py
@@ -14,6 +14,17 @@
     return b'\r\n'.join((*fields, b'', b''))
 
 
+async def send_all(instance, path, request_ids):
+    """Send requests one after the other on a connection; return the answers."""
+    reader, writer = await instance.connect()
+    received = []
+    for request_id in request_ids:
+        writer.write(singleinstance.build_request(path, request_id=request_id))
+        received.append(await singleinstance.receive(reader))
+    writer.close()
+    return received
+
+
 class RepeatingReplica:
     """Refuses the first request, and repeats that before further answers."""
 
@@ -47,15 +58,8 @@
         singleinstance.Replica(repeating.build),
         singleinstance.Replica(sound.build),
     ) as instance:
-        reader, writer = await instance.connect()
-        received = []
-        for request_id in (b'r-1', b'r-2'):
-            writer.write(
-                singleinstance.build_request(path, request_id=request_id)
-            )
-            received.append(await singleinstance.receive(reader))
+        received = await send_all(instance, path, (b'r-1', b'r-2'))
         await asyncio.sleep(0.05)
-        writer.close()
     assert [answer.status for answer in received] == [503, 200]
     assert repeating.runs + sound.runs == [b'r-2']
 
@@ -77,14 +81,7 @@
     async with singleinstance.running(
         singleinstance.Replica(build), singleinstance.Replica(build)
     ) as instance:
-        reader, writer = await instance.connect()
-        received = []
-        for request_id in (b'r-1', b'r-2'):
-            writer.write(
-                singleinstance.build_request(path, request_id=request_id)
-            )
-            received.append(await singleinstance.receive(reader))
-        writer.close()
+        received = await send_all(instance, path, (b'r-1', b'r-2'))
     assert [answer.status for answer in received] == [200, 200]
     assert runs == [b'r-1', b'r-2']
 
@@ -166,12 +163,7 @@
     async with singleinstance.running(
         *[singleinstance.Replica(replica.build) for replica in copying]
     ) as instance:
-        reader, writer = await instance.connect()
-        received = []
-        for _ in range(2):
-            writer.write(singleinstance.build_request(path))
-            received.append(await singleinstance.receive(reader))
-        writer.close()
+        received = await send_all(instance, path, (b'r-0', b'r-0'))
     assert [answer.status for answer in received] == [503, 200]
     assert sum((replica.runs for replica in copying), []) == [b'r-0']
 
@@ -194,12 +186,7 @@
     async with singleinstance.running(
         singleinstance.Replica(build)
     ) as instance:
-        reader, writer = await instance.connect()
-        received = []
-        for _ in range(2):
-            writer.write(singleinstance.build_request(path))
-            received.append(await singleinstance.receive(reader))
-        writer.close()
+        received = await send_all(instance, path, (b'r-0', b'r-0'))
     assert [answer.body for answer in received] == [b'1', b'2']
 
 
@@ -229,20 +216,11 @@
     return singleinstance.Answer(head + b'ok', 'keep')
 
 
-async def send(instance, path):
-    """Send a request with the same id on a connection of its own."""
-    reader, writer = await instance.connect()
-    writer.write(singleinstance.build_request(path))
-    received = await singleinstance.receive(reader)
-    writer.close()
-    return received
-
-
 async def test_a_caller_that_repeats_its_id_keeps_few_connections_open():
     replica = CountingReplica(answer_ok)
     async with singleinstance.running(replica) as instance:
         for _ in range(100):
-            received = await send(instance, '/once/x')
+            (received,) = await send_all(instance, '/once/x', [b'r-0'])
             assert received.status == 200
     assert replica.most_open <= 4
 
@@ -251,8 +229,8 @@
 async def test_a_repeated_id_is_served_at_a_replica_with_few_connections(path):
     replica = CountingReplica(answer_ok, limit=2)
     async with singleinstance.running(replica) as instance:
-        statuses = [(await send(instance, path)).status for _ in range(6)]
-    assert statuses == [200] * 6
+        received = [await send_all(instance, path, [b'r-0']) for _ in range(6)]
+    assert [answer.status for (answer,) in received] == [200] * 6
 
 
 @pytest.mark.parametrize(('requests', 'expected'), [(2, 1), (256, 1), (257, 2)])
@@ -262,21 +240,14 @@
     def build(request_id, last_event_id, number):
         if not number:
             opened.append(request_id)
-        head = rawreplica.build_head(request_id, b'Content-Length: 2')
-        return singleinstance.Answer(head + b'ok', 'keep')
+        return answer_ok(request_id, last_event_id, number)
 
     async with singleinstance.running(
         singleinstance.Replica(build)
     ) as instance:
-        reader, writer = await instance.connect()
-        for number in range(requests):
-            request_id = b'r-%d' % number
-            writer.write(
-                singleinstance.build_request('/safe/x', request_id=request_id)
-            )
-            received = await singleinstance.receive(reader)
-            assert received.status == 200
-        writer.close()
+        request_ids = [b'r-%d' % number for number in range(requests)]
+        received = await send_all(instance, '/safe/x', request_ids)
+    assert {answer.status for answer in received} == {200}
     assert len(opened) == expected
 
 
@@ -298,7 +269,7 @@
     async with singleinstance.running(
         singleinstance.Replica(build), singleinstance.Replica(build)
     ) as instance:
-        received = await send(instance, path)
+        (received,) = await send_all(instance, path, [b'r-0'])
     is_repeatable = path in {'/safe/x', '/stream/resumable/x'}
     assert len(runs) == (2 if is_repeatable else 1)
     assert received.status == 502
