Requests that crash replicas: plainer names and comments

No behaviour changes. The list of digests since the last verdict had a name that needed its story; a pair was called a number; answers do not expire by the time that crashes do; a request's id in messages between instances names a slot since.

--- a/lavenderledge/controllers/quarantinestore.py
+++ b/lavenderledge/controllers/quarantinestore.py
@@ -17,7 +17,7 @@
 
 _INTERVAL_MS: typing.Final = 250
 _INTERVAL: typing.Final = datetime.timedelta(milliseconds=_INTERVAL_MS)
-# The shortest and the longest lease, seconds.
+# The shortest and the longest lease that a store grants, seconds.
 _MIN_LEASE_S: typing.Final = 1.0
 _MAX_LEASE_S: typing.Final = 600.0
 _LOGGER = logging.getLogger(__name__)
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -33,6 +33,7 @@
 class RequestSpec(typing.NamedTuple):
     """One request for a slot of a service.
 
+    ``request_id`` names the slot: a caller's request may ask for several.
     ``tier`` is its rank, 0 being the highest. The first byte is due within
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
--- a/lavenderledge/policy/requestcrashes.py
+++ b/lavenderledge/policy/requestcrashes.py
@@ -13,8 +13,8 @@
 # One that was answered before its crashes may be sound, and only an answer
 # shows it. Each further crash doubles this time, seconds.
 _MIN_QUARANTINE_S: typing.Final = 30.0
-# How long crashes and answers count, seconds. It covers a quarantine, so that
-# one more crash after it is enough for the next.
+# How long crashes count, seconds. It covers a quarantine, so that one more
+# crash after it is enough for the next.
 RETENTION_S: typing.Final = 1200.0
 # A request is guilty from this number of crashes on.
 _MIN_CRASHES: typing.Final = 3
@@ -92,9 +92,9 @@
 
     @property
     def strength(self) -> tuple[bool, int]:
-        """Return a number that is greater for a stronger suspicion.
+        """Return a pair that is greater for a stronger suspicion.
 
-        Requests that were never answered are suspected before all others.
+        It has whether the request was never answered, then its crashes.
         """
         return self.answered_s == float('-inf'), len(self.crashes)
 
@@ -145,7 +145,8 @@
         # Those that were not taken over from another instance.
         self._own: set[str] = set()
         self._withdrawn: dict[str, Quarantine] = {}
-        self._to_tell: list[str] = []
+        # Digests that were withdrawn since the last verdict.
+        self._newly_withdrawn: list[str] = []
         self._judge_at_s: float | None = None
 
     def note_lost(self, digest: str, crash: Crash) -> None:
@@ -198,8 +199,8 @@
         ]
         self._quarantines.update(guilty)
         self._own.update(guilty)
-        withdrawn = self._to_tell
-        self._to_tell = []
+        withdrawn = self._newly_withdrawn
+        self._newly_withdrawn = []
         return Verdict(imposed, withdrawn)
 
     def list_quarantines(self, now_s: float) -> tuple[Quarantine, ...]:
@@ -241,7 +242,7 @@
     def _withdraw(self, digest: str) -> None:
         self._withdrawn[digest] = self._quarantines.pop(digest)
         self._own.discard(digest)
-        self._to_tell.append(digest)
+        self._newly_withdrawn.append(digest)
 
     def _make_room(self) -> None:
         """Forget the weakest of too many suspects, the oldest first."""
