Admission: short requests wait in longer queues than long ones

Cause: outputs are long-tailed (mean three times the median), and callers' estimates of them (Length-Hint) were not read. Under an overload of one rank requests were accepted without regard to their size. Change: the work of a request is estimated from its prompt and its expected output; while a rank asks for more than its slots, the queue at which a request is still accepted as timely depends on its size, and the largest three tenths are accepted at least half as often as all. Streams' longest pauses are logged.

--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -38,7 +38,8 @@
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
-    that other requests may share.
+    that other requests may share. ``output_tokens`` are expected, 0 if nothing
+    is known of them.
     """
 
     request_id: bounds.Name
@@ -53,6 +54,7 @@
         tuple[bounds.Name, ...], msgspec.Meta(max_length=MAX_EXCLUDED)
     ] = ()
     parts: PromptParts = ()
+    output_tokens: bounds.Count = 0
 
 
 class Reading(typing.NamedTuple):
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -16,10 +16,6 @@
 _MIN_RETRY_S: typing.Final = 0.3
 _MAX_RETRY_S: typing.Final = 5.0
 _RETRY_JITTER: typing.Final = 0.4
-# While the demand exceeds the slots, a request counts as timely only if it is
-# expected to wait for at most this fraction of the time that it has: the first
-# byte of half of the requests takes longer than estimated.
-_WAIT_RATIO: typing.Final = 0.5
 # How much longer a request runs on a full replica, relative to an idle one.
 _LOAD_FACTOR: typing.Final = 0.5
 # Requests of one priority without a suitable free replica, after which the
@@ -78,7 +74,9 @@
             spec.customer,
             spec.cost,
         )
-    work_s = service.estimate_work_s(spec.tier)
+    work_s = service.estimate_request_work_s(
+        spec.tier, spec.prompt_tokens, spec.output_tokens
+    )
     waiting = slotqueue.WaitingRequest(
         sender,
         spec,
@@ -106,7 +104,9 @@
 ) -> tuple[Refused | None, bool]:
     """Return a new request's refusal, if any, and whether it is late."""
     spec = waiting.spec
-    if _is_expected_in_time(state, service, waiting, now_s):
+    is_timely = _is_expected_in_time(state, service, waiting, now_s)
+    service.find_sizes(spec.tier).note(waiting.work_s, is_accepted=is_timely)
+    if is_timely:
         return None, False
     refused = _refuse_if_expiring(state, service, waiting, now_s)
     is_exceeded = service.demand.is_exceeding(spec.tier)
@@ -201,7 +201,7 @@
         return waiting.due_s > now_s and not service.queue
     wait_s = _estimate_wait_s(state, service, waiting, now_s)
     if service.demand.is_exceeding(spec.tier):
-        left_s *= _WAIT_RATIO
+        left_s *= service.find_sizes(spec.tier).find_wait_ratio(waiting.work_s)
     return wait_s <= left_s
 
 
@@ -369,6 +369,7 @@
             name,
             frozenset(spec.parts),
             spec.tier,
+            spec.output_tokens,
         ),
         service=name,
     )
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -8,8 +8,10 @@
     demand,
     replicahealth,
     requestpace,
+    sizeadmission,
     slotqueue,
     upstreamnotices,
+    workestimates,
 )
 
 # How long a slot is assumed to be held until requests have ended.
@@ -61,6 +63,7 @@
     service: str = ''
     parts: frozenset[str] = frozenset()
     tier: int | None = None
+    output_tokens: int = 0
 
 
 class Replica:
@@ -122,6 +125,8 @@
         self.queue = slotqueue.SlotQueue()
         self.hold_s = replicahealth.MovingAverage()
         self.first_byte = replicahealth.FirstByteEstimator()
+        self.work = workestimates.WorkEstimator()
+        self.sizes: dict[int, sizeadmission.SizeAdmission] = {}
         self.error_ratio = replicahealth.MovingAverage(weight=_ERRORS_WEIGHT)
         self.demand = demand.Demand()
         # The ratio of the fastest replica, at the last update of the capacity.
@@ -176,6 +181,20 @@
             else rank_work_s.read(service_work_s)
         )
 
+    def estimate_request_work_s(
+        self, tier: int, prompt_tokens: int, output_tokens: int
+    ) -> float:
+        """Return for how many seconds a request holds a slot."""
+        return self.work.estimate(
+            output_tokens,
+            first_s=self.first_byte.estimate(prompt_tokens),
+            mean_s=self.estimate_work_s(tier),
+        )
+
+    def find_sizes(self, tier: int) -> sizeadmission.SizeAdmission:
+        """Return the sizes of a rank's requests."""
+        return self.sizes.setdefault(tier, sizeadmission.SizeAdmission())
+
     def note_work(self, tier: int | None, hold_s: float) -> None:
         """Record for how long an answered request held its slot."""
         self._work_s.note(hold_s)
@@ -339,6 +358,7 @@
         health.hold_s.note(now_s - slot.since_s)
         service.hold_s.note(now_s - slot.since_s)
         service.note_work(slot.tier, now_s - slot.since_s)
+        service.work.note(slot.output_tokens, now_s - slot.since_s - first_s)
         service.error_ratio.note(0)
 
     def note_failure(self, slot: HeldSlot, now_s: float) -> None:
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -104,6 +104,8 @@
         self.first_byte_delay_s = float(0)
         self.last_progress_s = self.started_s
         self.has_body = False
+        # The longest time between two parts of a stream that were relayed.
+        self.longest_pause_s = float(0)
         self.slowness = float(0)
         self.status = 0
         self.ending: messages.Ending | None = None
@@ -230,8 +232,17 @@
         if self._relay.is_resumable:
             self._relay.last_event_id = self._reader.last_id
 
+    @property
+    def event_count(self) -> int:
+        """Return how many events of a stream were valid."""
+        return self._reader.event_count
+
     def _make_progress(self) -> None:
-        self.last_progress_s = self._clock.read_monotonic()
+        now_s = self._clock.read_monotonic()
+        if self._reader.event_count > 1:
+            pause_s = now_s - self.last_progress_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_progress_s = now_s
         self._relay.source = self
         self._on_progress(self)
 
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -328,6 +328,7 @@
             cost=self._compute_cost() if is_first else 0,
             excluded=(*self._running.replicas, *record.excluded),
             parts=self._parsed.shared_parts,
+            output_tokens=self._parsed.expected_output_tokens,
         )
 
     async def _try_replica(self) -> None:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -26,6 +26,15 @@
     output_tokens: int
     shared_parts: tuple[str, ...]
     last_event_id: str | None
+    output_hint: float | None = None
+
+    @property
+    def expected_output_tokens(self) -> int:
+        """Return how many output tokens are expected, 0 if not known."""
+        if self.output_hint is None:
+            return 0
+        hint = max(1, round(self.output_hint))
+        return min(hint, self.output_tokens) if self.output_tokens else hint
 
 
 class MalformedRequest(typing.NamedTuple):
--- a/lavenderledge/proxy/requestrecord.py
+++ b/lavenderledge/proxy/requestrecord.py
@@ -43,6 +43,8 @@
         self._framing = ''
         self._ending = ''
         self._body_bytes = 0
+        self._longest_pause_s: float | None = None
+        self._event_count = 0
         self._last_progress_s: float | None = None
 
     @property
@@ -60,6 +62,8 @@
         self._framing = attempt.framing.value if attempt.framing else ''
         self._ending = attempt.ending.value if attempt.ending else ''
         self._body_bytes = attempt.size_bytes
+        self._longest_pause_s = attempt.longest_pause_s
+        self._event_count = attempt.event_count
         self._last_progress_s = (
             attempt.last_progress_s if attempt.has_body else None
         )
@@ -109,6 +113,8 @@
             waited_ms=self._elapsed_ms(self.granted_s),
             first_ms=self._elapsed_ms(self.first_byte_s),
             progress_ms=self._elapsed_ms(self._last_progress_s),
+            pause_ms=_format_duration(self._longest_pause_s),
+            events=self._event_count,
             total_ms=self._elapsed_ms(now_s),
             version=self.version,
             age_ms=_format_age(age_s),
@@ -126,3 +132,10 @@
     if age_s is None:
         return ''
     return round(min(age_s, _MAX_AGE_S) * _MILLISECONDS)
+
+
+def _format_duration(duration_s: float | None) -> object:
+    """Return a duration in milliseconds, empty if it is not known."""
+    if duration_s is None:
+        return ''
+    return round(duration_s * _MILLISECONDS, 1)
