Placement: avoid slots in which streams pause for too long

Cause: a replica reads prompts between the tokens of its other requests. Change: streams report their longest pause; the allocator learns for each replica the load up to which streams are in time (policy/pauserisk), and a timely stream waits for such a slot while one is expected soon. Of two replicas that are expected to finish about equally soon, the one in the caller's availability zone is chosen: connects, uploads and events do not cross zones.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -285,6 +285,7 @@
                 first_s=reading.first_s,
                 slowness=reading.slowness,
                 now_s=now_s,
+                longest_pause_s=reading.longest_pause_s,
             )
         elif reading.outcome == ERROR:
             self.slot_state.note_error(holding, now_s)
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -39,7 +39,8 @@
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
     that other requests may share. ``output_tokens`` are expected, 0 if nothing
-    is known of them.
+    is known of them. ``pause_target_s`` is the longest pause between two events
+    for which its answer is in time, 0 if there is none.
     """
 
     request_id: bounds.Name
@@ -55,6 +56,8 @@
     ] = ()
     parts: PromptParts = ()
     output_tokens: bounds.Count = 0
+    pause_target_s: bounds.NonNegative = 0
+    availability_zone: bounds.Name = ''
 
 
 class Reading(typing.NamedTuple):
@@ -62,11 +65,13 @@
 
     ``first_s`` is the time from dispatch to the first byte. ``slowness`` is
     reported by the replica: 1 is normal speed, 0 if it reported none.
+    ``longest_pause_s`` is that between two events of a stream.
     """
 
     outcome: bounds.Count
     first_s: bounds.NonNegative
     slowness: bounds.NonNegative
+    longest_pause_s: bounds.NonNegative = 0
 
 
 class HeldSlot(typing.NamedTuple):
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -226,6 +226,7 @@
         / _MILLISECONDS,
         tier=max(0, route.priority),
         public=route.public,
+        pause_target_s=max(0, route.itl_target_ms) / _MILLISECONDS,
     )
 
 
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -57,7 +57,8 @@
 
     Times are in seconds. ``objective_s`` is for the whole answer, of a stream
     for its first event. Callers leave a stream after ``max_silence_s`` without
-    an event. Tier 0 is the highest.
+    an event. Tier 0 is the highest. ``pause_target_s`` is the longest pause
+    between two events for which an answer is in time, 0 if there is none.
     """
 
     name: str
@@ -71,6 +72,7 @@
     max_silence_s: float
     tier: int
     public: bool
+    pause_target_s: float = 0
 
 
 class Quota(typing.NamedTuple):
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -18,6 +18,9 @@
 _RETRY_JITTER: typing.Final = 0.4
 # How much longer a request runs on a full replica, relative to an idle one.
 _LOAD_FACTOR: typing.Final = 0.5
+# How much longer a request takes in another availability zone: each connect,
+# upload and event crosses the zones.
+_REMOTE_FACTOR: typing.Final = 1.08
 # Requests of one priority without a suitable free replica, after which the
 # rest of that priority is skipped.
 _MAX_UNPLACED: typing.Final = 6
@@ -318,14 +321,16 @@
     ]
     granted: list[Granted] = []
     unplaced: dict[float, int] = {}
+    deferred = 0
     for waiting in service.queue.walk():
         if not free:
             break
         priority = service.queue.read_priority(waiting)
         if unplaced.get(priority, 0) >= _MAX_UNPLACED:
             continue
-        chosen = _choose_replica(service, free, waiting, now_s)
+        chosen = _choose_replica(service, free, waiting, now_s, deferred)
         if chosen is None:
+            deferred += 1
             unplaced[priority] = unplaced.get(priority, 0) + 1
             continue
         service.queue.grant(waiting)
@@ -370,6 +375,8 @@
             frozenset(spec.parts),
             spec.tier,
             spec.output_tokens,
+            spec.pause_target_s,
+            replica.held + 1,
         ),
         service=name,
     )
@@ -380,10 +387,13 @@
     free: list[slots.Replica],
     waiting: slotqueue.WaitingRequest,
     now_s: float,
+    deferred: int,
 ) -> slots.Replica | None:
     """Return the replica that is expected to finish the request first.
 
-    A timely request keeps waiting if every free replica would make it late.
+    A timely request keeps waiting if every free replica would make it late, and
+    for a while if it may be late by a pause at each of them. ``deferred``
+    requests keep waiting before it.
     """
     spec = waiting.spec
     candidates = [
@@ -397,6 +407,18 @@
             if service.estimate_first_byte_s(replica, spec.prompt_tokens, now_s)
             <= left_s
         ]
+        if spec.pause_target_s:
+            sound = [
+                replica
+                for replica in candidates
+                if replica.held < replica.pause_risk.find_limit(now_s)
+            ]
+            first_s = _estimate_first_byte_s(service, waiting)
+            if not sound and service.expects_sound_slot(
+                deferred, left_s - first_s
+            ):
+                return None
+            candidates = sound or candidates
 
     service_error_ratio = service.error_ratio.read(0)
 
@@ -407,6 +429,9 @@
         )
         hold_s = service.estimate_hold_s(replica, now_s)
         run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
-        return run_s * replica.health.estimate_attempts(service_error_ratio)
+        is_remote = replica.info.availability_zone != spec.availability_zone
+        zone_factor = _REMOTE_FACTOR if is_remote else 1
+        attempts = replica.health.estimate_attempts(service_error_ratio)
+        return run_s * zone_factor * attempts
 
     return min(candidates, key=estimate_duration_s, default=None)
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -6,6 +6,7 @@
 
 from lavenderledge.policy import (
     demand,
+    pauserisk,
     replicahealth,
     requestpace,
     sizeadmission,
@@ -19,6 +20,9 @@
 # Minimum ratio of a time to first byte that is attributed to the request
 # itself, as the wait for other prompts before it is only an estimate.
 _MIN_OWN_RATIO: typing.Final = 0.2
+# The part of the time left for which a request is kept waiting for a slot in
+# which it would be in time, rather than being placed where it would not.
+_SOUND_WAIT_RATIO: typing.Final = 0.3
 # Weight of the newest request in a service's error ratio: it covers about 50.
 _ERRORS_WEIGHT: typing.Final = 0.02
 # Weight of the newest request in the mean time for which slots are held.
@@ -52,7 +56,8 @@
 
     ``prefill_wait_s`` is the estimated wait for other prompts before its own,
     ``parts`` are those of its prompt that other requests may share. ``tier`` is
-    None if the request was granted by another allocator.
+    None if the request was granted by another allocator. ``load`` is how many
+    requests its replica ran then, with this one.
     """
 
     sender: str
@@ -64,6 +69,8 @@
     parts: frozenset[str] = frozenset()
     tier: int | None = None
     output_tokens: int = 0
+    pause_target_s: float = 0
+    load: int = 1
 
 
 class Replica:
@@ -80,6 +87,7 @@
         self.pace = requestpace.RequestPace()
         self.limit_per_s: float | None = None
         self.is_leaving = False
+        self.pause_risk = pauserisk.PauseRisk(slots=info.slots)
 
     def estimate_prefill_wait_s(self, now_s: float) -> float:
         """Return the seconds until all prompts sent here have been read."""
@@ -133,6 +141,8 @@
         self.min_first_byte_ratio = float(0)
         self._capacity: float | None = None
         self._work_s = replicahealth.MovingAverage(weight=_WORK_WEIGHT)
+        # Slots in which streams are in time, at the last update.
+        self.sound_slots = float(0)
         self._rank_work_s: dict[int, replicahealth.MovingAverage] = {}
         self.checked_at_s = float('-inf')
         # Requests that were queued since the last decision.
@@ -213,6 +223,11 @@
             ),
             default=float(0),
         )
+        self.sound_slots = share * sum(
+            replica.pause_risk.find_limit(now_s)
+            for replica in self.replicas.values()
+            if replica.health.is_available(now_s) and not replica.is_leaving
+        )
         self.demand.compare(
             self._capacity, self.queue.list_timely_tiers(), now_s
         )
@@ -223,6 +238,16 @@
             self.update_capacity(share, now_s)
         return self._capacity or _EPSILON
 
+    def expects_sound_slot(self, ahead: int, left_s: float) -> bool:
+        """Return whether a slot in which streams are in time is free soon.
+
+        ``ahead`` requests wait for one before.
+        """
+        if not self.sound_slots:
+            return False
+        turn_s = self.hold_s.read(_DEFAULT_HOLD_S) / self.sound_slots
+        return (ahead + 1) * turn_s <= left_s * _SOUND_WAIT_RATIO
+
     def has_slot_left(
         self, excluded: abc.Collection[str], share: float, now_s: float
     ) -> bool:
@@ -339,12 +364,20 @@
         first_s: float,
         slowness: float,
         now_s: float,
+        longest_pause_s: float = 0,
     ) -> None:
         """Record the times of an answered request."""
         service = self._find_service(slot.replica)
         if service is None:
             return
-        health = service.replicas[slot.replica].health
+        replica = service.replicas[slot.replica]
+        health = replica.health
+        if slot.pause_target_s:
+            replica.pause_risk.note(
+                max(slot.load, replica.held + 1),
+                is_late=longest_pause_s > slot.pause_target_s,
+                now_s=now_s,
+            )
         own_s = max(first_s - slot.prefill_wait_s, first_s * _MIN_OWN_RATIO)
         expected_s = service.first_byte.estimate(slot.prompt_tokens)
         health.note_answer(
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -84,6 +84,7 @@
     budgets: retrybudget.RetryBudgets
     confirm_replica: abc.Callable[[str, float], abc.Awaitable[bool]]
     count_instances: abc.Callable[[], int]
+    availability_zone: str = ''
 
 
 class Exchange:
@@ -329,6 +330,8 @@
             excluded=(*self._running.replicas, *record.excluded),
             parts=self._parsed.shared_parts,
             output_tokens=self._parsed.expected_output_tokens,
+            pause_target_s=match.route.pause_target_s,
+            availability_zone=self._deps.availability_zone,
         )
 
     async def _try_replica(self) -> None:
@@ -636,6 +639,7 @@
                 slotallocator.ANSWERED,
                 attempt.first_byte_delay_s,
                 attempt.slowness,
+                attempt.longest_pause_s,
             )
         record.exclude(run.replica, outcome.value)
         if attempt.fault:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -184,6 +184,7 @@
                 ),
                 confirm_replica=self._watcher.confirm_replica,
                 count_instances=self._registration.count_alive,
+                availability_zone=settings.availability_zone,
             ),
         )
         self._caller_listener = self._build_listener(self._forwarder.serve)
