Grant replicas by the memory of their requests

Cause: a replica crashes if the prompts and outputs of its requests exceed its memory, and the allocator only counted its slots. Change: it keeps the sum of prompt and expected output tokens for each replica, and grants none where the sum would exceed the service's runtime.kv_capacity. Reports of held slots carry the tokens. A request that waits for memory has a replica reserved, so that smaller ones behind it do not take the room.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -17,6 +17,7 @@
 from lavenderledge.policy import (
     crashevidence,
     incarnations,
+    replicamemory,
     requestcrashes,
     routes,
     slotgrants,
@@ -76,6 +77,8 @@
     gets the versions of the configuration that other instances have.
     ``notices`` holds what replicas say of themselves, to this instance or to
     others. ``build_update`` gets the version that an instance has.
+    ``read_token_capacities`` returns the memory of each service's replicas,
+    ``note_memory_waits`` gets the requests that begin to wait for it.
     """
 
     list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
@@ -85,6 +88,10 @@
     note_version: abc.Callable[[int], None]
     notices: upstreamnotices.NoticeBoard
     build_update: abc.Callable[[int], messages.ConfigurationUpdate | None]
+    read_token_capacities: abc.Callable[[], abc.Mapping[str, int]] = dict
+    note_memory_waits: abc.Callable[
+        [abc.Iterable[replicamemory.Wait]], object
+    ] = tuple
 
 
 class _Sender:
@@ -327,6 +334,7 @@
                     0,
                     0,
                     now_s,
+                    tokens=slot.tokens,
                 ),
                 service=slot.service,
             )
@@ -518,7 +526,10 @@
             return
         now_s = self._clock.read_monotonic()
         self.slot_state.apply_notices(self._state_reader.notices, now_s)
+        memory = self.slot_state.memory
+        memory.capacities = self._state_reader.read_token_capacities()
         granted, refused = slotgrants.decide(self.slot_state, now_s)
+        self._state_reader.note_memory_waits(memory.take_new_waits())
         for grant in granted:
             self._log_decision(
                 'slot_granted',
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -19,6 +19,7 @@
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import (
     crashevidence,
+    replicamemory,
     requestcrashes,
     spending,
     upstreamnotices,
@@ -459,6 +460,7 @@
                     request_id,
                     entry.spec.service,
                     entry.replica,
+                    replicamemory.count_tokens(entry.spec),
                 )
                 for request_id, entry in self._entries.items()
                 if entry.replica
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -39,6 +39,10 @@
         'slot_refused': _list_fields(
             'instance id sender reason retry_after_ms share list_age_ms'
         ),
+        # The first time that a request finds no memory at any replica.
+        'memory_waited': _list_fields(
+            'instance id service replica tokens free_tokens'
+        ),
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         'request_quarantined': _list_fields('instance digest replicas for_s'),
         'request_released': _list_fields('instance digest'),
@@ -52,6 +56,7 @@
         # A peer has the version ``newest``.
         'configuration_outdated': _list_fields('instance version newest'),
         'configuration_unreadable': _list_fields('instance detail'),
+        'service_limits_unreadable': _list_fields('detail'),
         'replicas_listed': _list_fields('instance count'),
         'replicas_changed': _list_fields('instance gone new usable'),
         # Availability of the store, peers and upstreams.
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -38,7 +38,7 @@
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
-    that other requests may share.
+    that other requests may share. ``output_tokens`` are to be expected.
     """
 
     request_id: bounds.Name
@@ -53,6 +53,7 @@
         tuple[bounds.Name, ...], msgspec.Meta(max_length=MAX_EXCLUDED)
     ] = ()
     parts: PromptParts = ()
+    output_tokens: bounds.Count = 0
 
 
 class Reading(typing.NamedTuple):
@@ -68,11 +69,15 @@
 
 
 class HeldSlot(typing.NamedTuple):
-    """One request that holds a slot."""
+    """One request that holds a slot.
+
+    ``tokens`` are those of the replica's memory that it is expected to take.
+    """
 
     request_id: bounds.Name
     service: bounds.Name
     replica: bounds.Name
+    tokens: bounds.Count = 0
 
 
 class LostRun(typing.NamedTuple):
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -8,6 +8,7 @@
 
 from lavenderledge.controllers import caches
 from lavenderledge.http1 import bounds
+from lavenderledge.platform import runtimes
 from lavenderledge.policy import routes, slots
 from lavenderledge.registry import store as stores
 
@@ -105,6 +106,7 @@
     routes: list[_Route] = []
     tenants: list[_Tenant] | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    services: msgspec.Raw = msgspec.Raw(b'[]')
 
 
 class _Replica(msgspec.Struct):
@@ -155,6 +157,7 @@
                 / _MILLISECONDS,
                 idle_timeout_s=document.limits.idle_timeout_ms / _MILLISECONDS,
             ),
+            services=runtimes.read_limits(bytes(document.services)),
         )
     )
 
--- a/lavenderledge/platform/headers.py
+++ b/lavenderledge/platform/headers.py
@@ -9,6 +9,8 @@
 _REQUEST_ID: typing.Final = b'attempt-id'
 _DEADLINE: typing.Final = b'deadline-ms'
 _TOKEN_COUNT: typing.Final = b'token-count'
+# The caller's estimate of the output tokens.
+_LENGTH_HINT: typing.Final = b'length-hint'
 _LAST_EVENT_ID: typing.Final = b'last-event-id'
 _PROMPT_PREFIX: typing.Final = b'prompt-prefix'
 _AUTHORIZATION: typing.Final = b'authorization'
@@ -85,6 +87,7 @@
         output_tokens=tokens[1] if tokens else 0,
         shared_parts=_read_shared_parts(fields.find(_PROMPT_PREFIX)),
         last_event_id=_read_text(fields.find(_LAST_EVENT_ID)) or None,
+        hint_tokens=_read_number(fields.find(_LENGTH_HINT)),
     )
 
 
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -1,6 +1,7 @@
 """The configuration: routes, services and customers, and their matching."""
 
 import enum
+import types
 import typing
 from collections import abc
 
@@ -93,12 +94,22 @@
     default_cost: float
 
 
+class ServiceLimits(typing.NamedTuple):
+    """What each replica of a service can hold.
+
+    ``token_capacity`` is the memory for tokens of prompts and outputs of all
+    requests that run there together, None without a limit.
+    """
+
+    token_capacity: int | None
+
+
 class Configuration(typing.NamedTuple):
     """One version of the operators' configuration.
 
     ``routes_by_host`` holds each host's routes, the longest prefix first, and
     ``quotas`` the quotas by customer name. Without customers no request needs
-    a key.
+    a key. ``services`` holds the limits by service, for those that have any.
     """
 
     version: int
@@ -107,6 +118,16 @@
     quotas: abc.Mapping[str, Quota]
     has_customers: bool
     limits: bounds.Bounds
+    services: abc.Mapping[str, ServiceLimits] = types.MappingProxyType({})
+
+    @property
+    def token_capacities(self) -> dict[str, int]:
+        """Return the token capacities by service, of those that are limited."""
+        return {
+            name: limits.token_capacity
+            for name, limits in self.services.items()
+            if limits.token_capacity is not None
+        }
 
 
 class RouteMatch(typing.NamedTuple):
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -9,7 +9,13 @@
 import typing
 
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import rendezvous, slotqueue, slots, waits
+from lavenderledge.policy import (
+    rendezvous,
+    replicamemory,
+    slotqueue,
+    slots,
+    waits,
+)
 
 # Bounds of Retry-After, and the fraction by which it is spread, so that
 # callers neither retry in a busy loop nor all at once.
@@ -318,15 +324,21 @@
     ]
     granted: list[Granted] = []
     unplaced: dict[float, int] = {}
+    memory = replicamemory.GrantPass(
+        capacity=state.memory.find_capacity(name, state.share),
+        replicas=service.list_available(now_s),
+    )
     for waiting in service.queue.walk():
         if not free:
             break
         priority = service.queue.read_priority(waiting)
         if unplaced.get(priority, 0) >= _MAX_UNPLACED:
             continue
-        chosen = _choose_replica(service, free, waiting, now_s)
+        fitting = memory.list_fitting(free, waiting.spec)
+        chosen = _choose_replica(service, fitting, waiting, now_s)
         if chosen is None:
-            unplaced[priority] = unplaced.get(priority, 0) + 1
+            # What waits for memory does not keep back those behind it.
+            unplaced[priority] = unplaced.get(priority, 0) + bool(fitting)
             continue
         service.queue.grant(waiting)
         _hold_slot(state, name, chosen, waiting, now_s)
@@ -341,6 +353,7 @@
         )
         if not chosen.has_free_slot(share=state.share, now_s=now_s):
             free.remove(chosen)
+    state.memory.note_pass(name, memory.list_waits(name), service.queue)
     return granted
 
 
@@ -369,6 +382,7 @@
             name,
             frozenset(spec.parts),
             spec.tier,
+            replicamemory.count_tokens(spec),
         ),
         service=name,
     )
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -7,6 +7,7 @@
 from lavenderledge.policy import (
     demand,
     replicahealth,
+    replicamemory,
     requestpace,
     slotqueue,
     upstreamnotices,
@@ -50,7 +51,8 @@
 
     ``prefill_wait_s`` is the estimated wait for other prompts before its own,
     ``parts`` are those of its prompt that other requests may share. ``tier`` is
-    None if the request was granted by another allocator.
+    None if the request was granted by another allocator. ``tokens`` are
+    those of the replica's memory that it is expected to take.
     """
 
     sender: str
@@ -61,6 +63,7 @@
     service: str = ''
     parts: frozenset[str] = frozenset()
     tier: int | None = None
+    tokens: int = 0
 
 
 class Replica:
@@ -70,6 +73,7 @@
         """Start with all slots free."""
         self.info = info
         self.held = 0
+        self.held_tokens = 0
         self.health = replicahealth.ReplicaHealth(
             cold_until_s=now_s + info.cold_s
         )
@@ -184,6 +188,14 @@
                 tier, replicahealth.MovingAverage(weight=_WORK_WEIGHT)
             ).note(hold_s)
 
+    def list_available(self, now_s: float) -> list[Replica]:
+        """Return the replicas that get requests, also if all slots are held."""
+        return [
+            replica
+            for replica in self.replicas.values()
+            if not replica.is_leaving and replica.health.is_available(now_s)
+        ]
+
     def update_capacity(self, share: float, now_s: float) -> None:
         """Count the useful slots anew, and compare the demand with them."""
         self._capacity = self._count_useful_slots(share, now_s)
@@ -249,6 +261,7 @@
         self.held_slots: dict[str, HeldSlot] = {}
         self.share = 1.0
         self.has_replica_list = False
+        self.memory = replicamemory.MemoryState()
         self._infos: abc.Sequence[ReplicaInfo] = ()
         self._has_notices = False
 
@@ -297,6 +310,7 @@
         replica = None if owner is None else owner.replicas.get(slot.replica)
         if replica is not None:
             replica.held += 1
+            replica.held_tokens += slot.tokens
 
     def free(self, request_id: str) -> HeldSlot | None:
         """Free a request's slot and return it, None if it held none."""
@@ -306,6 +320,7 @@
         replica = self.find_replica(slot.replica)
         if replica is not None:
             replica.held -= 1
+            replica.held_tokens -= slot.tokens
         return slot
 
     def find_replica(self, name: str) -> Replica | None:
@@ -372,6 +387,7 @@
             if replica is None:
                 replica = Replica(info, now_s=now_s)
                 replica.held = self._count_held(name)
+                replica.held_tokens = self._sum_held_tokens(name)
                 service.replicas[name] = replica
             replica.info = info
 
@@ -379,3 +395,10 @@
         return [slot.replica for slot in self.held_slots.values()].count(
             replica
         )
+
+    def _sum_held_tokens(self, replica: str) -> int:
+        return sum(
+            slot.tokens
+            for slot in self.held_slots.values()
+            if slot.replica == replica
+        )
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -10,7 +10,12 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
-from lavenderledge.policy import crashevidence, retrybudget, routes
+from lavenderledge.policy import (
+    crashevidence,
+    replicamemory,
+    retrybudget,
+    routes,
+)
 from lavenderledge.proxy import (
     attempts,
     headercodec,
@@ -328,6 +333,10 @@
             cost=self._compute_cost() if is_first else 0,
             excluded=(*self._running.replicas, *record.excluded),
             parts=self._parsed.shared_parts,
+            output_tokens=replicamemory.estimate_output_tokens(
+                self._parsed.hint_tokens,
+                self._parsed.output_tokens if self._parsed.has_tokens else None,
+            ),
         )
 
     async def _try_replica(self) -> None:
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -13,7 +13,7 @@
     ``remaining_s`` is how long the caller waits from the request's arrival,
     None if it sent no deadline. Token counts are 0 if it sent none.
     ``shared_parts`` identifies the parts of its prompt that other requests may
-    share.
+    share. ``hint_tokens`` is the caller's estimate of the output tokens.
     """
 
     request_id: str
@@ -26,6 +26,7 @@
     output_tokens: int
     shared_parts: tuple[str, ...]
     last_event_id: str | None
+    hint_tokens: float | None = None
 
 
 class MalformedRequest(typing.NamedTuple):
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -9,6 +9,7 @@
 from lavenderledge import clock as clocks
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
+    memorywaits,
     peersecret,
     quarantinestore,
     registration,
@@ -147,6 +148,10 @@
                 note_version=self._watcher.configuration.note_peer_version,
                 notices=self._notices,
                 build_update=self._watcher.history.build_update,
+                read_token_capacities=self._watcher.read_token_capacities,
+                note_memory_waits=memorywaits.build_recorder(
+                    settings.instance, self._metrics.count
+                ),
             ),
             count_alive=self._registration.count_alive,
             tolerance=tokenbuckets.Tolerance(
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -249,6 +249,11 @@
         current = self.configuration.current
         return None if current is None else current.quotas.get(customer)
 
+    def read_token_capacities(self) -> abc.Mapping[str, int]:
+        """Return the token capacity of the replicas of limited services."""
+        current = self.configuration.current
+        return {} if current is None else current.token_capacities
+
     @property
     def _has_lost_replicas(self) -> bool:
         """Return whether the last call for the replicas failed or is late."""
