--- a/tests/simulatedoverload.py
+++ b/tests/simulatedoverload.py
@@ -24,6 +24,8 @@
     deadline_s: float
     work_s: float
     first_ratio: float = 1
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class Outcome(typing.NamedTuple):
@@ -88,7 +90,8 @@
             service=SERVICE,
             customer=customer,
             tier=kind.tier,
-            prompt_tokens=0,
+            prompt_tokens=kind.prompt_tokens,
+            output_tokens=kind.output_tokens,
             objective_left_s=kind.objective_s,
             remaining_s=asked_s + kind.deadline_s - now_s,
             cost=0,
--- a/tests/test_slotmessages.py
+++ b/tests/test_slotmessages.py
@@ -255,6 +255,7 @@
                         )
                     ]
                     assert replica.held == names.count(replica.info.name)
+                    assert replica.held_tokens == 100 * replica.held
 
     @stateful.invariant()
     def received_confirmations_are_not_in_the_future(self):
