--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -11,11 +11,13 @@
 
     ``delay_s`` delays each chunk. ``silent`` drops the bytes of both
     directions, ``one_way`` only those from the target. ``refusing`` refuses
-    new connections.
+    new connections. ``bytes_per_s`` limits the rate of each direction, 0 does
+    not.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, *, bytes_per_s=0):
         self.target = target
+        self.bytes_per_s = bytes_per_s
         self.delay_s = 0
         self.silent = False
         self.one_way = False
@@ -76,6 +78,8 @@
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if self.bytes_per_s:
+                    await asyncio.sleep(len(chunk) / self.bytes_per_s)
                 if self.silent or (self.one_way and from_target):
                     continue
                 writer.write(chunk)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,6 +26,12 @@
 MAX_COPIES = 12
 PATHS = ('/once/x', '/safe/x', '/stream/x', '/stream/resumable/x')
 KEYS = ('key-0', 'key-1', 'key-2')
+SLOW_CALLERS = 4
+# Slow callers take 0.4 s to upload a body and 0.7 s to read a plain response.
+SLOW_BYTES_PER_S = 300_000
+SLOW_BODY = b' ' * 120_000
+SLOW_PADDING = b' ' * 200_000
+SLOW_PREFIX = 'slow-'
 
 
 class LoggedReplica(platformreplica.Replica):
@@ -44,12 +50,23 @@
             for request_id in self.runs[start : start + 1]:
                 self.log.append(checks.Run(request_id, self.name, loop.time()))
 
+    async def _respond(self, action, reply, response_fields, request_id):
+        is_slow = request_id.startswith(SLOW_PREFIX)
+        self.padding = SLOW_PADDING if is_slow else b''
+        await super()._respond(action, reply, response_fields, request_id)
+
 
 class Soak:
     """One soak run of a seed."""
 
-    def __init__(self, *, seed, seconds, size, directory, restores=False):
+    def __init__(
+        self, *, seed, seconds, size, directory, restores=False, slow=False
+    ):
         self.rng = random.Random(seed)
+        # With or without slow callers, seeds select the same faults.
+        self.slow_rng = random.Random(seed)
+        self.slow = slow
+        self.slow_links = {}
         self.seconds = seconds
         self.size = size
         self.restores = restores
@@ -79,6 +96,10 @@
             callers = [
                 asyncio.create_task(self.call_until(end_s)) for _ in range(12)
             ]
+            callers += [
+                asyncio.create_task(self.call_until(end_s, slow=True))
+                for _ in range(SLOW_CALLERS * self.slow)
+            ]
             while loop.time() < end_s - 3:
                 await asyncio.sleep(self.rng.uniform(0.1, 0.9))
                 self.copies.append(self.store.take_copy())
@@ -99,6 +120,8 @@
             violations.append(
                 'no request was served after all faults were cleared'
             )
+        if self.slow and not self.count_served(SLOW_PREFIX):
+            violations.append('no slow caller was served')
         return violations
 
     async def start(self):
@@ -117,6 +140,12 @@
         await asyncio.gather(
             *(daemon.start_on_free_ports() for daemon in self.daemons)
         )
+        for daemon in self.daemons * self.slow:
+            link = proxy.Proxy(
+                f'127.0.0.1:{daemon.ports[0]}', bytes_per_s=SLOW_BYTES_PER_S
+            )
+            await link.start()
+            self.slow_links[daemon.name] = link
         await asyncio.sleep(1)
 
     async def add_replica(self):
@@ -146,24 +175,27 @@
         self.written[key] = document
         self.store.write(key, document)
 
-    async def call_until(self, end_s):
+    async def call_until(self, end_s, *, slow=False):
         loop = asyncio.get_running_loop()
         pool = platformfleet.make_pool()
         while loop.time() < end_s:
-            await self.call(pool)
-            await asyncio.sleep(self.rng.uniform(0.01, 0.1))
+            await self.call(pool, slow=slow)
+            rng = self.slow_rng if slow else self.rng
+            await asyncio.sleep(rng.uniform(0.01, 0.1))
         pool.close()
 
-    async def call(self, pool):
+    async def call(self, pool, *, slow=False):
         loop = asyncio.get_running_loop()
-        daemon = self.rng.choice(self.targets or self.daemons)
-        path = self.rng.choice(PATHS)
-        key = self.rng.choice(KEYS)
+        rng = self.slow_rng if slow else self.rng
+        daemon = rng.choice(self.targets or self.daemons)
+        path = rng.choice(PATHS)
+        key = rng.choice(KEYS)
         self.sent += 1
-        request_id = f'r{self.sent}'
-        opened = await pool.open(
-            f'127.0.0.1:{daemon.ports[0]}', timeout_s=0.5, max_idle_s=5
-        )
+        request_id = f'{SLOW_PREFIX * slow}r{self.sent}'
+        address = f'127.0.0.1:{daemon.ports[0]}'
+        if slow:
+            address = self.slow_links[daemon.name].address
+        opened = await pool.open(address, timeout_s=0.5, max_idle_s=5)
         if opened.is_error():
             return False
         response = platformfleet.Response()
@@ -175,7 +207,10 @@
             (b'Authorization', f'Bearer {key}'.encode()),
         )
         opened.ok.begin(
-            messages.format_request(b'POST', path.encode(), fields), response
+            messages.format_request(
+                b'POST', path.encode(), fields, SLOW_BODY * slow
+            ),
+            response,
         )
         await asyncio.wait((response.done,), timeout=2.5)
         if response.done.done():
@@ -191,12 +226,21 @@
                 sent_s,
                 response.status,
                 response.is_complete,
-                response.body,
+                response.body.removesuffix(SLOW_PADDING * slow),
                 loop.time() - sent_s,
             )
         )
         return response.status == messages.OK and response.is_complete
 
+    def count_served(self, prefix=''):
+        """Return how many requests with an id of a prefix were served."""
+        return sum(
+            call.status == messages.OK
+            and call.is_complete
+            and call.request_id.startswith(prefix)
+            for call in self.history.calls
+        )
+
     async def inject_fault(self):
         """Inject a random fault or change."""
         # Without restores, seeds select the faults that they always did.
@@ -368,14 +412,16 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for daemon in self.daemons:
             await daemon.kill()
-        for link in self.proxies:
+        for link in (*self.proxies, *self.slow_links.values()):
             await link.stop()
         for replica in self.replicas.values():
             replica.listener.stop()
         self.listener.stop()
 
 
-async def run_seed(seed, *, seconds, size, log_folder=None, restores=False):
+async def run_seed(
+    seed, *, seconds, size, log_folder=None, restores=False, slow=False
+):
     """Run one seed; return its violations and a summary."""
     with daemons.make_directory() as directory:
         soak = Soak(
@@ -384,6 +430,7 @@
             size=size,
             directory=directory,
             restores=restores,
+            slow=slow,
         )
         violations = await soak.run()
         if violations and log_folder:
@@ -394,6 +441,8 @@
         f'{len(soak.history.runs)} runs, {len(soak.faults)} faults, '
         f'{len(violations)} violations'
     )
+    if slow:
+        summary += f', {soak.count_served(SLOW_PREFIX)} slow callers served'
     return violations, summary
 
 
@@ -407,6 +456,11 @@
         action='store_true',
         help='the store also comes back from older copies',
     )
+    parser.add_argument(
+        '--slow',
+        action='store_true',
+        help='some callers upload and read slowly',
+    )
     parser.add_argument('--keep', help='folder for the logs of failed seeds')
     arguments = parser.parse_args()
     # SIGTERM raises KeyboardInterrupt, so that the daemons are stopped.
@@ -420,6 +474,7 @@
                 size=arguments.size,
                 log_folder=arguments.keep,
                 restores=arguments.restores,
+                slow=arguments.slow,
             )
         )
         sys.stdout.write(f'{summary}\n')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -111,6 +111,12 @@
     assert not violations, summary
 
 
+async def test_a_run_with_slow_callers_has_no_violations():
+    """Bodies that take long to send or to read, beside the other faults."""
+    violations, summary = await run.run_seed(201, seconds=15, size=4, slow=True)
+    assert not violations, summary
+
+
 @pytest.mark.parametrize('fault', ['killed', 'frozen', 'store-silent'])
 async def test_a_lost_allocator_costs_callers_less_than_a_second(fault):
     outcome = await takeover.run_fault(fault)
