Reserve memory only at replicas that may serve the request in time

Cause: a replica was reserved by its memory alone, also one that is too slow for the objective of the request or excluded from it. Change: the check of the memory follows those of exclusions and objectives, and the same checks select the reserved replica. At most 32 requests that wait for memory are passed over in one pass. Measured: tests of replicamemory, slots, overloads and slotmessages pass.

--- a/lavenderledge/policy/replicamemory.py
+++ b/lavenderledge/policy/replicamemory.py
@@ -21,6 +21,10 @@
 # wait for memory; at least one is.
 _MAX_RESERVED_RATIO: typing.Final = 0.25
 
+# Requests that found no memory in one pass, after which the next ones count as
+# unplaced for another reason.
+_MAX_BLOCKED: typing.Final = 32
+
 
 class _Sized(typing.Protocol):
     """What is read of a request; see ``slotmessages.RequestSpec``."""
@@ -34,8 +38,12 @@
     @property
     def output_tokens(self) -> int: ...
 
+
+class _Waiting(typing.Protocol):
+    """What is read of a waiting request; see ``slotqueue.WaitingRequest``."""
+
     @property
-    def excluded(self) -> tuple[str, ...]: ...
+    def spec(self) -> _Sized: ...
 
 
 class _Queue(typing.Protocol):
@@ -58,6 +66,7 @@
 
 
 _AnyReplica = typing.TypeVar('_AnyReplica', bound=_Replica)
+_AnyWaiting = typing.TypeVar('_AnyWaiting', bound=_Waiting)
 
 
 class Wait(typing.NamedTuple):
@@ -104,7 +113,7 @@
     return not requests or held_tokens + tokens <= capacity
 
 
-class GrantPass(typing.Generic[_AnyReplica]):
+class GrantPass(typing.Generic[_AnyReplica, _AnyWaiting]):
     """The memory checks of one pass over a service's waiting requests.
 
     Requests are offered in the order of the queue. For one that no replica has
@@ -118,41 +127,53 @@
         self,
         *,
         capacity: float | None,
-        replicas: abc.Collection[_AnyReplica],
+        replica_count: int,
+        list_candidates: abc.Callable[[_AnyWaiting], list[_AnyReplica]],
     ) -> None:
-        """Start without reservations; without a capacity, all have room."""
+        """Start without reservations; without a capacity, all have room.
+
+        ``list_candidates`` returns the replicas that may serve a request, also
+        those whose slots are all held.
+        """
         self.reserved: dict[str, tuple[_Sized, _AnyReplica]] = {}
         self._capacity = capacity
-        self._replicas = replicas
-        self._max_reserved = max(1, int(len(replicas) * _MAX_RESERVED_RATIO))
-        # No replica has room for as many tokens as these.
-        self._blocked_tokens = math.inf
+        self._list_candidates = list_candidates
+        self._max_reserved = max(1, int(replica_count * _MAX_RESERVED_RATIO))
+        self._blocked: set[str] = set()
+
+    def is_waiting(self, waiting: _AnyWaiting) -> bool:
+        """Return whether a request found no memory in this pass.
+
+        It is False beyond a number of such requests, which bounds the time of a
+        pass: then the rest of their rank is skipped as for other reasons.
+        """
+        return waiting.spec.request_id in self._blocked
 
     def list_fitting(
-        self, free: list[_AnyReplica], spec: _Sized
+        self, suitable: list[_AnyReplica], waiting: _AnyWaiting
     ) -> list[_AnyReplica]:
-        """Return those free replicas that have room for the next request."""
+        """Return those replicas that have room for the next request.
+
+        ``suitable`` have a free slot, and may serve it.
+        """
         if self._capacity is None:
-            return free
-        tokens = count_tokens(spec)
-        is_full = len(self.reserved) >= self._max_reserved
-        if is_full and tokens >= self._blocked_tokens:
-            return []
-        unreserved = self._list_unreserved(free, spec)
+            return suitable
+        unreserved = self._list_unreserved(suitable)
         fitting = [
             replica
             for replica in unreserved
             if has_room(
                 requests=replica.held,
                 held_tokens=replica.held_tokens,
-                tokens=tokens,
+                tokens=count_tokens(waiting.spec),
                 capacity=self._capacity,
             )
         ]
-        if unreserved and not fitting:
-            self._reserve(spec)
-            if not spec.excluded:
-                self._blocked_tokens = min(self._blocked_tokens, tokens)
+        if suitable and not fitting:
+            if len(self._blocked) < _MAX_BLOCKED:
+                self._blocked.add(waiting.spec.request_id)
+            if unreserved:
+                self._reserve(waiting)
         return fitting
 
     def list_waits(self, service: str) -> list[Wait]:
@@ -169,25 +190,24 @@
             for name, (spec, replica) in self.reserved.items()
         ]
 
-    def _reserve(self, spec: _Sized) -> None:
+    def _reserve(self, waiting: _AnyWaiting) -> None:
         if len(self.reserved) >= self._max_reserved:
             return
         roomiest = min(
-            self._list_unreserved(self._replicas, spec),
+            self._list_unreserved(self._list_candidates(waiting)),
             key=lambda replica: replica.held_tokens,
             default=None,
         )
         if roomiest is not None:
-            self.reserved[roomiest.info.name] = (spec, roomiest)
+            self.reserved[roomiest.info.name] = (waiting.spec, roomiest)
 
     def _list_unreserved(
-        self, replicas: abc.Iterable[_AnyReplica], spec: _Sized
+        self, replicas: abc.Iterable[_AnyReplica]
     ) -> list[_AnyReplica]:
         return [
             replica
             for replica in replicas
             if replica.info.name not in self.reserved
-            and replica.info.name not in spec.excluded
         ]
 
 
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -34,6 +34,10 @@
 # Minimum time between two checks of a service's capacity and late requests.
 _CHECK_INTERVAL_S: typing.Final = 0.02
 
+_MemoryPass: typing.TypeAlias = replicamemory.GrantPass[
+    slots.Replica, slotqueue.WaitingRequest
+]
+
 
 class Granted(typing.NamedTuple):
     """A granted request, with its replica's name, ``host:port`` and start."""
@@ -324,9 +328,12 @@
     ]
     granted: list[Granted] = []
     unplaced: dict[float, int] = {}
-    memory = replicamemory.GrantPass(
+    memory: _MemoryPass = replicamemory.GrantPass(
         capacity=state.memory.find_capacity(name, state.share),
-        replicas=service.list_available(now_s),
+        replica_count=len(service.replicas),
+        list_candidates=lambda waiting: _list_suitable(
+            service, service.list_available(now_s), waiting, now_s
+        ),
     )
     for waiting in service.queue.walk():
         if not free:
@@ -334,11 +341,13 @@
         priority = service.queue.read_priority(waiting)
         if unplaced.get(priority, 0) >= _MAX_UNPLACED:
             continue
-        fitting = memory.list_fitting(free, waiting.spec)
+        suitable = _list_suitable(service, free, waiting, now_s)
+        fitting = memory.list_fitting(suitable, waiting)
         chosen = _choose_replica(service, fitting, waiting, now_s)
         if chosen is None:
             # What waits for memory does not keep back those behind it.
-            unplaced[priority] = unplaced.get(priority, 0) + bool(fitting)
+            is_unplaced = not memory.is_waiting(waiting)
+            unplaced[priority] = unplaced.get(priority, 0) + is_unplaced
             continue
         service.queue.grant(waiting)
         _hold_slot(state, name, chosen, waiting, now_s)
@@ -388,19 +397,21 @@
     )
 
 
-def _choose_replica(
+def _list_suitable(
     service: slots.Service,
-    free: list[slots.Replica],
+    replicas: list[slots.Replica],
     waiting: slotqueue.WaitingRequest,
     now_s: float,
-) -> slots.Replica | None:
-    """Return the replica that is expected to finish the request first.
+) -> list[slots.Replica]:
+    """Return those replicas that may serve a request.
 
     A timely request keeps waiting if every free replica would make it late.
     """
     spec = waiting.spec
     candidates = [
-        replica for replica in free if replica.info.name not in spec.excluded
+        replica
+        for replica in replicas
+        if replica.info.name not in spec.excluded
     ]
     if not service.queue.is_late(waiting):
         left_s = waiting.due_s - now_s
@@ -410,13 +421,22 @@
             if service.estimate_first_byte_s(replica, spec.prompt_tokens, now_s)
             <= left_s
         ]
+    return candidates
+
 
+def _choose_replica(
+    service: slots.Service,
+    candidates: list[slots.Replica],
+    waiting: slotqueue.WaitingRequest,
+    now_s: float,
+) -> slots.Replica | None:
+    """Return the replica that is expected to finish the request first."""
     service_error_ratio = service.error_ratio.read(0)
 
     def estimate_duration_s(replica: slots.Replica) -> float:
         load = replica.held / max(1, replica.info.slots)
         first_s = service.estimate_first_byte_s(
-            replica, spec.prompt_tokens, now_s
+            replica, waiting.spec.prompt_tokens, now_s
         )
         hold_s = service.estimate_hold_s(replica, now_s)
         run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
--- a/tests/test_replicamemory.py
+++ b/tests/test_replicamemory.py
@@ -9,7 +9,7 @@
 from lavenderledge.http1 import messages as httpmessages
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.platform import documents, headers
-from lavenderledge.policy import replicamemory, slotgrants, slots
+from lavenderledge.policy import replicamemory, slotgrants, slotqueue, slots
 from tests import platformfleet, simulatedoverload, test_slotmessages
 
 CAPACITY = 10_000
@@ -77,9 +77,16 @@
     return replicas
 
 
-def make_spec(tokens, *, excluded=(), request_id='r'):
-    return messages.RequestSpec(
-        request_id, 'model', 'dealer', 0, tokens, 1, 1, 0, excluded
+def make_waiting(tokens):
+    spec = messages.RequestSpec('r', 'model', 'dealer', 0, tokens, 1, 1, 0)
+    return slotqueue.WaitingRequest('e', spec, 1, 1)
+
+
+def make_pass(replicas, *, capacity=CAPACITY, candidates=None):
+    return replicamemory.GrantPass(
+        capacity=capacity,
+        replica_count=len(replicas),
+        list_candidates=lambda waiting: candidates or replicas,
     )
 
 
@@ -87,38 +94,61 @@
     ('held', 'offered', 'fitting'),
     [
         # The roomiest replica is kept from those behind the one that waits.
-        ((8_000, 9_000), ((5_000, ()), (1_000, ())), ((), (1,))),
-        # A replica that the request may not use is not kept for it.
-        ((8_000, 9_000), ((5_000, ('i-0',)), (1_000, ())), ((), (0,))),
+        ((8_000, 9_000), (5_000, 1_000), ((), (1,))),
         # Those ahead of it are not kept back.
-        ((8_000, 9_000), ((1_000, ()), (5_000, ())), ((0, 1), ())),
+        ((8_000, 9_000), (1_000, 5_000), ((0, 1), ())),
         # One of up to seven replicas is reserved at a time.
-        (
-            (8_000, 9_000),
-            ((5_000, ()), (5_000, ()), (1_000, ())),
-            ((), (), (1,)),
-        ),
+        ((8_000, 9_000), (5_000, 5_000, 1_000), ((), (), (1,))),
         # Any request fits into an empty one.
-        ((0, 9_000), ((11_000, ()),), ((0,),)),
+        ((0, 9_000), (11_000,), ((0,),)),
     ],
 )
 def test_a_replica_is_reserved_for_a_request_that_waits_for_memory(
     held, offered, fitting
 ):
     replicas = make_replicas(held)
-    memory = replicamemory.GrantPass(capacity=CAPACITY, replicas=replicas)
+    memory = make_pass(replicas)
     found = [
-        memory.list_fitting(replicas, make_spec(tokens, excluded=excluded))
-        for tokens, excluded in offered
+        memory.list_fitting(replicas, make_waiting(tokens))
+        for tokens in offered
     ]
     names = [[replica.info.name for replica in listed] for listed in found]
     assert names == [[f'i-{number}' for number in listed] for listed in fitting]
 
 
+def test_a_replica_that_may_not_serve_a_request_is_not_reserved_for_it():
+    """The room there would come, but not be used."""
+    replicas = make_replicas((8_000, 9_000))
+    memory = make_pass(replicas, candidates=replicas[1:])
+    assert not memory.list_fitting(replicas[1:], make_waiting(5_000))
+    assert list(memory.reserved) == ['i-1']
+
+
 def test_without_a_capacity_every_replica_has_room():
     replicas = make_replicas((10**8,))
-    memory = replicamemory.GrantPass(capacity=None, replicas=replicas)
-    assert memory.list_fitting(replicas, make_spec(10**8)) == replicas
+    memory = make_pass(replicas, capacity=None)
+    assert memory.list_fitting(replicas, make_waiting(10**8)) == replicas
+
+
+def test_small_requests_pass_those_that_wait_for_memory():
+    """Else a few large ones at the head would leave all slots idle."""
+    state = slots.SlotState()
+    infos = [
+        slots.ReplicaInfo(
+            f'i-{number}', simulatedoverload.SERVICE, '', 'a', 4, 0
+        )
+        for number in range(2)
+    ]
+    state.set_replicas(infos, 0)
+    state.memory.capacities = {simulatedoverload.SERVICE: CAPACITY}
+    asked = [2_000, 2_000] + [9_000] * 20 + [1_000]
+    for number, tokens in enumerate(asked):
+        spec = messages.RequestSpec(
+            f'r{number}', simulatedoverload.SERVICE, 'd', 0, tokens, 1, 3, 0
+        )
+        slotgrants.enqueue(state, 'e', spec, 0)
+    granted, _ = slotgrants.decide(state, 0)
+    assert [grant.request_id for grant in granted] == ['r0', 'r1', 'r22']
 
 
 def test_each_wait_is_reported_once():
