--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -24,7 +24,8 @@
         REQUEST: _list_fields(
             'id route service customer rank status outcome reason replica '
             'sends runs excluded failure framing ending body_bytes '
-            'list_age_ms waited_ms first_ms progress_ms total_ms version '
+            'list_age_ms waited_ms first_ms progress_ms pause_ms events '
+            'total_ms version '
             'age_ms allocator digest'
         ),
         # A silent attempt is kept while another one is tried; the first of them
@@ -39,6 +40,10 @@
         'slot_refused': _list_fields(
             'instance id sender reason retry_after_ms share list_age_ms'
         ),
+        # The first time that a request finds no memory at any replica.
+        'memory_waited': _list_fields(
+            'instance id service replica tokens free_tokens'
+        ),
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         'request_quarantined': _list_fields('instance digest replicas for_s'),
         'request_released': _list_fields('instance digest'),
@@ -52,6 +57,7 @@
         # A peer has the version ``newest``.
         'configuration_outdated': _list_fields('instance version newest'),
         'configuration_unreadable': _list_fields('instance detail'),
+        'service_limits_unreadable': _list_fields('detail'),
         'replicas_listed': _list_fields('instance count'),
         'replicas_changed': _list_fields('instance gone new usable'),
         # Availability of the store, peers and upstreams.
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -38,9 +38,10 @@
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
-    that other requests may share. ``output_tokens`` are expected, 0 if nothing
-    is known of them. ``pause_target_s`` is the longest pause between two events
-    for which its answer is in time, 0 if there is none.
+    that other requests may share. ``output_tokens`` are those that there has to
+    be memory for, ``hint_tokens`` its caller's estimate, 0 if there is none.
+    ``pause_target_s`` is the longest pause between two events for which its
+    answer is in time, 0 if there is none.
     """
 
     request_id: bounds.Name
@@ -56,6 +57,7 @@
     ] = ()
     parts: PromptParts = ()
     output_tokens: bounds.Count = 0
+    hint_tokens: bounds.Count = 0
     pause_target_s: bounds.NonNegative = 0
     availability_zone: bounds.Name = ''
 
@@ -75,11 +77,15 @@
 
 
 class HeldSlot(typing.NamedTuple):
-    """One request that holds a slot."""
+    """One request that holds a slot.
+
+    ``tokens`` are those of the replica's memory that it is expected to take.
+    """
 
     request_id: bounds.Name
     service: bounds.Name
     replica: bounds.Name
+    tokens: bounds.Count = 0
 
 
 class LostRun(typing.NamedTuple):
--- a/lavenderledge/policy/pauserisk.py
+++ b/lavenderledge/policy/pauserisk.py
@@ -20,6 +20,8 @@
 # Streams that are late together mostly have one cause, as a slow second of the
 # replica's machine: within this time, each late one counts half of the former.
 _INCIDENT_S: typing.Final = 1.0
+# Loads above this count as this one: entries of replicas may name any capacity.
+_MAX_LEVEL: typing.Final = 64
 # The limit is computed anew after this time at the latest.
 _LIMIT_AGE_S: typing.Final = 0.5
 
@@ -30,7 +32,8 @@
     def __init__(self, *, slots: int) -> None:
         """Start without streams; ``slots`` is the replica's capacity."""
         self._slots = slots
-        levels = range(slots + 1)
+        self._max_level = min(slots, _MAX_LEVEL)
+        levels = range(self._max_level + 1)
         self._late = [float(0) for _ in levels]
         self._sound = [float(0) for _ in levels]
         self._updated_s = float('-inf')
@@ -42,7 +45,7 @@
     def note(self, load: int, *, is_late: bool, now_s: float) -> None:
         """Add a stream that ran beside ``load`` - 1 other requests."""
         self._fade(now_s)
-        level = min(max(load, 1), self._slots)
+        level = min(max(load, 1), self._max_level)
         if is_late:
             self._late[level] += self._weigh_late(now_s)
         else:
@@ -55,6 +58,7 @@
         Streams that were late at a lower load, or in time at a higher one,
         count as well: more requests never shorten the pauses.
         """
+        load = min(load, self._max_level)
         late = sum(self._late[: load + 1]) + _PRIOR_RISK * _PRIOR_STREAMS
         sound = sum(self._sound[load:]) + (1 - _PRIOR_RISK) * _PRIOR_STREAMS
         return late / (late + sound)
@@ -64,11 +68,13 @@
         if now_s >= self._limit_until_s:
             self._fade(now_s)
             self._limit_until_s = now_s + _LIMIT_AGE_S
-            self._limit = max(
+            level = max(
                 load
-                for load in range(self._slots + 1)
+                for load in range(self._max_level + 1)
                 if not load or self.estimate(load) <= MAX_RISK
             )
+            is_full = level == self._max_level
+            self._limit = self._slots if is_full else level
         return self._limit
 
     def _weigh_late(self, now_s: float) -> float:
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -9,24 +9,30 @@
 import typing
 
 from lavenderledge.peers import slotmessages as messages
-from lavenderledge.policy import rendezvous, slotqueue, slots, waits
+from lavenderledge.policy import (
+    rendezvous,
+    replicachoice,
+    replicamemory,
+    slotqueue,
+    slots,
+    waits,
+)
 
 # Bounds of Retry-After, and the fraction by which it is spread, so that
 # callers neither retry in a busy loop nor all at once.
 _MIN_RETRY_S: typing.Final = 0.3
 _MAX_RETRY_S: typing.Final = 5.0
 _RETRY_JITTER: typing.Final = 0.4
-# How much longer a request runs on a full replica, relative to an idle one.
-_LOAD_FACTOR: typing.Final = 0.5
-# How much longer a request takes in another availability zone: each connect,
-# upload and event crosses the zones.
-_REMOTE_FACTOR: typing.Final = 1.08
 # Requests of one priority without a suitable free replica, after which the
 # rest of that priority is skipped.
 _MAX_UNPLACED: typing.Final = 6
 # Minimum time between two checks of a service's capacity and late requests.
 _CHECK_INTERVAL_S: typing.Final = 0.02
 
+_MemoryPass: typing.TypeAlias = replicamemory.GrantPass[
+    slots.Replica, slotqueue.WaitingRequest
+]
+
 
 class Granted(typing.NamedTuple):
     """A granted request, with its replica's name, ``host:port`` and start."""
@@ -78,7 +84,7 @@
             spec.cost,
         )
     work_s = service.estimate_request_work_s(
-        spec.tier, spec.prompt_tokens, spec.output_tokens
+        spec.tier, spec.prompt_tokens, spec.hint_tokens
     )
     waiting = slotqueue.WaitingRequest(
         sender,
@@ -179,15 +185,10 @@
     now_s: float,
 ) -> bool:
     """Return whether even the fastest replica would miss the objective."""
-    return now_s + _estimate_first_byte_s(service, waiting) > waiting.due_s
-
-
-def _estimate_first_byte_s(
-    service: slots.Service, waiting: slotqueue.WaitingRequest
-) -> float:
-    """Return the seconds to the first byte at the fastest replica."""
-    first_s = service.first_byte.estimate(waiting.spec.prompt_tokens)
-    return first_s * service.min_first_byte_ratio
+    return (
+        now_s + service.estimate_min_first_byte_s(waiting.spec.prompt_tokens)
+        > waiting.due_s
+    )
 
 
 def _is_expected_in_time(
@@ -198,7 +199,7 @@
 ) -> bool:
     """Return whether a new request is expected to meet its objective."""
     spec = waiting.spec
-    first_s = _estimate_first_byte_s(service, waiting)
+    first_s = service.estimate_min_first_byte_s(waiting.spec.prompt_tokens)
     left_s = waiting.due_s - now_s - first_s
     if left_s <= 0:
         return waiting.due_s > now_s and not service.queue
@@ -322,16 +323,30 @@
     granted: list[Granted] = []
     unplaced: dict[float, int] = {}
     deferred = 0
+    memory: _MemoryPass = replicamemory.GrantPass(
+        capacity=state.memory.find_capacity(name, state.share),
+        replica_count=len(service.replicas),
+        list_candidates=lambda waiting: replicachoice.list_suitable(
+            service, service.list_available(now_s), waiting, now_s
+        ),
+    )
     for waiting in service.queue.walk():
         if not free:
             break
         priority = service.queue.read_priority(waiting)
         if unplaced.get(priority, 0) >= _MAX_UNPLACED:
             continue
-        chosen = _choose_replica(service, free, waiting, now_s, deferred)
+        suitable = replicachoice.list_suitable(service, free, waiting, now_s)
+        fitting = memory.list_fitting(suitable, waiting)
+        sound = replicachoice.list_sound(
+            service, fitting, waiting, now_s, deferred
+        )
+        chosen = replicachoice.choose_replica(service, sound, waiting, now_s)
         if chosen is None:
             deferred += 1
-            unplaced[priority] = unplaced.get(priority, 0) + 1
+            # What waits for memory does not keep back those behind it.
+            is_unplaced = not memory.is_waiting(waiting)
+            unplaced[priority] = unplaced.get(priority, 0) + is_unplaced
             continue
         service.queue.grant(waiting)
         _hold_slot(state, name, chosen, waiting, now_s)
@@ -346,6 +361,7 @@
         )
         if not chosen.has_free_slot(share=state.share, now_s=now_s):
             free.remove(chosen)
+    state.memory.note_pass(name, memory.list_waits(name), service.queue)
     return granted
 
 
@@ -374,64 +390,10 @@
             name,
             frozenset(spec.parts),
             spec.tier,
-            spec.output_tokens,
+            replicamemory.count_tokens(spec),
+            spec.hint_tokens,
             spec.pause_target_s,
             replica.held + 1,
         ),
         service=name,
     )
-
-
-def _choose_replica(
-    service: slots.Service,
-    free: list[slots.Replica],
-    waiting: slotqueue.WaitingRequest,
-    now_s: float,
-    deferred: int,
-) -> slots.Replica | None:
-    """Return the replica that is expected to finish the request first.
-
-    A timely request keeps waiting if every free replica would make it late, and
-    for a while if it may be late by a pause at each of them. ``deferred``
-    requests keep waiting before it.
-    """
-    spec = waiting.spec
-    candidates = [
-        replica for replica in free if replica.info.name not in spec.excluded
-    ]
-    if not service.queue.is_late(waiting):
-        left_s = waiting.due_s - now_s
-        candidates = [
-            replica
-            for replica in candidates
-            if service.estimate_first_byte_s(replica, spec.prompt_tokens, now_s)
-            <= left_s
-        ]
-        if spec.pause_target_s:
-            sound = [
-                replica
-                for replica in candidates
-                if replica.held < replica.pause_risk.find_limit(now_s)
-            ]
-            first_s = _estimate_first_byte_s(service, waiting)
-            if not sound and service.expects_sound_slot(
-                deferred, left_s - first_s
-            ):
-                return None
-            candidates = sound or candidates
-
-    service_error_ratio = service.error_ratio.read(0)
-
-    def estimate_duration_s(replica: slots.Replica) -> float:
-        load = replica.held / max(1, replica.info.slots)
-        first_s = service.estimate_first_byte_s(
-            replica, spec.prompt_tokens, now_s
-        )
-        hold_s = service.estimate_hold_s(replica, now_s)
-        run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
-        is_remote = replica.info.availability_zone != spec.availability_zone
-        zone_factor = _REMOTE_FACTOR if is_remote else 1
-        attempts = replica.health.estimate_attempts(service_error_ratio)
-        return run_s * zone_factor * attempts
-
-    return min(candidates, key=estimate_duration_s, default=None)
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -8,6 +8,7 @@
     demand,
     pauserisk,
     replicahealth,
+    replicamemory,
     requestpace,
     sizeadmission,
     slotqueue,
@@ -56,8 +57,10 @@
 
     ``prefill_wait_s`` is the estimated wait for other prompts before its own,
     ``parts`` are those of its prompt that other requests may share. ``tier`` is
-    None if the request was granted by another allocator. ``load`` is how many
-    requests its replica ran then, with this one.
+    None if the request was granted by another allocator. ``hint_tokens`` is its
+    caller's estimate of the output, ``load`` how many requests its replica ran
+    when it was granted, with this one. ``tokens`` are those of the replica's
+    memory that it is expected to take.
     """
 
     sender: str
@@ -68,7 +71,8 @@
     service: str = ''
     parts: frozenset[str] = frozenset()
     tier: int | None = None
-    output_tokens: int = 0
+    tokens: int = 0
+    hint_tokens: int = 0
     pause_target_s: float = 0
     load: int = 1
 
@@ -80,6 +84,7 @@
         """Start with all slots free."""
         self.info = info
         self.held = 0
+        self.held_tokens = 0
         self.health = replicahealth.ReplicaHealth(
             cold_until_s=now_s + info.cold_s
         )
@@ -159,6 +164,11 @@
         )
         return replica.estimate_prefill_wait_s(now_s) + own_s
 
+    def estimate_min_first_byte_s(self, prompt_tokens: int) -> float:
+        """Return the seconds to the first byte at the fastest replica."""
+        first_s = self.first_byte.estimate(prompt_tokens)
+        return first_s * self.min_first_byte_ratio
+
     def note_prefill(
         self, replica: Replica, prompt_tokens: int, now_s: float
     ) -> None:
@@ -192,11 +202,11 @@
         )
 
     def estimate_request_work_s(
-        self, tier: int, prompt_tokens: int, output_tokens: int
+        self, tier: int, prompt_tokens: int, hint_tokens: int
     ) -> float:
         """Return for how many seconds a request holds a slot."""
         return self.work.estimate(
-            output_tokens,
+            hint_tokens,
             first_s=self.first_byte.estimate(prompt_tokens),
             mean_s=self.estimate_work_s(tier),
         )
@@ -213,6 +223,14 @@
                 tier, replicahealth.MovingAverage(weight=_WORK_WEIGHT)
             ).note(hold_s)
 
+    def list_available(self, now_s: float) -> list[Replica]:
+        """Return the replicas that get requests, also if all slots are held."""
+        return [
+            replica
+            for replica in self.replicas.values()
+            if not replica.is_leaving and replica.health.is_available(now_s)
+        ]
+
     def update_capacity(self, share: float, now_s: float) -> None:
         """Count the useful slots anew, and compare the demand with them."""
         self._capacity = self._count_useful_slots(share, now_s)
@@ -293,6 +311,7 @@
         self.held_slots: dict[str, HeldSlot] = {}
         self.share = 1.0
         self.has_replica_list = False
+        self.memory = replicamemory.MemoryState()
         self._infos: abc.Sequence[ReplicaInfo] = ()
         self._has_notices = False
 
@@ -341,6 +360,7 @@
         replica = None if owner is None else owner.replicas.get(slot.replica)
         if replica is not None:
             replica.held += 1
+            replica.held_tokens += slot.tokens
 
     def free(self, request_id: str) -> HeldSlot | None:
         """Free a request's slot and return it, None if it held none."""
@@ -350,6 +370,7 @@
         replica = self.find_replica(slot.replica)
         if replica is not None:
             replica.held -= 1
+            replica.held_tokens -= slot.tokens
         return slot
 
     def find_replica(self, name: str) -> Replica | None:
@@ -391,7 +412,7 @@
         health.hold_s.note(now_s - slot.since_s)
         service.hold_s.note(now_s - slot.since_s)
         service.note_work(slot.tier, now_s - slot.since_s)
-        service.work.note(slot.output_tokens, now_s - slot.since_s - first_s)
+        service.work.note(slot.hint_tokens, now_s - slot.since_s - first_s)
         service.error_ratio.note(0)
 
     def note_failure(self, slot: HeldSlot, now_s: float) -> None:
@@ -425,10 +446,20 @@
             if replica is None:
                 replica = Replica(info, now_s=now_s)
                 replica.held = self._count_held(name)
+                replica.held_tokens = self._sum_held_tokens(name)
                 service.replicas[name] = replica
+            if info.slots != replica.info.slots:
+                replica.pause_risk = pauserisk.PauseRisk(slots=info.slots)
             replica.info = info
 
     def _count_held(self, replica: str) -> int:
         return [slot.replica for slot in self.held_slots.values()].count(
             replica
         )
+
+    def _sum_held_tokens(self, replica: str) -> int:
+        return sum(
+            slot.tokens
+            for slot in self.held_slots.values()
+            if slot.replica == replica
+        )
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -6,6 +6,9 @@
 from lavenderledge.http1 import messages
 from lavenderledge.policy import upstreamnotices
 
+# Upper bound of a caller's estimate, as messages have 64-bit integers.
+_MAX_HINT_TOKENS: typing.Final = 1_000_000_000
+
 
 class ParsedRequest(typing.NamedTuple):
     """A caller's request, parsed.
@@ -13,7 +16,7 @@
     ``remaining_s`` is how long the caller waits from the request's arrival,
     None if it sent no deadline. Token counts are 0 if it sent none.
     ``shared_parts`` identifies the parts of its prompt that other requests may
-    share.
+    share. ``hint_tokens`` is the caller's estimate of the output tokens.
     """
 
     request_id: str
@@ -26,14 +29,14 @@
     output_tokens: int
     shared_parts: tuple[str, ...]
     last_event_id: str | None
-    output_hint: float | None = None
+    hint_tokens: float | None = None
 
     @property
     def expected_output_tokens(self) -> int:
         """Return how many output tokens are expected, 0 if not known."""
-        if self.output_hint is None:
+        if self.hint_tokens is None:
             return 0
-        hint = max(1, round(self.output_hint))
+        hint = min(max(1, round(self.hint_tokens)), _MAX_HINT_TOKENS)
         return min(hint, self.output_tokens) if self.output_tokens else hint
 
 
--- a/tests/test_pauserisk.py
+++ b/tests/test_pauserisk.py
@@ -20,6 +20,15 @@
     assert pauserisk.PauseRisk(slots=6).find_limit(0) == 6
 
 
+def test_any_capacity_that_an_entry_names_is_cheap_to_judge():
+    """Another writer may have left an entry with a million slots."""
+    risk = pauserisk.PauseRisk(slots=1_000_000)
+    note_streams(risk, (500, 1000), is_late=False)
+    assert risk.find_limit(0) == 1_000_000
+    note_streams(risk, (500,), is_late=True, now_s=1)
+    assert risk.find_limit(100) == 1_000_000
+
+
 @pytest.mark.parametrize('sound', range(6))
 def test_the_limit_is_the_highest_load_without_long_pauses(sound):
     """Streams pause beside more than ``sound`` others: slots are not places."""
--- a/tests/test_unevensizes.py
+++ b/tests/test_unevensizes.py
@@ -45,7 +45,7 @@
             objective_left_s=kind.objective_s,
             remaining_s=4 * kind.objective_s,
             cost=0,
-            output_tokens=max(1, round(estimate)) * self.are_sizes_known,
+            hint_tokens=max(1, round(estimate)) * self.are_sizes_known,
         )
         refused = slotgrants.enqueue(self.state, 'e', spec, now_s)
         if refused is not None:
