Unframed answers: complete only if the replica receives the whole request

A response without a length ends with its connection. Two cases looked complete although the connection was reset: - On the routed path, a replica that crashes during an upload closes its connection in an orderly way and resets it when further bytes arrive. If the kernel had taken the rest of the request, the close was taken as the end. - On the daemon's path, aiohttp takes a body without framing as complete after any end of its connection, also a reset.

The end of such a response now waits until the peer has acknowledged the whole request; a reset before that makes it incomplete. A replica that half-closes and goes on reading still gives a complete response.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -11,7 +11,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, messages
+from lavenderledge.http1 import bounds, messages, receipt
 
 # The kernel ends a connection when data is unacknowledged for this long.
 _USER_TIMEOUT_MS: typing.Final = 5000
@@ -157,11 +157,22 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
         )
 
+    def eof_received(self) -> bool:
+        """Return whether the connection stays open for the request's rest.
+
+        A response that ends with the connection is complete only if the peer
+        receives the whole request: one that crashes resets the connection.
+        """
+        if self._transport is None or not self._is_ended_by_close:
+            return False
+        return receipt.close_when_received(
+            self._transport, lambda: self._end(messages.Ending.RESET)
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; an orderly close may complete a response."""
         self._transport = None
-        complete = exc is None and self._head_received and self._until_close
-        if complete and not self._skipping:
+        if exc is None and self._is_ended_by_close:
             self._end(messages.Ending.COMPLETE)
         elif exc is None:
             self._end(messages.Ending.CLOSED)
@@ -233,6 +244,14 @@
             self._finish()
         self._head_received = False
 
+    @property
+    def _is_ended_by_close(self) -> bool:
+        """Return whether an orderly close completes the response."""
+        is_unframed = self._head_received and self._until_close
+        return (
+            self._receiver is not None and is_unframed and not self._skipping
+        )
+
     def _note_sent(self, request_id: str) -> None:
         self._sent_ids.append(hash(request_id))
         if len(self._sent_ids) >= _MAX_IDENTIFIED_REQUESTS:
--- a/lavenderledge/upstreams/connection.py
+++ b/lavenderledge/upstreams/connection.py
@@ -1,5 +1,6 @@
 """HTTP client for upstreams: a new connection per request, no resends."""
 
+import asyncio
 import contextvars
 import typing
 from collections import abc
@@ -7,6 +8,8 @@
 import aiohttp
 import expression
 
+from lavenderledge.http1 import receipt
+
 _READ_BUFFER_BYTES = 1_048_576
 
 BeforeFirstByte = abc.Callable[[], bool]
@@ -40,9 +43,15 @@
 class _Attempt:
     """One request to an upstream, on at most one connection."""
 
-    def __init__(self, *, before_first_byte: BeforeFirstByte) -> None:
+    def __init__(
+        self,
+        *,
+        before_first_byte: BeforeFirstByte,
+        on_reset: abc.Callable[[], None],
+    ) -> None:
         """Start without a connection."""
         self._before_first_byte = before_first_byte
+        self.on_reset = on_reset
         self.connected = False
 
     def begin(self) -> bool:
@@ -60,6 +69,53 @@
 _ATTEMPT: contextvars.ContextVar[_Attempt] = contextvars.ContextVar('attempt')
 
 
+class _ResetWatch(asyncio.Protocol):
+    """Passes a connection's events to aiohttp's protocol, and notes a reset.
+
+    aiohttp takes a body that ends with its connection as complete, also after
+    a reset.
+    """
+
+    def __init__(
+        self, *, protocol: asyncio.Protocol, on_reset: abc.Callable[[], None]
+    ) -> None:
+        """Replace the protocol of an open connection."""
+        self._protocol = protocol
+        self._on_reset = on_reset
+        self._transport: asyncio.Transport | None = None
+
+    def watch(self, transport: asyncio.BaseTransport) -> None:
+        """Receive the events of a transport from now on."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_protocol(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass received bytes on."""
+        self._protocol.data_received(data)
+
+    def eof_received(self) -> bool:
+        """Keep the connection open until the peer has received all."""
+        self._protocol.eof_received()
+        assert self._transport is not None
+        return receipt.close_when_received(self._transport, self._on_reset)
+
+    def pause_writing(self) -> None:
+        """Pass it on."""
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass it on."""
+        self._protocol.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note a reset before the body is taken as complete."""
+        self._transport = None
+        if exc is not None:
+            self._on_reset()
+        self._protocol.connection_lost(exc)
+
+
 class _Connector(aiohttp.TCPConnector):
     """Opens connections, and closes one that must not be used."""
 
@@ -68,7 +124,14 @@
     ) -> aiohttp.connector.Connection:
         """Return an open connection; raises ``_CheckFailedError``."""
         connected = await super().connect(*args, **kwargs)
-        if _ATTEMPT.get().begin():
+        attempt = _ATTEMPT.get()
+        if attempt.begin():
+            protocol = connected.protocol
+            if protocol is not None and protocol.transport is not None:
+                watch = _ResetWatch(
+                    protocol=protocol, on_reset=attempt.on_reset
+                )
+                watch.watch(protocol.transport)
             return connected
         connected.close()
         raise _CheckFailedError
@@ -105,14 +168,19 @@
         headers: abc.Mapping[str, str] | None = None,
         body: bytes | None = None,
         silence_timeout_s: float | None = None,
+        on_reset: abc.Callable[[], None] | None = None,
     ) -> 'expression.Result[aiohttp.ClientResponse, Failure]':
         """Send one request and return the response with its head read.
 
         ``before_first_byte`` is called once, when connected; if it returns
         False, nothing is written. ``silence_timeout_s`` bounds each
-        wait for bytes. The caller closes the response.
+        wait for bytes. ``on_reset`` is called if the connection is reset,
+        before the body ends. The caller closes the response.
         """
-        attempt = _Attempt(before_first_byte=before_first_byte or _allow)
+        attempt = _Attempt(
+            before_first_byte=before_first_byte or _allow,
+            on_reset=on_reset or _ignore_reset,
+        )
         _ATTEMPT.set(attempt)
         try:
             response = await self._session.request(
@@ -138,6 +206,10 @@
     return True
 
 
+def _ignore_reset() -> None:
+    """Leave a reset to the reader, whose body has its own end."""
+
+
 def _describe_check_failure(attempt: _Attempt) -> Failure:
     if attempt.connected:
         return Lost('the connection ended without an answer')
--- a/lavenderledge/upstreams/plain.py
+++ b/lavenderledge/upstreams/plain.py
@@ -75,16 +75,31 @@
     max_answer_bytes: int,
 ) -> 'expression.Result[ServiceAnswer, Failure]':
     """Send a call and read its complete answer into memory."""
+    reset = asyncio.Event()
     sent = await client.send(
         method,
         url,
         before_first_byte=before_first_byte,
         headers=headers,
         body=body or None,
+        on_reset=reset.set,
     )
     if sent.is_error():
         return expression.Error(sent.error)
-    return await _read_answer(sent.ok, max_answer_bytes)
+    answer = await _read_answer(sent.ok, max_answer_bytes)
+    if answer.is_ok() and reset.is_set() and not _is_framed(sent.ok):
+        return expression.Error(
+            connection.Lost('the connection was reset inside the answer')
+        )
+    return answer
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the body's end is marked by a length or chunks."""
+    return (
+        'Content-Length' in response.headers
+        or 'Transfer-Encoding' in response.headers
+    )
 
 
 async def _read_answer(
