Statuses outside 100 to 599 are no responses

A replica's status such as 600, 700 or 999 was passed on to the caller, and with the header field Not-Executed it even ended as 503, as if the request had not run. A status below 100 was taken as an interim response: the request waited for another one until its deadline, and a 200 that followed was passed on. On the daemon's path, an engine's invalid status meant that nothing ran, and one below 100 confirmed a cancellation.

The connection now ends such a response as malformed. The attempt is invalid, not lost: the replica has answered, so this is no evidence of a crash. The request may have run, and a repeatable one is sent to another replica. The daemon treats it as a lost connection: it resumes an engine's stream.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -215,6 +215,10 @@
         if self._receiver is None:
             return
         status = self._parser.get_status_code()
+        if not messages.is_valid_status(status):
+            self._end(messages.Ending.MALFORMED)
+            self._prevent_reuse()
+            return
         if status < messages.OK:
             return
         head = messages.ResponseHead(status, self._fields, self._read_length())
@@ -248,9 +252,7 @@
     def _is_ended_by_close(self) -> bool:
         """Return whether an orderly close completes the response."""
         is_unframed = self._head_received and self._until_close
-        return (
-            self._receiver is not None and is_unframed and not self._skipping
-        )
+        return self._receiver is not None and is_unframed and not self._skipping
 
     def _note_sent(self, request_id: str) -> None:
         self._sent_ids.append(hash(request_id))
--- a/lavenderledge/http1/messages.py
+++ b/lavenderledge/http1/messages.py
@@ -37,6 +37,9 @@
 UNAVAILABLE: typing.Final = 503
 GATEWAY_TIMEOUT: typing.Final = 504
 
+_MIN_STATUS: typing.Final = 100
+_MAX_STATUS: typing.Final = 599
+
 _PHRASES: typing.Final = {
     OK: b'OK',
     BAD_REQUEST: b'Bad Request',
@@ -132,6 +135,11 @@
     MALFORMED = 'malformed'
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a response may have a status (RFC 9110, section 15)."""
+    return _MIN_STATUS <= status <= _MAX_STATUS
+
+
 def format_request(
     method: bytes,
     target: bytes,
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -237,7 +237,9 @@
 
     def _classify(self, ending: messages.Ending) -> Result:
         if self._head is None or self._parsed is None:
-            return Result.LOST
+            # A replica that sends what is no response has not crashed.
+            is_malformed = ending is messages.Ending.MALFORMED
+            return Result.INVALID if is_malformed else Result.LOST
         succeeded = self._head.status // 100 == _SUCCESS_CLASS
         if self._parsed.has_not_run:
             # A success that says that it has not run contradicts itself.
--- a/lavenderledge/upstreams/connection.py
+++ b/lavenderledge/upstreams/connection.py
@@ -8,7 +8,7 @@
 import aiohttp
 import expression
 
-from lavenderledge.http1 import receipt
+from lavenderledge.http1 import messages, receipt
 
 _READ_BUFFER_BYTES = 1_048_576
 
@@ -202,6 +202,11 @@
         return expression.Ok(response)
 
 
+def is_final(status: int) -> bool:
+    """Return whether a status is that of a valid final response."""
+    return status >= messages.OK and messages.is_valid_status(status)
+
+
 def _allow() -> bool:
     return True
 
--- a/lavenderledge/upstreams/engine.py
+++ b/lavenderledge/upstreams/engine.py
@@ -207,7 +207,8 @@
         if sent.is_error():
             return False
         sent.ok.close()
-        self.ended = sent.ok.status < _NOT_FOUND
+        status = sent.ok.status
+        self.ended = connection.is_final(status) and status < _NOT_FOUND
         return self.ended
 
     def close(self) -> None:
@@ -428,6 +429,10 @@
 async def _accept(response: aiohttp.ClientResponse) -> CreateResult:
     if response.status == http.HTTPStatus.OK:
         return expression.Ok(None)
+    if not connection.is_final(response.status):
+        return expression.Error(
+            connection.Lost(f'status {response.status} is invalid')
+        )
     try:
         body = await response.content.read(_MAX_ERROR_BODY_BYTES)
     except (aiohttp.ClientError, TimeoutError):
--- a/lavenderledge/upstreams/plain.py
+++ b/lavenderledge/upstreams/plain.py
@@ -11,8 +11,6 @@
 
 from lavenderledge.upstreams import connection
 
-_MIN_STATUS = 200
-_MAX_STATUS = 599
 # Servers send no header value that has one of these.
 _CONTROL_CHARACTERS = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 _HOP_BY_HOP = frozenset(
@@ -124,7 +122,7 @@
         if len(body) > max_answer_bytes:
             return expression.Error(TooLarge(max_answer_bytes))
     headers = _read_headers(response)
-    is_valid = _MIN_STATUS <= response.status <= _MAX_STATUS and not any(
+    is_valid = connection.is_final(response.status) and not any(
         _CONTROL_CHARACTERS.search(text) for _, text in headers
     )
     if not is_valid:
