lavenderledge explain: where a request would be sent now, and why

The command asks a routed instance at its metrics address for /explain. The answer has the route, the rank, the quota, the queue, each replica with what is known about it, and the decision. The request is queued and decided on by slotgrants in a copy of its service's state, and its quota is taken from a copy of the token buckets; the originals stay as they are. An instance that is not the allocator names it and explains its own view.

slotgrants only exports two estimates.

--- a/lavenderledge/cli/definition.py
+++ b/lavenderledge/cli/definition.py
@@ -234,6 +234,42 @@
     required_settings=(),
     examples=('trace 9c41d07be2a35f68 entry-a.log entry-b.log',),
 )
+EXPLAIN = Command(
+    ('explain',),
+    'show where a request would be sent now, and why, without sending it',
+    (
+        Argument(
+            'address',
+            'the metrics address of a routed instance',
+            metavar='HOST:PORT',
+            parse=formats.parse_address,
+        ),
+        Argument('host', 'the host name of the request', metavar='NAME'),
+        Argument('path', 'the path of the request', metavar='PATH'),
+        Argument(
+            '--customer',
+            'the name of the customer; the default is a request without a key',
+            metavar='NAME',
+        ),
+        Argument(
+            '--prompt-tokens',
+            'tokens of the prompt, if the request declares them',
+            metavar='COUNT',
+            parse=formats.parse_count,
+        ),
+        Argument(
+            '--output-tokens',
+            'maximum tokens of the output, if the request declares them',
+            metavar='COUNT',
+            parse=formats.parse_count,
+        ),
+    ),
+    required_settings=(),
+    examples=(
+        'explain 127.0.0.1:9102 shop.example /chat/x --customer dealer '
+        '--prompt-tokens 3720 --output-tokens 200',
+    ),
+)
 
 COMMANDS: typing.Final = (
     TABLE_SHOW,
@@ -245,4 +281,5 @@
     TABLE_STATUS,
     STATUS,
     TRACE,
+    EXPLAIN,
 )
--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -256,6 +256,21 @@
             now_s=now_s,
         )
 
+    def preview_quota(
+        self, spec: messages.RequestSpec, *, share: float
+    ) -> tokenbuckets.QuotaLevel | None:
+        """Return what is left of a request's quota here, None without one."""
+        quota = self._state_reader.find_quota(spec.customer)
+        if quota is None or quota.rate <= 0:
+            return None
+        return self._buckets.preview(
+            spec.customer,
+            quota,
+            spec.cost,
+            share=share,
+            now_s=self._clock.read_monotonic(),
+        )
+
     def _apply_release(self, release: messages.Release, now_s: float) -> None:
         for service in self.slot_state.services.values():
             waiting = service.queue.remove(release.request_id)
--- a/lavenderledge/core.py
+++ b/lavenderledge/core.py
@@ -11,6 +11,7 @@
     context,
     definition,
     editcommands,
+    explaincommand,
     parsing,
     settings,
     statuscommand,
@@ -36,6 +37,7 @@
     definition.TABLE_STATUS: tablecommands.run_status,
     definition.STATUS: statuscommand.run_status,
     definition.TRACE: tracecommand.run_trace,
+    definition.EXPLAIN: explaincommand.run_explain,
 }
 
 
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -32,6 +32,8 @@
         'hedge_started': _list_fields('id replica silent_ms'),
         'hedge_denied': _list_fields('id reason'),
         'attempt_overtaken': _list_fields('id replica silent_ms'),
+        # An operator has asked for an explanation; the decision in it.
+        'request_explained': _list_fields('instance outcome reason replica'),
         # Decisions of the allocator, at level DEBUG.
         'slot_granted': _list_fields(
             'instance id sender replica share list_age_ms'
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -92,6 +92,12 @@
     counts_tokens: bool
     default_cost: float
 
+    def compute_cost(self, token_count: int | None) -> float:
+        """Return a request's cost; None is a size that is not declared."""
+        if not self.counts_tokens:
+            return 1
+        return self.default_cost if token_count is None else token_count
+
 
 class Configuration(typing.NamedTuple):
     """One version of the operators' configuration.
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -199,13 +199,13 @@
     left_s = waiting.due_s - now_s - first_s
     if left_s <= 0:
         return waiting.due_s > now_s and not service.queue
-    wait_s = _estimate_wait_s(state, service, waiting, now_s)
+    wait_s = estimate_wait_s(state, service, waiting, now_s)
     if service.demand.is_exceeding(spec.tier):
         left_s *= _WAIT_RATIO
     return wait_s <= left_s
 
 
-def _estimate_wait_s(
+def estimate_wait_s(
     state: slots.SlotState,
     service: slots.Service,
     waiting: slotqueue.WaitingRequest,
@@ -397,15 +397,21 @@
             <= left_s
         ]
 
-    service_error_ratio = service.error_ratio.read(0)
+    def estimate_s(replica: slots.Replica) -> float:
+        return estimate_duration_s(service, replica, spec.prompt_tokens, now_s)
+
+    return min(candidates, key=estimate_s, default=None)
 
-    def estimate_duration_s(replica: slots.Replica) -> float:
-        load = replica.held / max(1, replica.info.slots)
-        first_s = service.estimate_first_byte_s(
-            replica, spec.prompt_tokens, now_s
-        )
-        hold_s = service.estimate_hold_s(replica, now_s)
-        run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
-        return run_s * replica.health.estimate_attempts(service_error_ratio)
 
-    return min(candidates, key=estimate_duration_s, default=None)
+def estimate_duration_s(
+    service: slots.Service,
+    replica: slots.Replica,
+    prompt_tokens: int,
+    now_s: float,
+) -> float:
+    """Return the seconds until a replica has answered, with its retries."""
+    load = replica.held / max(1, replica.info.slots)
+    first_s = service.estimate_first_byte_s(replica, prompt_tokens, now_s)
+    hold_s = service.estimate_hold_s(replica, now_s)
+    run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
+    return run_s * replica.health.estimate_attempts(service.error_ratio.read(0))
--- a/lavenderledge/policy/slotqueue.py
+++ b/lavenderledge/policy/slotqueue.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import copy
 import heapq
 import itertools
 import typing
@@ -65,6 +66,12 @@
         self.requests[waiting.request_id] = waiting
         self.work_s += waiting.work_s
 
+    def copy(self) -> '_CustomerQueue':
+        copied = _CustomerQueue()
+        copied.requests = self.requests.copy()
+        copied.work_s = self.work_s
+        return copied
+
     def pop(self, request_id: str) -> WaitingRequest:
         waiting = self.requests.pop(request_id)
         self.work_s = self.work_s - waiting.work_s if self.requests else 0
@@ -88,6 +95,17 @@
         """Return whether a request waits."""
         return request_id in self._places
 
+    def copy(self) -> 'SlotQueue':
+        """Return a copy that can be changed without changing this one."""
+        copied = SlotQueue()
+        copied._places = self._places.copy()
+        copied._queues = {
+            priority: {name: queue.copy() for name, queue in customers.items()}
+            for priority, customers in self._queues.items()
+        }
+        copied._shares = copy.deepcopy(self._shares)
+        return copied
+
     def add(self, waiting: WaitingRequest, *, late: bool = False) -> None:
         """Append a request to its rank, or to the late ones of its rank."""
         spec = waiting.spec
@@ -170,7 +188,7 @@
         queue = self._queues.get(tier, {}).get(customer)
         return Backlog(
             0 if queue is None else queue.work_s,
-            self._find_shares(tier).read_lead_s(customer),
+            self._read_customer_lead_s(tier, customer),
         )
 
     def list_timely_tiers(self) -> set[int]:
@@ -224,4 +242,8 @@
 
     def _read_lead_s(self, waiting: WaitingRequest) -> float:
         spec = waiting.spec
-        return self._find_shares(spec.tier).read_lead_s(spec.customer)
+        return self._read_customer_lead_s(spec.tier, spec.customer)
+
+    def _read_customer_lead_s(self, tier: int, customer: str) -> float:
+        shares = self._shares.get(tier)
+        return 0 if shares is None else shares.read_lead_s(customer)
--- a/lavenderledge/policy/spending.py
+++ b/lavenderledge/policy/spending.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import copy
 import itertools
 import operator
 import typing
@@ -124,6 +125,14 @@
         self._window_s = window_s
         self._accounts: dict[str, _Account] = {}
 
+    def copy_customer(self, customer: str) -> 'SpendingLedger':
+        """Return a ledger with a copy of one customer's spendings."""
+        copied = SpendingLedger(window_s=self._window_s)
+        account = self._accounts.get(customer)
+        if account is not None:
+            copied._accounts[customer] = copy.deepcopy(account)
+        return copied
+
     def charge(self, spending: Spending, *, share: float) -> None:
         """Record a cost that was charged to a share of the quota."""
         self._find(spending.customer).charge(_Charge(spending, share))
--- a/lavenderledge/policy/tokenbuckets.py
+++ b/lavenderledge/policy/tokenbuckets.py
@@ -1,5 +1,6 @@
 """Token buckets of customers' quotas, kept by the allocator."""
 
+import copy
 import typing
 from collections import abc
 
@@ -35,6 +36,17 @@
         return allowed * (1 + self.overrun) + self.slack
 
 
+class QuotaLevel(typing.NamedTuple):
+    """What an allocator's share of a quota holds now.
+
+    ``wait_s`` is the seconds until a request's cost fits, 0 if it fits.
+    """
+
+    level: float
+    share: float
+    wait_s: float
+
+
 def compute_extra_burst(quota: routes.Quota, tolerance: Tolerance) -> float:
     """Return what may be spent beyond rate and burst, once in a window.
 
@@ -67,6 +79,10 @@
         self._rate = rate
         self._filled_at_s = now_s
 
+    @property
+    def level(self) -> float:
+        return self._level
+
     def fits(self, cost: float) -> bool:
         """Return whether a cost fits; above the capacity it fits if full."""
         return self._level >= min(cost, self._capacity * _FULL_RATIO)
@@ -147,6 +163,27 @@
             )
         return wait_s
 
+    def preview(
+        self,
+        customer: str,
+        quota: routes.Quota,
+        cost: float,
+        *,
+        share: float,
+        now_s: float,
+    ) -> QuotaLevel:
+        """Return what ``take`` would find now; nothing is changed."""
+        copied = TokenBuckets(tolerance=self._tolerance)
+        copied._ledger = self._ledger.copy_customer(customer)
+        pair = self._pairs.get(customer)
+        if pair is not None:
+            copied._pairs[customer] = copy.deepcopy(pair)
+        level = copied._fill(customer, quota, share, now_s).quota.level
+        wait_s = copied.take(
+            customer, quota, cost, request_id='', share=share, now_s=now_s
+        )
+        return QuotaLevel(level, share, wait_s)
+
     def refund(self, customer: str, cost: float, *, request_id: str) -> None:
         """Return the cost of a request that did not run."""
         self._ledger.refund(customer, request_id)
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -364,11 +364,12 @@
         customer = self._get_match().customer
         if customer is None:
             return 0
-        if not customer.counts_tokens:
-            return 1
-        if self._parsed.has_tokens:
-            return self._parsed.prompt_tokens + self._parsed.output_tokens
-        return customer.default_cost
+        parsed = self._parsed
+        return customer.compute_cost(
+            parsed.prompt_tokens + parsed.output_tokens
+            if parsed.has_tokens
+            else None
+        )
 
     async def _try_slot(self, slot_id: str, slot: slotrequester.Slot) -> None:
         """Use a slot and release it with a reading of the replica."""
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -26,7 +26,7 @@
     tokenbuckets,
     upstreamnotices,
 )
-from lavenderledge.proxy import exchange, forwarding, watching
+from lavenderledge.proxy import exchange, explanations, forwarding, watching
 from lavenderledge.proxy import settings as proxysettings
 from lavenderledge.registry import timedstore
 
@@ -186,6 +186,18 @@
                 count_instances=self._registration.count_alive,
             ),
         )
+        self._explained = explanations.Sources(
+            instance=settings.instance,
+            clock=clock,
+            configuration=self._watcher.configuration,
+            age_limits=_build_age_limits(settings),
+            requester=self._requester,
+            allocator=self._allocator,
+            list_replicas=self._watcher.list_replicas,
+            notices=self._notices,
+            count_alive=self._registration.count_alive,
+            is_catching_up=self._is_catching_up,
+        )
         self._caller_listener = self._build_listener(self._forwarder.serve)
         self._ready_listener = self._build_listener(self._serve_ready)
         self._metrics_listener = self._build_listener(self._serve_metrics)
@@ -431,6 +443,11 @@
     async def _serve_metrics(
         self, request: messages.Request, reply: server.Reply
     ) -> None:
+        if explanations.is_question(request.target):
+            answer = explanations.answer(request.target, self._explained)
+            content_type = (b'Content-Type', answer.content_type)
+            reply.send(answer.status, (content_type,), answer.body)
+            return
         self._metrics.set_gauge(
             'alive_instances', self._registration.count_alive()
         )
