--- a/lavenderledge/policy/replicachoice.py
+++ b/lavenderledge/policy/replicachoice.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from lavenderledge.peers import slotmessages
 from lavenderledge.policy import slotqueue, slots
 
 # How much longer a request runs on a full replica, relative to an idle one.
@@ -78,18 +79,25 @@
 ) -> slots.Replica | None:
     """Return the replica that is expected to finish the request first."""
     spec = waiting.spec
-    service_error_ratio = service.error_ratio.read(0)
-
-    def estimate_duration_s(replica: slots.Replica) -> float:
-        load = replica.held / max(1, replica.info.slots)
-        first_s = service.estimate_first_byte_s(
-            replica, waiting.spec.prompt_tokens, now_s
-        )
-        hold_s = service.estimate_hold_s(replica, now_s)
-        run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
-        is_remote = replica.info.availability_zone != spec.availability_zone
-        zone_factor = _REMOTE_FACTOR if is_remote else 1
-        attempts = replica.health.estimate_attempts(service_error_ratio)
-        return run_s * zone_factor * attempts
-
-    return min(candidates, key=estimate_duration_s, default=None)
+
+    def estimate_s(replica: slots.Replica) -> float:
+        return estimate_duration_s(service, replica, spec, now_s)
+
+    return min(candidates, key=estimate_s, default=None)
+
+
+def estimate_duration_s(
+    service: slots.Service,
+    replica: slots.Replica,
+    spec: slotmessages.RequestSpec,
+    now_s: float,
+) -> float:
+    """Return the seconds until a replica has answered, with its retries."""
+    load = replica.held / max(1, replica.info.slots)
+    first_s = service.estimate_first_byte_s(replica, spec.prompt_tokens, now_s)
+    hold_s = service.estimate_hold_s(replica, now_s)
+    run_s = first_s + hold_s * (1 + _LOAD_FACTOR * load)
+    is_remote = replica.info.availability_zone != spec.availability_zone
+    zone_factor = _REMOTE_FACTOR if is_remote else 1
+    attempts = replica.health.estimate_attempts(service.error_ratio.read(0))
+    return run_s * zone_factor * attempts
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -203,13 +203,13 @@
     left_s = waiting.due_s - now_s - first_s
     if left_s <= 0:
         return waiting.due_s > now_s and not service.queue
-    wait_s = _estimate_wait_s(state, service, waiting, now_s)
+    wait_s = estimate_wait_s(state, service, waiting, now_s)
     if service.demand.is_exceeding(spec.tier):
         left_s *= service.find_sizes(spec.tier).find_wait_ratio(waiting.work_s)
     return wait_s <= left_s
 
 
-def _estimate_wait_s(
+def estimate_wait_s(
     state: slots.SlotState,
     service: slots.Service,
     waiting: slotqueue.WaitingRequest,
--- a/lavenderledge/upstreams/plain.py
+++ b/lavenderledge/upstreams/plain.py
@@ -11,8 +11,6 @@
 
 from lavenderledge.upstreams import connection
 
-_MIN_STATUS = 200
-_MAX_STATUS = 599
 # Servers send no header value that has one of these.
 _CONTROL_CHARACTERS = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 _HOP_BY_HOP = frozenset(
@@ -75,16 +73,31 @@
     max_answer_bytes: int,
 ) -> 'expression.Result[ServiceAnswer, Failure]':
     """Send a call and read its complete answer into memory."""
+    reset = asyncio.Event()
     sent = await client.send(
         method,
         url,
         before_first_byte=before_first_byte,
         headers=headers,
         body=body or None,
+        on_reset=reset.set,
     )
     if sent.is_error():
         return expression.Error(sent.error)
-    return await _read_answer(sent.ok, max_answer_bytes)
+    answer = await _read_answer(sent.ok, max_answer_bytes)
+    if answer.is_ok() and reset.is_set() and not _is_framed(sent.ok):
+        return expression.Error(
+            connection.Lost('the connection was reset inside the answer')
+        )
+    return answer
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the body's end is marked by a length or chunks."""
+    return (
+        'Content-Length' in response.headers
+        or 'Transfer-Encoding' in response.headers
+    )
 
 
 async def _read_answer(
@@ -109,7 +122,7 @@
         if len(body) > max_answer_bytes:
             return expression.Error(TooLarge(max_answer_bytes))
     headers = _read_headers(response)
-    is_valid = _MIN_STATUS <= response.status <= _MAX_STATUS and not any(
+    is_valid = connection.is_final(response.status) and not any(
         _CONTROL_CHARACTERS.search(text) for _, text in headers
     )
     if not is_valid:
