--- a/lavenderledge/peers/bounds.py
+++ b/lavenderledge/peers/bounds.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-_MAX_CHARACTERS: typing.Final = 256
+MAX_CHARACTERS: typing.Final = 256
 
 Name: typing.TypeAlias = typing.Annotated[
-    str, msgspec.Meta(max_length=_MAX_CHARACTERS)
+    str, msgspec.Meta(max_length=MAX_CHARACTERS)
 ]
 Tier: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=1, le=4)]
 Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0)]
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -38,7 +38,8 @@
     ``objective_left_s``; a slot is useless after ``remaining_s``. ``cost`` is
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
-    that other requests may share.
+    that other requests may share. ``is_repeat`` tells later attempts at the
+    caller's request from the first.
     """
 
     request_id: bounds.Name
@@ -53,6 +54,8 @@
         tuple[bounds.Name, ...], msgspec.Meta(max_length=MAX_EXCLUDED)
     ] = ()
     parts: PromptParts = ()
+    route: bounds.Name = ''
+    is_repeat: bool = False
 
 
 class Reading(typing.NamedTuple):
--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -8,12 +8,16 @@
 
 from lavenderledge.controllers import caches
 from lavenderledge.http1 import bounds
-from lavenderledge.policy import routes, slots
+from lavenderledge.policy import rolloutevidence, rollouts, routes, slots
 from lavenderledge.registry import store as stores
 
 CONFIGURATION_KEY: typing.Final = 'op/config'
 REPLICAS_PREFIX: typing.Final = 'servers/'
 
+ORDERS_PREFIX: typing.Final = 'op/rollout/'
+STATUS_PREFIX: typing.Final = 'status/rollout/'
+RECORDS_PREFIX: typing.Final = 'lavenderledge/rollouts/'
+
 _MILLISECONDS: typing.Final = 1000
 # Callers leave a stream that is silent for the longest of these: a minimum, a
 # multiple of the objective and a multiple of the target pause between events.
@@ -31,6 +35,7 @@
 _MAX_COLD_MS: typing.Final = 86_400_000
 _MAX_TIME_MS: typing.Final = 9_007_199_254_740_991
 _MAX_PORT: typing.Final = 65_535
+_MAX_ROLLOUT_S: typing.Final = 1e7
 _Name: typing.TypeAlias = typing.Annotated[
     str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)
 ]
@@ -121,6 +126,50 @@
     ] = 0
     # When it started, in Unix milliseconds.
     born: typing.Annotated[int, msgspec.Meta(le=_MAX_TIME_MS)] = 0
+    version: _Name = ''
+
+
+class _RolloutOrder(msgspec.Struct):
+    service: _Name
+    to: typing.Annotated[
+        str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)
+    ]
+    duration_s: typing.Annotated[float, msgspec.Meta(gt=0, le=_MAX_ROLLOUT_S)]
+
+
+class _RolloutStatus(msgspec.Struct):
+    service: str
+    to: str
+    state: str
+
+
+_Count: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=_MAX_TIME_MS)
+]
+
+
+class _RouteCounts(msgspec.Struct):
+    route: str
+    is_new: bool
+    trials: _Count
+    failures: _Count
+    bad: _Count
+
+
+class _RolloutRecord(msgspec.Struct):
+    revision: _Count
+    to: str
+    duration_s: float
+    phase: rollouts.Phase
+    controller: str
+    incarnation: _Count
+    elapsed_s: typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_ROLLOUT_S)]
+    written_ms: int
+    seen: _Count
+    ceiling: _Count
+    trusted: list[str]
+    barred: list[str]
+    evidence: list[_RouteCounts]
 
 
 def read_configuration(
@@ -180,11 +229,91 @@
             slots=entry.capacity,
             cold_s=max(0, entry.cold_remaining_ms) / _MILLISECONDS,
             started_ms=max(0, entry.born),
+            version=entry.version,
         ),
         is_ready=entry.state == 'ready',
     )
 
 
+def read_rollout_order(
+    change: stores.Change,
+) -> expression.Result[rollouts.Order, InvalidDocument]:
+    """Return the order that a key holds, or why it is invalid."""
+    decoded = _decode(change.content or b'', _RolloutOrder)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    order = decoded.ok
+    if order.service != change.key.removeprefix(ORDERS_PREFIX):
+        return expression.Error(
+            InvalidDocument(f'the order is for the service {order.service}')
+        )
+    return expression.Ok(
+        rollouts.Order(order.to, order.duration_s, change.revision)
+    )
+
+
+def encode_rollout_status(
+    service: str, to: str, phase: rollouts.Phase
+) -> bytes:
+    """Return the status of a roll-out for the operator."""
+    state = phase.value if phase.is_final else 'in_progress'
+    return msgspec.json.encode(_RolloutStatus(service, to, state))
+
+
+def read_rollout_record(
+    content: bytes,
+) -> expression.Result[rollouts.Record, InvalidDocument]:
+    """Return a roll-out's record, or why it is invalid."""
+    decoded = _decode(content, _RolloutRecord)
+    return decoded.map(
+        lambda document: rollouts.Record(
+            order=rollouts.Order(
+                document.to, document.duration_s, document.revision
+            ),
+            phase=document.phase,
+            controller=document.controller,
+            incarnation=document.incarnation,
+            elapsed_s=document.elapsed_s,
+            written_ms=document.written_ms,
+            seen=document.seen,
+            ceiling=document.ceiling,
+            trusted=frozenset(document.trusted),
+            barred=frozenset(document.barred),
+            counts={
+                (
+                    row.route,
+                    rolloutevidence.Side(row.is_new),
+                ): rolloutevidence.Counts(row.trials, row.failures, row.bad)
+                for row in document.evidence
+            },
+        )
+    )
+
+
+def encode_rollout_record(record: rollouts.Record) -> bytes:
+    """Return a record as ``read_rollout_record`` reads it."""
+    return msgspec.json.encode(
+        _RolloutRecord(
+            revision=record.order.revision,
+            to=record.order.to,
+            duration_s=record.order.duration_s,
+            phase=record.phase,
+            controller=record.controller,
+            incarnation=record.incarnation,
+            elapsed_s=record.elapsed_s,
+            written_ms=record.written_ms,
+            seen=record.seen,
+            ceiling=record.ceiling,
+            trusted=sorted(record.trusted),
+            barred=sorted(record.barred),
+            evidence=[
+                _RouteCounts(route, bool(side), *counts)
+                for (route, side), counts in record.counts.items()
+            ],
+        )
+    )
+
+
 def _decode(
     content: bytes, schema: type[_Decoded]
 ) -> expression.Result[_Decoded, InvalidDocument]:
--- a/lavenderledge/platform/store.py
+++ b/lavenderledge/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import typing
 import urllib.parse
+from collections import abc
 
 import expression
 import msgspec
@@ -66,6 +67,10 @@
     events: _Entries = []
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
 class _Lease(msgspec.Struct):
     lease_id: int
 
@@ -209,6 +214,27 @@
             },
         )
 
+    async def replace(
+        self, writes: abc.Sequence[stores.Write], *, key: str, revision: int
+    ) -> expression.Result[int, stores.StoreFailure]:
+        """Write keys together; CONFLICT if ``key`` has another revision."""
+        response = await self._request(
+            b'POST',
+            '/api/kv-txn',
+            msgspec.json.encode(
+                {
+                    'expected_revision': [{'key': key, 'revision': revision}],
+                    'write': [
+                        _build_entry(write.key, write.content)
+                        for write in writes
+                    ],
+                    'remove': [],
+                }
+            ),
+        )
+        written = _decode(response, _Written)
+        return written.map(lambda document: document.revision)
+
     async def put(
         self, key: str, content: bytes, *, lease: stores.Lease
     ) -> expression.Result[None, stores.StoreFailure]:
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -356,6 +356,8 @@
     replica.pace.take(now_s)
     prefill_wait_s = replica.estimate_prefill_wait_s(now_s)
     service = state.services[name]
+    if service.gate is not None:
+        service.gate.note_granted(replica, spec, now_s)
     service.demand.note_granted(spec.tier, waiting.work_s, now_s)
     service.note_prefill(replica, spec.prompt_tokens, now_s)
     state.hold(
@@ -369,6 +371,8 @@
             name,
             frozenset(spec.parts),
             spec.tier,
+            spec.route,
+            spec.is_repeat,
         ),
         service=name,
     )
@@ -397,6 +401,9 @@
             <= left_s
         ]
 
+    if service.gate is not None:
+        candidates = service.gate.select(candidates, spec, now_s)
+
     service_error_ratio = service.error_ratio.read(0)
 
     def estimate_duration_s(replica: slots.Replica) -> float:
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -8,6 +8,7 @@
     demand,
     replicahealth,
     requestpace,
+    rollouts,
     slotqueue,
     upstreamnotices,
 )
@@ -29,6 +30,7 @@
     """One listed replica; it is slow after its start, for ``cold_s``.
 
     ``started_ms`` is when it started, in Unix milliseconds, 0 if not known.
+    ``version`` is empty if it names none.
     """
 
     name: str
@@ -38,6 +40,7 @@
     slots: int
     cold_s: float
     started_ms: int = 0
+    version: str = ''
 
     @property
     def upstream(self) -> upstreamnotices.Upstream:
@@ -50,7 +53,8 @@
 
     ``prefill_wait_s`` is the estimated wait for other prompts before its own,
     ``parts`` are those of its prompt that other requests may share. ``tier`` is
-    None if the request was granted by another allocator.
+    None if the request was granted by another allocator. ``is_repeat`` tells
+    later attempts from the first.
     """
 
     sender: str
@@ -61,6 +65,13 @@
     service: str = ''
     parts: frozenset[str] = frozenset()
     tier: int | None = None
+    route: str = ''
+    is_repeat: bool = False
+
+    @property
+    def is_evidence(self) -> bool:
+        """Return whether its outcome tells something of its version."""
+        return self.tier is not None and not self.is_repeat
 
 
 class Replica:
@@ -132,6 +143,8 @@
         self.checked_at_s = float('-inf')
         # Requests that were queued since the last decision.
         self.undecided = 0
+        # Which versions get requests, None if all do.
+        self.gate: rollouts.Gate | None = None
 
     def estimate_first_byte_s(
         self, replica: Replica, prompt_tokens: int, now_s: float
@@ -214,7 +227,7 @@
         free = sum(
             replica.count_free_slots(share=share, now_s=now_s)
             for name, replica in self.replicas.items()
-            if name not in excluded
+            if name not in excluded and self._is_open(replica, now_s)
         )
         return free > self.undecided
 
@@ -228,6 +241,7 @@
             replica
             for replica in self.replicas.values()
             if replica.health.is_available(now_s)
+            and self._is_open(replica, now_s)
         ]
         work_s = self._work_s.read(_DEFAULT_HOLD_S)
         useful = sum(
@@ -236,6 +250,12 @@
         )
         return max(useful * share, _EPSILON)
 
+    def _is_open(self, replica: Replica, now_s: float) -> bool:
+        """Return whether a replica's version gets waiting requests."""
+        return self.gate is None or self.gate.counts_capacity(
+            replica.info.version, now_s
+        )
+
 
 class SlotState:
     """All held slots and all waiting requests of an allocator.
@@ -249,6 +269,7 @@
         self.held_slots: dict[str, HeldSlot] = {}
         self.share = 1.0
         self.has_replica_list = False
+        self.open_gate: rollouts.OpenGate = _open_none
         self._infos: abc.Sequence[ReplicaInfo] = ()
         self._has_notices = False
 
@@ -267,6 +288,9 @@
             self.services.setdefault(name, Service())
         for name, service in self.services.items():
             self._update_replicas(service, listed.get(name, {}), now_s)
+            service.gate = self.open_gate(
+                name, [replica.info for replica in service.replicas.values()]
+            )
 
     def apply_notices(
         self, board: upstreamnotices.NoticeBoard, now_s: float
@@ -313,6 +337,11 @@
         service = self._find_service(name)
         return None if service is None else service.replicas[name]
 
+    def list_replicas(self, service: str) -> abc.Collection[Replica]:
+        """Return a service's replicas."""
+        owner = self.services.get(service)
+        return () if owner is None else owner.replicas.values()
+
     def note_answer(
         self,
         slot: HeldSlot,
@@ -325,9 +354,13 @@
         service = self._find_service(slot.replica)
         if service is None:
             return
-        health = service.replicas[slot.replica].health
+        replica = service.replicas[slot.replica]
+        health = replica.health
         own_s = max(first_s - slot.prefill_wait_s, first_s * _MIN_OWN_RATIO)
         expected_s = service.first_byte.estimate(slot.prompt_tokens)
+        rollouts.note_answer(
+            service.gate, replica, slot, (own_s, expected_s), now_s
+        )
         health.note_answer(
             ratio=own_s / expected_s if expected_s else 0,
             slowness=slowness,
@@ -346,13 +379,22 @@
         replica = self.find_replica(slot.replica)
         if replica is not None:
             replica.health.note_failure(now_s)
+            self._note_version_failure(replica, slot, now_s)
 
     def note_error(self, slot: HeldSlot, now_s: float) -> None:
         """Record a request that its replica answered with an error."""
         service = self._find_service(slot.replica)
         if service is not None:
-            service.replicas[slot.replica].health.note_error(now_s)
+            replica = service.replicas[slot.replica]
+            replica.health.note_error(now_s)
             service.error_ratio.note(1)
+            self._note_version_failure(replica, slot, now_s)
+
+    def _note_version_failure(
+        self, replica: Replica, slot: HeldSlot, now_s: float
+    ) -> None:
+        gate = self.services[replica.info.service].gate
+        rollouts.note_failure(gate, replica, slot, now_s)
 
     def _find_service(self, replica: str) -> Service | None:
         """Return the service of a replica, None if it is not listed."""
@@ -379,3 +421,7 @@
         return [slot.replica for slot in self.held_slots.values()].count(
             replica
         )
+
+
+def _open_none(service: str, infos: abc.Sequence[rollouts.ReplicaInfo]) -> None:
+    """Return no gate: all versions get requests."""
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -9,7 +9,7 @@
 from lavenderledge.controllers import caches, slotallocator, slotrequester
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
-from lavenderledge.peers import slotmessages
+from lavenderledge.peers import bounds, slotmessages
 from lavenderledge.policy import crashevidence, retrybudget, routes
 from lavenderledge.proxy import (
     attempts,
@@ -328,6 +328,8 @@
             cost=self._compute_cost() if is_first else 0,
             excluded=(*self._running.replicas, *record.excluded),
             parts=self._parsed.shared_parts,
+            route=record.route[: bounds.MAX_CHARACTERS],
+            is_repeat=not is_first,
         )
 
     async def _try_replica(self) -> None:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -12,6 +12,8 @@
     peersecret,
     quarantinestore,
     registration,
+    rolloutboard,
+    rolloutcontroller,
     slotallocator,
     slotrequester,
 )
@@ -94,6 +96,15 @@
         self._link: link.PeerLink | None = None
         self._secret_doubted = asyncio.Event()
         self._registration = self._build_registration()
+        limits = settings.rollout_limits
+        self._rollouts = None
+        if limits is not None:
+            self._rollouts = rolloutboard.RolloutBoard(
+                instance=settings.instance,
+                clock=clock,
+                limits=limits,
+                formats=platform.rollout_formats,
+            )
         self._watcher = watching.StoreWatcher(
             instance=settings.instance,
             drain_s=settings.drain_s,
@@ -109,6 +120,7 @@
                 on_restored=self._secret_doubted.set,
             ),
         )
+        self._watcher.rollouts = self._rollouts
         self._requester = slotrequester.SlotRequester(
             instance=settings.instance,
             address=str(settings.peer_listen),
@@ -157,6 +169,7 @@
             on_peer_address=self._connect_peer,
             read_incarnation=lambda: self._incarnation,
         )
+        self._rollout_controller = self._build_rollout_controller()
         self._quarantines = quarantinestore.QuarantineStore(
             instance=settings.instance,
             store=self._store,
@@ -250,6 +263,8 @@
             ('sweep', self._enforce_timeouts),
         ):
             self._tasks.keep_running(name, loop)
+        if self._rollout_controller is not None:
+            self._tasks.keep_running('rollouts', self._rollout_controller.run)
         await self._stop_requested.wait()
         await self._drain()
 
@@ -402,6 +417,29 @@
             on_change=self._update_links,
         )
 
+    def _build_rollout_controller(
+        self,
+    ) -> rolloutcontroller.RolloutController | None:
+        """Return the controller, None if all versions are used."""
+        if self._rollouts is None:
+            return None
+        state = self._allocator.slot_state
+        state.open_gate = self._rollouts.open_gate
+        return rolloutcontroller.RolloutController(
+            fleet=rolloutcontroller.Fleet(
+                instance=self._settings.instance,
+                read_incarnation=lambda: self._incarnation,
+                is_allocating=lambda: (
+                    self._is_allocator() and self._registration.may_allocate()
+                ),
+                list_replicas=state.list_replicas,
+            ),
+            board=self._rollouts,
+            store=self._store,
+            clock=self._clock,
+            count=self._metrics.count,
+        )
+
     def _build_listener(self, handle: server.Handle) -> listener.Listener:
         return listener.Listener(
             handle=handle,
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -10,11 +10,13 @@
 from lavenderledge import options
 from lavenderledge.daemon import definition, formats
 from lavenderledge.daemon import settings as daemonsettings
+from lavenderledge.policy import rollouts
 
 PROGRAM: typing.Final = 'lavenderledge-proxy'
 FILE_VARIABLE: typing.Final = 'LAVENDERLEDGE_NODE_FILE'
 
 _MILLISECONDS: typing.Final = 1000
+_DEFAULT_ROLLBACK_MS: typing.Final = 5000.0
 
 
 class Settings(typing.NamedTuple):
@@ -40,6 +42,9 @@
     quota_overrun: float
     quota_slack: float
     log_level: str
+    exposure_share: float | None = None
+    exposure_slack: float | None = None
+    rollback_ms: float | None = None
 
     @property
     def revocation_s(self) -> float:
@@ -51,6 +56,20 @@
         """Return the time limit for applying a configuration, in seconds."""
         return self.apply_ms / _MILLISECONDS
 
+    @property
+    def rollout_limits(self) -> rollouts.Limits | None:
+        """Return the bounds of roll-outs, None if versions do not matter."""
+        if self.exposure_share is None:
+            return None
+        rollback_ms = self.rollback_ms
+        if rollback_ms is None:
+            rollback_ms = _DEFAULT_ROLLBACK_MS
+        return rollouts.Limits(
+            self.exposure_share,
+            self.exposure_slack or 0,
+            rollback_ms / _MILLISECONDS,
+        )
+
     @property
     def drain_s(self) -> float:
         """Return how long a leaving replica takes requests, in seconds."""
@@ -64,6 +83,11 @@
     return number
 
 
+def _parse_optional(text: str) -> float | None:
+    """Return a number, None for an empty text: the setting is not given."""
+    return _parse_number(text) if text.strip() else None
+
+
 OPTIONS: typing.Final = (
     definition.declare(
         '--instance', 'NAME', formats.parse_name, None, 'name of this instance'
@@ -196,6 +220,29 @@
         '0',
         'quota units that may be used in a window beyond that',
     ),
+    definition.declare(
+        '--exposure-share',
+        'RATIO',
+        _parse_optional,
+        '',
+        'fraction of the requests that a bad version may get in its roll-out; '
+        'empty: replicas of all versions are used',
+    ),
+    definition.declare(
+        '--exposure-slack',
+        'COUNT',
+        _parse_optional,
+        '',
+        'requests that a bad version may get beyond that',
+    ),
+    definition.declare(
+        '--rollback-ms',
+        'MILLISECONDS',
+        _parse_optional,
+        '',
+        'time after the 50th bad answer of a version until it gets no more '
+        'requests',
+    ),
     definition.declare(
         '--log-level',
         'LEVEL',
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -12,6 +12,7 @@
     configurationhistory,
     follower,
     registration,
+    rolloutboard,
     slotallocator,
     slotrequester,
 )
@@ -50,6 +51,10 @@
 _CONFIGURATION_PAUSE_S: typing.Final = 0.05
 _REPLICAS_WAIT_S: typing.Final = 0.5
 _REPLICAS_PAUSE_S: typing.Final = 0.2
+# A watch whose answer is lost delays an order by up to this and a second; the
+# shortest roll-outs have 10 s.
+_ROLLOUTS_WAIT_S: typing.Final = 3.0
+_ROLLOUTS_PAUSE_S: typing.Final = 0.05
 _MEMBERS_WAIT_S: typing.Final = 10.0
 # Instances that may allocate watch the list of instances. Together they make at
 # most one call per interval; the pause of an instance is bounded.
@@ -78,6 +83,7 @@
     replicas_prefix: str
     read_configuration: ReadConfiguration
     read_replica: abc.Callable[[stores.Change], caches.ListedReplica | None]
+    rollout_formats: rolloutboard.Formats
     open_store: abc.Callable[[str, client.ConnectionPool], stores.Store]
 
 
@@ -130,6 +136,8 @@
         self._clock = clock
         self._metrics = metrics
         self._callbacks = callbacks
+        # Gets the orders of roll-outs; without it they are not read.
+        self.rollouts: rolloutboard.RolloutBoard | None = None
         self._rng = random.Random(instance)
         self._max_list_age_s = max(
             drain_s - _DRAIN_MARGIN_S, drain_s * _MIN_LIST_AGE_RATIO
@@ -297,6 +305,37 @@
                 is_large=_is_never_large,
                 read_poll_s=self._find_members_poll_s,
             ),
+            *self._list_rollout_subscriptions(),
+        ]
+
+    def _list_rollout_subscriptions(self) -> list[follower.Subscription]:
+        board = self.rollouts
+        if board is None:
+            return []
+        formats = self._platform.rollout_formats
+        return [
+            follower.Subscription(
+                prefix=prefix,
+                wait_s=_ROLLOUTS_WAIT_S,
+                read_pause_s=_find_rollouts_pause_s,
+                on_list=on_list,
+                on_changes=on_changes,
+                on_confirmed=_ignore_confirmation,
+                is_needed=self._allocates,
+                is_large=_is_never_large,
+            )
+            for prefix, on_list, on_changes in (
+                (
+                    formats.orders_prefix,
+                    board.replace_orders,
+                    board.update_orders,
+                ),
+                (
+                    formats.records_prefix,
+                    board.replace_records,
+                    board.update_records,
+                ),
+            )
         ]
 
     def _find_members_poll_s(self) -> float:
@@ -504,6 +543,10 @@
     """Ignore a confirmation."""
 
 
+def _find_rollouts_pause_s() -> float:
+    return _ROLLOUTS_PAUSE_S
+
+
 def _is_always_needed() -> bool:
     return True
 
--- a/lavenderledge/registry/store.py
+++ b/lavenderledge/registry/store.py
@@ -2,6 +2,7 @@
 
 import enum
 import typing
+from collections import abc
 
 import expression
 
@@ -54,6 +55,13 @@
     era: int = 0
 
 
+class Write(typing.NamedTuple):
+    """A key's new content."""
+
+    key: str
+    content: bytes
+
+
 class Lease(typing.NamedTuple):
     """A lease. In another ``era`` its number may be another holder's."""
 
@@ -85,6 +93,14 @@
     ) -> expression.Result[None, StoreFailure]:
         """Write a key; CONFLICT if it exists."""
 
+    async def replace(
+        self, writes: abc.Sequence[Write], *, key: str, revision: int
+    ) -> expression.Result[int, StoreFailure]:
+        """Write keys together; CONFLICT if ``key`` has another revision.
+
+        Revision 0 means that the key does not exist. Returns the new revision.
+        """
+
     async def put(
         self, key: str, content: bytes, *, lease: Lease
     ) -> expression.Result[None, StoreFailure]:
--- a/lavenderledge/registry/timedstore.py
+++ b/lavenderledge/registry/timedstore.py
@@ -53,6 +53,14 @@
         """Write a key; CONFLICT if it exists."""
         return await self._time('create', self._store.create(key, content))
 
+    async def replace(
+        self, writes: abc.Sequence[stores.Write], *, key: str, revision: int
+    ) -> _Outcome[int]:
+        """Write keys together; CONFLICT if ``key`` has another revision."""
+        return await self._time(
+            'replace', self._store.replace(writes, key=key, revision=revision)
+        )
+
     async def put(
         self, key: str, content: bytes, *, lease: stores.Lease
     ) -> _Outcome[None]:
