--- a/lavenderledge/policy/rolloutevidence.py
+++ b/lavenderledge/policy/rolloutevidence.py
@@ -30,13 +30,15 @@
 # A replica's failures without an answer in between count once in this time:
 # a crash fails all running requests, and some replicas fail for seconds.
 _FAILURE_SPACING_S: typing.Final = 1.0
-# Slow answers of one replica count once in this time. It exceeds the 0.6 s
-# for which replicas are slow for reasons of their own.
-_SLOW_SPACING_S: typing.Final = 0.7
-# An answer is slow beyond this multiple of its replica's median. Replicas are
-# 2.5 times slower now and then.
-_SLOW_FACTOR: typing.Final = 3.0
-# Readings after which a replica's median is known, and how many are kept.
+# Slow answers of one replica count once in this time: replicas are slow for
+# 0.6 s for reasons of their own.
+_SLOW_SPACING_S: typing.Final = 0.25
+# An answer is slow beyond this multiple of its replica's lower quartile, which
+# is that of the normal answers also if half of the answers are slow. Replicas
+# are 2.5 times slower now and then.
+_SLOW_FACTOR: typing.Final = 3.5
+_QUARTILE: typing.Final = 0.25
+# Readings after which a replica's speed is known, and how many are kept.
 _MIN_READINGS: typing.Final = 5
 _MAX_READINGS: typing.Final = 48
 # All answers of a version are slow if the mean of its replicas' medians
@@ -98,12 +100,14 @@
     def list_answers(self) -> abc.Iterator[tuple[str, bool]]:
         """Yield the routes of answers that count, and whether each was slow.
 
-        None counts as long as the median is not known.
+        None counts as long as the replica's speed is not known.
         """
-        median = self.median
+        if len(self.ratios) < _MIN_READINGS:
+            return
+        quartile = sorted(self.ratios)[int(len(self.ratios) * _QUARTILE)]
         counted_s = float('-inf')
-        for route, ratio, now_s in () if median is None else self.readings:
-            is_slow = median is not None and ratio > _SLOW_FACTOR * median
+        for route, ratio, now_s in self.readings:
+            is_slow = ratio > _SLOW_FACTOR * quartile
             if is_slow:
                 if now_s - counted_s < _SLOW_SPACING_S:
                     continue
@@ -215,7 +219,7 @@
     def _count_slow(self) -> Table:
         """Return answers and slow ones, by route and side.
 
-        An answer is compared with its own replica's median, so that slow
+        An answer is compared with others of its own replica, so that slow
         hardware does not count.
         """
         counted: dict[tuple[str, Side], Counts] = {}
