--- a/lavenderledge/controllers/rolloutcontroller.py
+++ b/lavenderledge/controllers/rolloutcontroller.py
@@ -237,7 +237,9 @@
             control.held_until_s = float('-inf')
             self._log('rollout_rejected', rollout, reason=held.verdict)
             return control.phase
-        return phase
+        is_next = phase is not control.phase and not phase.is_final
+        is_suspect = is_next and control.evidence.is_suspect()
+        return control.phase if is_suspect else phase
 
     def _describe(
         self,
--- a/lavenderledge/policy/rolloutevidence.py
+++ b/lavenderledge/policy/rolloutevidence.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import functools
 import math
 import statistics
 import typing
@@ -15,7 +16,9 @@
 # The probability of so many failures, or slow answers, of a version that is
 # as good as the old one, below which it is rejected. It is checked again at
 # each answer, which multiplies it by about 10, and by the number of routes.
-_MAX_CHANCE: typing.Final = 2e-5
+_MAX_CHANCE: typing.Final = 5e-5
+# The same for evidence that delays the next phase.
+_MAX_CHANCE_SUSPECT: typing.Final = 1e-3
 # Prior of the old version's rate: 4 in 100, weighed as 10 answers.
 _PRIOR_HITS: typing.Final = 0.4
 _PRIOR_TRIALS: typing.Final = 10.0
@@ -33,27 +36,30 @@
 # Slow answers of one replica count once in this time: replicas are slow for
 # 0.6 s for reasons of their own.
 _SLOW_SPACING_S: typing.Final = 0.25
-# An answer is slow beyond this multiple of its replica's lower quartile, which
-# is that of the normal answers also if half of the answers are slow. Replicas
-# are 2.5 times slower now and then.
+# An answer is slow beyond this multiple of its replica's lower quartile.
+# Replicas are 2.5 times slower now and then.
 _SLOW_FACTOR: typing.Final = 3.5
 _QUARTILE: typing.Final = 0.25
 # Readings after which a replica's speed is known, and how many are kept.
-_MIN_READINGS: typing.Final = 5
+_MIN_READINGS: typing.Final = 4
 _MAX_READINGS: typing.Final = 48
+# Replicas are slow for 0.6 s for reasons of their own: a replica's speed is
+# not known from readings within less than about that.
+_MIN_SPAN_S: typing.Final = 0.65
 # All answers of a version are slow if the mean of its replicas' medians
 # exceeds the old version's by this ratio and number of standard errors.
 _MIN_SLOW_RATIO: typing.Final = 2.2
-_MIN_DEVIATIONS: typing.Final = 4.0
+_MIN_DEVIATIONS: typing.Final = 4.5
 # Lower bound of the deviation of the logarithms of the replicas' medians:
 # replicas take 0.68 to 3 times as long as the average.
-_MIN_DEVIATION: typing.Final = 0.43
+_MIN_DEVIATION: typing.Final = 0.47
 _MIN_OLD_REPLICAS: typing.Final = 3
-# Answers that are bad by any count, well below the 50 that the bound on
-# exposure allows, end the roll-out if the old version has far fewer.
+# A single one of several may be slow hardware.
+_MIN_NEW_REPLICAS: typing.Final = 2
+# So many bad answers are near the 50 that the bound on exposure allows. Then
+# weaker evidence is enough. Crashes alone may cause as many.
 _MAX_BAD: typing.Final = 25
-_BAD_FACTOR: typing.Final = 3.0
-_BAD_MARGIN: typing.Final = 0.05
+_MAX_CHANCE_BAD: typing.Final = 1e-4
 
 
 @enum.unique
@@ -80,39 +86,58 @@
 Table: typing.TypeAlias = abc.Mapping[tuple[str, Side], Counts]
 
 
+class Speed(typing.NamedTuple):
+    """A replica's times to first byte, relative to the estimates.
+
+    The lower quartile is that of normal answers also if half of them are slow.
+    """
+
+    quartile: float
+    median: float
+
+
+class _Reading(typing.NamedTuple):
+    route: str
+    ratio: float
+    at_s: float
+
+
 class _ReplicaReadings:
     def __init__(self) -> None:
-        self.ratios: collections.deque[float] = collections.deque(
+        self.readings: collections.deque[_Reading] = collections.deque(
             maxlen=_MAX_READINGS
         )
-        self.readings: collections.deque[tuple[str, float, float]] = (
-            collections.deque(maxlen=_MAX_READINGS)
-        )
         self.failed_s: float | None = None
 
     @property
-    def median(self) -> float | None:
-        """Return the median ratio, None as long as it is not known."""
-        if len(self.ratios) < _MIN_READINGS:
+    def speed(self) -> Speed | None:
+        """Return the quantiles of the ratios, None if they are not known."""
+        if len(self.readings) < _MIN_READINGS:
+            return None
+        span_s = self.readings[-1].at_s - self.readings[0].at_s
+        if span_s < _MIN_SPAN_S:
             return None
-        return statistics.median(self.ratios)
+        ratios = sorted(reading.ratio for reading in self.readings)
+        return Speed(
+            ratios[int(len(ratios) * _QUARTILE)], statistics.median(ratios)
+        )
 
     def list_answers(self) -> abc.Iterator[tuple[str, bool]]:
         """Yield the routes of answers that count, and whether each was slow.
 
         None counts as long as the replica's speed is not known.
         """
-        if len(self.ratios) < _MIN_READINGS:
+        speed = self.speed
+        if speed is None:
             return
-        quartile = sorted(self.ratios)[int(len(self.ratios) * _QUARTILE)]
         counted_s = float('-inf')
-        for route, ratio, now_s in self.readings:
-            is_slow = ratio > _SLOW_FACTOR * quartile
+        for reading in self.readings:
+            is_slow = reading.ratio > _SLOW_FACTOR * speed.quartile
             if is_slow:
-                if now_s - counted_s < _SLOW_SPACING_S:
+                if reading.at_s - counted_s < _SLOW_SPACING_S:
                     continue
-                counted_s = now_s
-            yield route, is_slow
+                counted_s = reading.at_s
+            yield reading.route, is_slow
 
 
 class Evidence:
@@ -160,8 +185,7 @@
         readings = self._find_readings(side, replica)
         readings.failed_s = None
         if ratio > 0:
-            readings.ratios.append(ratio)
-            readings.readings.append((route, ratio, now_s))
+            readings.readings.append(_Reading(route, ratio, now_s))
         self._add(side, route, Counts(trials=1))
 
     def note_failure(
@@ -186,13 +210,14 @@
         self._is_changed = False
         return (
             self._judge_bad()
-            or _judge_rates(
-                self._counts, _MIN_FAILURES, _FAILURE_MARGIN, 'failures'
-            )
-            or _judge_rates(self._count_slow(), _MIN_SLOW, _SLOW_MARGIN, 'slow')
-            or self._judge_medians()
+            or self._judge_rates(_MAX_CHANCE)
+            or self._judge_speeds()
         )
 
+    def is_suspect(self) -> bool:
+        """Return whether there is weak evidence against the new version."""
+        return bool(self._judge_rates(_MAX_CHANCE_SUSPECT))
+
     def _find_readings(
         self, side: Side, replica: ReplicaKey
     ) -> _ReplicaReadings:
@@ -207,14 +232,28 @@
         )
         self._is_changed = self._is_changed or side is Side.NEW
 
+    def _judge_rates(self, max_chance: float) -> str:
+        failures = functools.partial(
+            _is_evidence, margin=_FAILURE_MARGIN, max_chance=max_chance
+        )
+        slow = functools.partial(
+            _is_evidence, margin=_SLOW_MARGIN, max_chance=max_chance
+        )
+        failing = _find_evidence(self._counts, _MIN_FAILURES, failures)
+        if failing:
+            return f'failures={failing}'
+        slowed = _find_evidence(self._count_slow(), _MIN_SLOW, slow)
+        return f'slow={slowed}' if slowed else ''
+
     def _judge_bad(self) -> str:
         new = self.sum_counts(Side.NEW)
         if new.bad < _MAX_BAD:
             return ''
-        old = self.sum_counts(Side.OLD)
-        old_rate = old.bad / max(1, _count_all(old))
-        limit = _BAD_FACTOR * old_rate + _BAD_MARGIN
-        return f'bad={new.bad}' if new.bad > limit * _count_all(new) else ''
+        total, base = _sum_routes(self._counts)
+        is_evidence = _is_evidence(
+            total, base, margin=_FAILURE_MARGIN, max_chance=_MAX_CHANCE_BAD
+        )
+        return f'bad={new.bad}' if is_evidence else ''
 
     def _count_slow(self) -> Table:
         """Return answers and slow ones, by route and side.
@@ -232,11 +271,14 @@
                     )
         return counted
 
-    def _judge_medians(self) -> str:
+    def _judge_speeds(self) -> str:
         """Compare the speeds of the replicas of both versions."""
-        new = self._list_log_medians(Side.NEW)
-        old = self._list_log_medians(Side.OLD)
-        if not new or len(old) < _MIN_OLD_REPLICAS:
+        new = self._list_log_speeds(Side.NEW)
+        old = self._list_log_speeds(Side.OLD)
+        tried = len(self._replicas[Side.NEW])
+        if len(new) < min(tried, _MIN_NEW_REPLICAS) or not new:
+            return ''
+        if len(old) < _MIN_OLD_REPLICAS:
             return ''
         excess = statistics.fmean(new) - statistics.fmean(old)
         deviation = max(statistics.stdev(old), _MIN_DEVIATION)
@@ -244,11 +286,9 @@
         limit = max(math.log(_MIN_SLOW_RATIO), _MIN_DEVIATIONS * error)
         return f'slowdown={math.exp(excess):.1f}' if excess > limit else ''
 
-    def _list_log_medians(self, side: Side) -> list[float]:
-        medians = [
-            readings.median for readings in self._replicas[side].values()
-        ]
-        return [math.log(median) for median in medians if median]
+    def _list_log_speeds(self, side: Side) -> list[float]:
+        speeds = [readings.speed for readings in self._replicas[side].values()]
+        return [math.log(speed.median) for speed in speeds if speed]
 
 
 def compute_chance(
@@ -278,18 +318,30 @@
     return math.lgamma(alpha) + math.lgamma(beta) - math.lgamma(alpha + beta)
 
 
-def _count_all(counts: Counts) -> int:
-    """Return the answers and all failures."""
-    return counts.trials - counts.failures + counts.bad
+def _find_evidence(
+    table: Table,
+    min_failures: int,
+    is_evidence: abc.Callable[[Counts, Counts], bool],
+) -> str:
+    """Compare the rates of each route, then those of all routes together."""
+    for route, side in table:
+        new = table[route, side]
+        if side is Side.OLD or new.failures < min_failures:
+            continue
+        old = table.get((route, Side.OLD), Counts())
+        if is_evidence(new, old):
+            return f'{new.failures}/{new.trials} route={route}'
+    total, base = _sum_routes(table)
+    if total.failures >= min_failures and is_evidence(total, base):
+        return f'{total.failures}/{total.trials}'
+    return ''
 
 
-def _judge_rates(
-    table: Table, min_failures: int, margin: float, name: str
-) -> str:
-    """Compare the rates of each route, then those of all routes together.
+def _sum_routes(table: Table) -> tuple[Counts, Counts]:
+    """Return the new version's counts, and the old one's to compare with.
 
-    The old version's rate over all routes is weighed by the new version's
-    requests, because the routes' shares may differ.
+    The old version's rate is weighed by the new version's requests, because
+    the routes' shares may differ.
     """
     total = Counts()
     expected = float(0)
@@ -299,26 +351,17 @@
             continue
         new = table[route, side]
         old = table.get((route, Side.OLD), Counts())
-        if _is_evidence(new, old, min_failures, margin):
-            return f'{name}={new.failures}/{new.trials} route={route}'
         rate = (old.failures + _PRIOR_HITS) / (old.trials + _PRIOR_TRIALS)
         expected += rate * new.trials
         old_trials += old.trials
         total = Counts(total.trials + new.trials, total.failures + new.failures)
-    if not total.trials:
-        return ''
-    rate = expected / total.trials
-    base = Counts(old_trials, round(rate * old_trials))
-    if _is_evidence(total, base, min_failures, margin):
-        return f'{name}={total.failures}/{total.trials}'
-    return ''
+    rate = expected / max(1, total.trials)
+    return total, Counts(old_trials, round(rate * old_trials))
 
 
 def _is_evidence(
-    new: Counts, old: Counts, min_failures: int, margin: float
+    new: Counts, old: Counts, *, margin: float, max_chance: float
 ) -> bool:
-    if new.failures < min_failures:
-        return False
     old_rate = old.failures / max(1, old.trials)
     if new.failures <= (_RATE_FACTOR * old_rate + margin) * new.trials:
         return False
@@ -328,4 +371,4 @@
         old_failures=old.failures,
         old_trials=old.trials,
     )
-    return chance < _MAX_CHANCE
+    return chance < max_chance
