--- a/lavenderledge/controllers/rolloutcontroller.py
+++ b/lavenderledge/controllers/rolloutcontroller.py
@@ -25,9 +25,6 @@
 # answer fits into the margin before a deadline.
 _CALL_TIMEOUT_S: typing.Final = 0.4
 _RETRY_S: typing.Final = 0.2
-# Between the last grant of a version and the status that says so: granted
-# requests are sent within this time.
-_SETTLE_S: typing.Final = 0.2
 # After a restart of all instances, the wall clock tells how long the record
 # was without a controller. A greater difference is taken for a wrong clock.
 _MAX_GAP_S: typing.Final = 60.0
@@ -58,8 +55,8 @@
     """A roll-out that this instance controls.
 
     ``verdict`` is why it is reverted, at ``verdict_s``. ``is_doubtful`` tells
-    that the last write may have taken effect. A former controller's record is
-    replaced at ``revision``.
+    that the last write, of ``record`` at ``sent_s``, may have taken effect. A
+    former controller's record is replaced at ``revision``.
     """
 
     def __init__(self, control: rollouts.Control, revision: int) -> None:
@@ -71,6 +68,8 @@
         self.verdict_s = float('-inf')
         self.is_doubtful = False
         self.is_new = True
+        self.record: rollouts.Record | None = None
+        self.sent_s = float('-inf')
 
 
 class RolloutController:
@@ -221,7 +220,7 @@
         """Return the phase to write next."""
         control = held.control
         if held.verdict:
-            is_settled = now_s - held.verdict_s >= _SETTLE_S
+            is_settled = now_s - held.verdict_s >= rollout.gate.settle_s
             return rollouts.Phase.REVERTED if is_settled else control.phase
         is_first = held.is_new and control.phase is rollouts.Phase.CANARY
         outcome = rollout.find_outcome(control.order)
@@ -281,6 +280,8 @@
         record = self._build_record(rollout, held, phase)
         if controller is not None:
             record = record._replace(controller=controller)
+        held.record = record
+        held.sent_s = sent_s
         formats = self._board.formats
         key = f'{formats.records_prefix}{rollout.service}'
         status = formats.encode_status(
@@ -358,8 +359,11 @@
         revision = 0 if watched is None else watched.revision
         if record is not None and self._is_own(record, held):
             held.revision = revision
-            # Others may have seen the write long ago: it extends nothing.
-            self._apply_written(rollout, held, record, float('-inf'))
+            # Others may have seen it as soon as it was sent. Of an earlier
+            # write, that time is not known: it extends nothing.
+            is_last = record == held.record
+            sent_s = held.sent_s if is_last else float('-inf')
+            self._apply_written(rollout, held, record, sent_s)
         elif revision == held.revision or record is None:
             held.revision = revision
             held.is_doubtful = False
--- a/lavenderledge/policy/rollouts.py
+++ b/lavenderledge/policy/rollouts.py
@@ -37,6 +37,7 @@
 _MIN_ANSWERS: typing.Final = 10
 # Canary requests are concentrated on the next new replicas after this time.
 _ROTATION_S: typing.Final = 1.0
+_SETTLE_S: typing.Final = 0.2
 # How much longer a replica that has just started takes.
 _COLD_FACTOR: typing.Final = 1.6
 
@@ -172,11 +173,11 @@
     """Return the phase that follows from the time and the requests."""
     phase = progress.phase
     left_s = progress.duration_s - FINAL_MARGIN_S - progress.elapsed_s
-    if phase is Phase.SHIFTED:
+    if phase is Phase.SHIFTED and progress.has_replicas:
         is_idle = not progress.held_old and progress.phase_s >= _MIN_SHIFTED_S
         is_over = left_s <= 0 or is_idle
         return Phase.COMPLETED if is_over else phase
-    if left_s <= 0:
+    if left_s <= 0 or phase is Phase.SHIFTED:
         return Phase.REVERTED
     if phase is Phase.CANARY:
         is_due = progress.elapsed_s >= find_canary_end_s(progress.duration_s)
@@ -259,10 +260,11 @@
         now_s: float,
     ) -> list[_Candidate]:
         """Return those of the free replicas that may get a request."""
+        opened = {
+            version for version in self.listed if self.is_open(version, now_s)
+        }
         usable = [
-            replica
-            for replica in candidates
-            if self.is_open(replica.info.version, now_s)
+            replica for replica in candidates if replica.info.version in opened
         ]
         control = self._find_control(now_s)
         if control is None:
@@ -315,6 +317,14 @@
         else:
             control.evidence.note_failure(side, key, route=route, now_s=now_s)
 
+    @property
+    def settle_s(self) -> float:
+        """Return how long after its last grant a version is reverted.
+
+        Granted requests are sent within this time.
+        """
+        return min(_SETTLE_S, self._limits.rollback_s / 2)
+
     def start_control(
         self, order: Order, *, now_s: float, record: Record | None
     ) -> 'Control':
--- a/tests/simulatedrollouts.py
+++ b/tests/simulatedrollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs in virtual time: the real controllers, over a model of the rest."""
 
 import asyncio
+import json
 import random
 import typing
 
@@ -92,11 +93,14 @@
         self._notify(stores.Change(key, None, self.revision))
 
     def read_states(self):
-        """Return the states that were written, with the times."""
-        return [
-            (at_s, content.partition(b'"state":"')[2].partition(b'"')[0])
+        """Return the time, the version and the state of each status."""
+        written = [
+            (at_s, json.loads(content))
             for at_s, key, content in self.writes
-            if key == STATUS_KEY
+            if key == STATUS_KEY and content
+        ]
+        return [
+            (at_s, status['to'], status['state']) for at_s, status in written
         ]
 
     async def _arrive(self):
@@ -175,7 +179,7 @@
     @property
     def status(self):
         states = self.store.read_states()
-        return states[-1][1].decode() if states else ''
+        return states[-1][2] if states else ''
 
     def add_replicas(self, version, count):
         for number in range(count):
@@ -203,7 +207,7 @@
         """Run the order, with disturbances: pairs of a time and a function."""
         loop = asyncio.get_running_loop()
         self.add_replicas('v1', 16)
-        tasks = [
+        self.tasks = [
             asyncio.ensure_future(instance.controller.run())
             for instance in self.instances
         ]
@@ -211,17 +215,15 @@
         end_s = started_s + 1 + self.duration_s + after_s
         loop.call_later(1, self.order)
         for number in range(4):
-            loop.call_later(
-                0.8 + number * 0.4, self.add_replicas, 'v2', 4
-            )
+            loop.call_later(0.8 + number * 0.4, self.add_replicas, 'v2', 4)
         for at_s, action in disturb:
             loop.call_later(1 + at_s, action)
         while self.now_s < end_s:
             self.arrive()
             await asyncio.sleep(self.rng.expovariate(self.rate))
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def crash(self, version):
         """Let a replica fail everything for 2 s."""
@@ -241,6 +243,18 @@
             0.3, setattr, second, 'is_allocating', True
         )
 
+    def restart(self):
+        """Replace all instances; the new ones know only the store."""
+        for instance in self.instances:
+            instance.is_allocating = False
+            instance.controller.update = self._idle
+        self.store.boards.clear()
+        self.instances = [Instance('c', self.store)]
+        (instance,) = self.instances
+        instance.is_allocating = True
+        self.store._deliver(instance.board)
+        self.tasks.append(asyncio.ensure_future(instance.controller.run()))
+
     async def _idle(self):
         """Do nothing."""
 
@@ -342,9 +356,9 @@
         broken = []
         deadline_s = self.ordered_s + self.duration_s
         states = self.store.read_states()
-        final = [state for state in states if state[1] != b'in_progress']
-        expected = b'reverted' if self.version.is_bad else b'completed'
-        if not final or final[0][1] != expected:
+        final = [state for state in states if state[2] != 'in_progress']
+        expected = 'reverted' if self.version.is_bad else 'completed'
+        if not final or final[0][2] != expected:
             broken.append(f'ended {final}')
         elif final[0][0] > deadline_s:
             broken.append('too late')
@@ -363,9 +377,11 @@
         if self.version.is_bad and bad_s:
             if self.sent['v2'][-1] > bad_s[0] + LIMITS.rollback_s:
                 broken.append('sent after the rollback')
-        for at_s, state in self.store.read_states():
-            if state == b'reverted' and self.sent['v2'][-1:] > [at_s]:
+        for at_s, to, state in self.store.read_states():
+            if state == 'reverted' and self.sent.get(to, [])[-1:] > [at_s]:
                 broken.append('sent after reverted')
-            if state == b'completed' and self.sent['v1'][-1:] > [at_s + 0.2]:
+            others = [times for name, times in self.sent.items() if name != to]
+            is_used = any(times[-1:] > [at_s + 0.2] for times in others)
+            if state == 'completed' and is_used:
                 broken.append('old version after completed')
         return broken
