--- a/lavenderledge/policy/rollouts.py
+++ b/lavenderledge/policy/rollouts.py
@@ -15,7 +15,8 @@
 # The part of the slack that is used at once; the rest is used over the
 # canary, so that a version that turns bad later is still tested.
 _FIRST_SLACK: typing.Final = 0.3
-# Requests of a route beyond its share, so that rare routes are tested.
+# Requests of a route beyond its part of the ceiling, so that rare routes are
+# tested. All routes may use their part at once: their bursts fill a replica.
 _ROUTE_SLACK: typing.Final = 2
 # The final status is written this long before the deadline, seconds: the
 # order is seen up to 0.5 s after it was written, and a write that gets no
@@ -405,6 +406,8 @@
         self._limits = limits
         self._routes_seen: dict[str, int] = {}
         self._routes_granted: dict[str, int] = {}
+        # First attempts under this controller.
+        self._first_seen = 0
         self._phase_seen = 0
         self._phase_granted = 0
 
@@ -437,8 +440,9 @@
             return is_due and self.granted < self._find_whole_exposure(now_s)
         if self.granted >= self.ceiling:
             return False
-        share = _CANARY_SHARE * self._limits.share
-        allowed = share * self._routes_seen.get(spec.route, 0) + _ROUTE_SLACK
+        seen = self._routes_seen.get(spec.route, 0)
+        part = (seen + 1) / (self._first_seen + 1)
+        allowed = self.ceiling * part + _ROUTE_SLACK
         return self._routes_granted.get(spec.route, 0) < allowed
 
     def _find_whole_exposure(self, now_s: float) -> float:
@@ -477,6 +481,7 @@
         is_new = info.version == self.target
         if not spec.is_repeat:
             self._phase_seen += 1
+            self._first_seen += 1
             seen = self._routes_seen.get(spec.route, 0)
             self._routes_seen[spec.route] = seen + 1
         if is_new:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -45,6 +45,7 @@
         ('NewAsk', 'spec'),
         ('RequestSpec', 'preemptible'),
         ('RequestSpec', 'immediate'),
+        ('RequestSpec', 'is_repeat'),
         ('RunningRequest', 'preemptible'),
         ('RunningRequest', 'started'),
         ('Member', 'leaving'),
