--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -41,7 +41,8 @@
     that other requests may share. ``output_tokens`` are those that there has to
     be memory for, ``hint_tokens`` its caller's estimate, 0 if there is none.
     ``pause_target_s`` is the longest pause between two events for which its
-    answer is in time, 0 if there is none.
+    answer is in time, 0 if there is none. ``is_repeat`` tells later attempts at
+    the caller's request from the first.
     """
 
     request_id: bounds.Name
@@ -60,6 +61,8 @@
     hint_tokens: bounds.Count = 0
     pause_target_s: bounds.NonNegative = 0
     availability_zone: bounds.Name = ''
+    route: bounds.Name = ''
+    is_repeat: bool = False
 
 
 class Reading(typing.NamedTuple):
--- a/lavenderledge/policy/replicachoice.py
+++ b/lavenderledge/policy/replicachoice.py
@@ -40,6 +40,8 @@
             if service.estimate_first_byte_s(replica, spec.prompt_tokens, now_s)
             <= left_s
         ]
+    if service.gate is not None:
+        candidates = service.gate.select(candidates, spec, now_s)
     return candidates
 
 
@@ -59,6 +61,9 @@
     has_pauses = bool(waiting.spec.pause_target_s)
     if not has_pauses or service.queue.is_late(waiting):
         return candidates
+    if service.gate is not None and service.gate.targets:
+        # A new version has to show itself at full load.
+        return candidates
     sound = [
         replica
         for replica in candidates
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -377,6 +377,8 @@
     replica.pace.take(now_s)
     prefill_wait_s = replica.estimate_prefill_wait_s(now_s)
     service = state.services[name]
+    if service.gate is not None:
+        service.gate.note_granted(replica, spec, now_s)
     service.demand.note_granted(spec.tier, waiting.work_s, now_s)
     service.note_prefill(replica, spec.prompt_tokens, now_s)
     state.hold(
@@ -390,10 +392,12 @@
             name,
             frozenset(spec.parts),
             spec.tier,
-            replicamemory.count_tokens(spec),
-            spec.hint_tokens,
-            spec.pause_target_s,
-            replica.held + 1,
+            tokens=replicamemory.count_tokens(spec),
+            hint_tokens=spec.hint_tokens,
+            pause_target_s=spec.pause_target_s,
+            load=replica.held + 1,
+            route=spec.route,
+            is_repeat=spec.is_repeat,
         ),
         service=name,
     )
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -10,6 +10,7 @@
     replicahealth,
     replicamemory,
     requestpace,
+    rollouts,
     sizeadmission,
     slotqueue,
     upstreamnotices,
@@ -36,6 +37,7 @@
     """One listed replica; it is slow after its start, for ``cold_s``.
 
     ``started_ms`` is when it started, in Unix milliseconds, 0 if not known.
+    ``version`` is empty if it names none.
     """
 
     name: str
@@ -45,6 +47,7 @@
     slots: int
     cold_s: float
     started_ms: int = 0
+    version: str = ''
 
     @property
     def upstream(self) -> upstreamnotices.Upstream:
@@ -60,7 +63,8 @@
     None if the request was granted by another allocator. ``hint_tokens`` is its
     caller's estimate of the output, ``load`` how many requests its replica ran
     when it was granted, with this one. ``tokens`` are those of the replica's
-    memory that it is expected to take.
+    memory that it is expected to take. ``is_repeat`` tells later attempts from
+    the first.
     """
 
     sender: str
@@ -75,6 +79,13 @@
     hint_tokens: int = 0
     pause_target_s: float = 0
     load: int = 1
+    route: str = ''
+    is_repeat: bool = False
+
+    @property
+    def is_evidence(self) -> bool:
+        """Return whether its outcome tells something of its version."""
+        return self.tier is not None and not self.is_repeat
 
 
 class Replica:
@@ -152,6 +163,8 @@
         self.checked_at_s = float('-inf')
         # Requests that were queued since the last decision.
         self.undecided = 0
+        # Which versions get requests, None if all do.
+        self.gate: rollouts.Gate | None = None
 
     def estimate_first_byte_s(
         self, replica: Replica, prompt_tokens: int, now_s: float
@@ -276,7 +289,7 @@
         free = sum(
             replica.count_free_slots(share=share, now_s=now_s)
             for name, replica in self.replicas.items()
-            if name not in excluded
+            if name not in excluded and self._is_open(replica, now_s)
         )
         return free > self.undecided
 
@@ -290,6 +303,7 @@
             replica
             for replica in self.replicas.values()
             if replica.health.is_available(now_s)
+            and self._is_open(replica, now_s)
         ]
         work_s = self._work_s.read(_DEFAULT_HOLD_S)
         useful = sum(
@@ -298,6 +312,12 @@
         )
         return max(useful * share, _EPSILON)
 
+    def _is_open(self, replica: Replica, now_s: float) -> bool:
+        """Return whether a replica's version gets waiting requests."""
+        return self.gate is None or self.gate.counts_capacity(
+            replica.info.version, now_s
+        )
+
 
 class SlotState:
     """All held slots and all waiting requests of an allocator.
@@ -312,6 +332,7 @@
         self.share = 1.0
         self.has_replica_list = False
         self.memory = replicamemory.MemoryState()
+        self.open_gate: rollouts.OpenGate = _open_none
         self._infos: abc.Sequence[ReplicaInfo] = ()
         self._has_notices = False
 
@@ -330,6 +351,9 @@
             self.services.setdefault(name, Service())
         for name, service in self.services.items():
             self._update_replicas(service, listed.get(name, {}), now_s)
+            service.gate = self.open_gate(
+                name, [replica.info for replica in service.replicas.values()]
+            )
 
     def apply_notices(
         self, board: upstreamnotices.NoticeBoard, now_s: float
@@ -378,6 +402,11 @@
         service = self._find_service(name)
         return None if service is None else service.replicas[name]
 
+    def list_replicas(self, service: str) -> abc.Collection[Replica]:
+        """Return a service's replicas."""
+        owner = self.services.get(service)
+        return () if owner is None else owner.replicas.values()
+
     def note_answer(
         self,
         slot: HeldSlot,
@@ -401,6 +430,9 @@
             )
         own_s = max(first_s - slot.prefill_wait_s, first_s * _MIN_OWN_RATIO)
         expected_s = service.first_byte.estimate(slot.prompt_tokens)
+        rollouts.note_answer(
+            service.gate, replica, slot, (own_s, expected_s), now_s
+        )
         health.note_answer(
             ratio=own_s / expected_s if expected_s else 0,
             slowness=slowness,
@@ -420,13 +452,22 @@
         replica = self.find_replica(slot.replica)
         if replica is not None:
             replica.health.note_failure(now_s)
+            self._note_version_failure(replica, slot, now_s)
 
     def note_error(self, slot: HeldSlot, now_s: float) -> None:
         """Record a request that its replica answered with an error."""
         service = self._find_service(slot.replica)
         if service is not None:
-            service.replicas[slot.replica].health.note_error(now_s)
+            replica = service.replicas[slot.replica]
+            replica.health.note_error(now_s)
             service.error_ratio.note(1)
+            self._note_version_failure(replica, slot, now_s)
+
+    def _note_version_failure(
+        self, replica: Replica, slot: HeldSlot, now_s: float
+    ) -> None:
+        gate = self.services[replica.info.service].gate
+        rollouts.note_failure(gate, replica, slot, now_s)
 
     def _find_service(self, replica: str) -> Service | None:
         """Return the service of a replica, None if it is not listed."""
@@ -463,3 +504,7 @@
             for slot in self.held_slots.values()
             if slot.replica == replica
         )
+
+
+def _open_none(service: str, infos: abc.Sequence[rollouts.ReplicaInfo]) -> None:
+    """Return no gate: all versions get requests."""
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -9,7 +9,7 @@
 from lavenderledge.controllers import caches, slotallocator, slotrequester
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
-from lavenderledge.peers import slotmessages
+from lavenderledge.peers import bounds, slotmessages
 from lavenderledge.policy import (
     crashevidence,
     replicamemory,
@@ -341,6 +341,8 @@
             hint_tokens=self._parsed.expected_output_tokens,
             pause_target_s=match.route.pause_target_s,
             availability_zone=self._deps.availability_zone,
+            route=record.route[: bounds.MAX_CHARACTERS],
+            is_repeat=not is_first,
         )
 
     async def _try_replica(self) -> None:
