Memory of an instance: an account of held bytes, and a limit

Cause: bodies, buffered responses and unsent bytes of slow callers and replicas had no common bound, and a process over its limit is killed.

Above half of it, uploads wait; above three quarters, responses too; a declared body that does not fit is refused with 503 before it is read; above the limit, held work is shed. With room, responses are read from replicas for slow callers. Without the setting, bytes are only counted.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -11,7 +11,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, messages
+from lavenderledge.http1 import bounds, heldbytes, messages
 
 # The kernel ends a connection when data is unacknowledged for this long.
 _USER_TIMEOUT_MS: typing.Final = 5000
@@ -60,8 +60,17 @@
     and a response with too much framing is malformed.
     """
 
-    def __init__(self, *, address: str, clock: clocks.Clock) -> None:
-        """Create a connection to ``host:port`` that is not open yet."""
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: clocks.Clock,
+        account: heldbytes.Account | None = None,
+    ) -> None:
+        """Create a connection to ``host:port`` that is not open yet.
+
+        ``account`` is charged with what is not yet sent.
+        """
         self.address = address
         self.idle_since_s = clock.read_monotonic()
         self.idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
@@ -82,6 +91,8 @@
         self._peer_closes = False
         # Hashes of the ids, which may collide: that costs a connection.
         self._sent_ids = array.array('q')
+        self._account = account or heldbytes.Account()
+        self._charge = self._account.open()
         self.was_used = False
 
     @property
@@ -128,6 +139,17 @@
         self._unused_bytes = 0
         self._bodiless = bodiless
         self._transport.write(request)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Update what is held, as the peer reads it."""
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._charge.replace(unsent_bytes, 0)
+
+    def resume_writing(self) -> None:
+        """Release what has been sent."""
+        self.refresh()
 
     def set_reading(self, *, value: bool) -> None:
         """Resume or pause reading from the peer."""
@@ -156,10 +178,15 @@
         raw_socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
         )
+        if self._account.is_limited:
+            heldbytes.limit_buffers(raw_socket)
+            # ``resume_writing`` is called once everything has been sent.
+            transport.set_write_buffer_limits(high=0)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; an orderly close may complete a response."""
         self._transport = None
+        self._charge.close()
         complete = exc is None and self._head_received and self._until_close
         if complete and not self._skipping:
             self._end(messages.Ending.COMPLETE)
@@ -290,10 +317,18 @@
     """Opens connections and keeps idle ones for reuse, by address."""
 
     def __init__(
-        self, *, clock: clocks.Clock, count: abc.Callable[..., None]
+        self,
+        *,
+        clock: clocks.Clock,
+        count: abc.Callable[..., None],
+        account: heldbytes.Account | None = None,
     ) -> None:
-        """Start empty; ``count`` counts attempts to open a connection."""
+        """Start empty; ``count`` counts attempts to open a connection.
+
+        ``account`` is charged with what connections hold.
+        """
         self._clock = clock
+        self._account = account
         self._count = count
         self._idle: dict[str, list[Connection]] = {}
 
@@ -317,7 +352,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(address=address, clock=self._clock),
+                    lambda: Connection(
+                        address=address,
+                        clock=self._clock,
+                        account=self._account,
+                    ),
                     host,
                     int(port),
                 )
--- a/lavenderledge/http1/listener.py
+++ b/lavenderledge/http1/listener.py
@@ -8,12 +8,14 @@
 
 from lavenderledge import clock as clocks
 from lavenderledge.http1 import bounds as limits
-from lavenderledge.http1 import messages, server
+from lavenderledge.http1 import heldbytes, messages, server
 
 # Connections that can wait to be accepted while the event loop is busy.
 _BACKLOG: typing.Final = 1024
 # How long a client may take to close its side after its last answer.
 _LINGER_S: typing.Final = 5.0
+# In a refusal for want of memory that is built without the request.
+_RETRY_AFTER: typing.Final = (b'Retry-After', b'1')
 
 
 class _FormerBounds(typing.NamedTuple):
@@ -34,8 +36,17 @@
         bounds: limits.Bounds,
         note_fault: abc.Callable[[int], None],
         note_error: abc.Callable[[BaseException], None],
+        account: heldbytes.Account | None = None,
+        inspect: abc.Callable[[messages.Request], server.Inspection]
+        | None = None,
     ) -> None:
-        """Create a closed listener with its first bounds."""
+        """Create a closed listener with its first bounds.
+
+        ``account`` limits what its connections hold, and ``inspect`` gets the
+        heads of requests that are refused or shed.
+        """
+        self.account = account or heldbytes.Account()
+        self.inspect = inspect or _inspect_nothing
         self._bounds = bounds
         self._former: list[_FormerBounds] = []
         self.connections: set[server.Connection] = set()
@@ -67,6 +78,9 @@
         self._server = await loop.create_server(
             self._accept, host, port, backlog=_BACKLOG
         )
+        if self.account.is_limited:
+            for listening in self._server.sockets:
+                heldbytes.limit_buffers(listening)
 
     def replace_bounds(self, new: limits.Bounds, *, overlap_s: float) -> None:
         """Set the bounds; callers may go by the former for ``overlap_s``."""
@@ -125,18 +139,20 @@
         """Close idle connections and refuse slow requests at their timeouts."""
         now_s = self._clock.read_monotonic()
         for connection in tuple(self.connections):
-            age_s = now_s - connection.state_since_s
-            if connection.has_ended:
-                is_over = age_s > _LINGER_S and not connection.has_unsent
+            if self._is_over(connection, now_s):
+                self._end(connection)
             else:
-                is_over = self._is_timed_out(connection, age_s)
-            if is_over and connection.is_reading:
-                self.note_fault(messages.REQUEST_TIMEOUT)
-                connection.refuse(messages.REQUEST_TIMEOUT)
-            elif is_over:
-                connection.close()
+                connection.refresh()
         self._discard_former(now_s)
 
+    def list_uploads(self) -> list[server.Connection]:
+        """Return the connections that are reading a part of a request."""
+        return [
+            connection
+            for connection in self.connections
+            if connection.is_reading
+        ]
+
     def stop(self) -> None:
         """Stop accepting and close all connections."""
         if self._server is not None:
@@ -144,6 +160,22 @@
         for connection in tuple(self.connections):
             connection.close()
 
+    def _is_over(self, connection: server.Connection, now_s: float) -> bool:
+        age_s = now_s - connection.state_since_s
+        if connection.has_ended:
+            return age_s > _LINGER_S and not connection.has_unsent
+        return self._is_timed_out(connection, age_s)
+
+    def _end(self, connection: server.Connection) -> None:
+        """Refuse a request that was not received in time, or close."""
+        if connection.waits_for_memory:
+            connection.refuse_upload('waited')
+        elif connection.is_reading:
+            self.note_fault(messages.REQUEST_TIMEOUT)
+            connection.refuse(messages.REQUEST_TIMEOUT)
+        else:
+            connection.close()
+
     def _is_timed_out(
         self, connection: server.Connection, age_s: float
     ) -> bool:
@@ -180,6 +212,10 @@
         return connection
 
 
+def _inspect_nothing(request: messages.Request) -> server.Inspection:
+    return server.Inspection(0, (_RETRY_AFTER,))
+
+
 def _take_waiting(listening: socket.socket) -> list[socket.socket]:
     """Accept what waits at a socket, and close it in the same step."""
     accepted: list[socket.socket] = []
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -12,7 +12,8 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, messages
+from lavenderledge.http1 import bounds, heldbytes, messages
+from lavenderledge.policy import memorybudget
 
 # Buffered writes beyond this pause the producer of the answer, so that a
 # client that does not read holds little memory. asyncio's default is 64 KiB.
@@ -26,6 +27,8 @@
 # answer to the last of them ends the connection if there are more.
 _MAX_WAITING_REQUESTS: typing.Final = 32
 _CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+# The rank of a request whose head has not been read: below all others.
+_UNKNOWN_RANK: typing.Final = 1000
 
 
 class Reply:
@@ -44,9 +47,21 @@
         self.started = False
         self.ended = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much is held for the connection."""
+        return self._connection.charge.size_bytes
+
+    def hold(self, added_bytes: int) -> None:
+        """Add to what is held for the answer; negative if it is released."""
+        if not self.ended:
+            self._connection.hold(added_bytes)
+
     def watch_writable(self, notify: abc.Callable[[bool], None]) -> None:
         """Call ``notify`` when writing must pause or may resume."""
         self._connection.notify_writable = notify
+        if self._connection.is_ahead:
+            notify(False)
 
     def send(
         self, status: int, fields: abc.Iterable[messages.Header], body: bytes
@@ -124,12 +139,25 @@
     request: messages.Request
     is_last: bool
     knows_chunks: bool
+    size_bytes: int
+
+
+class Inspection(typing.NamedTuple):
+    """What the head of a request tells: its rank, 0 being the highest.
+
+    ``fields`` are those of a refusal for want of memory.
+    """
+
+    rank: int
+    fields: abc.Sequence[messages.Header]
 
 
 class Owner(typing.Protocol):
     """The listener of a connection: its limits and its callbacks."""
 
     connections: 'set[Connection]'
+    account: heldbytes.Account
+    inspect: abc.Callable[[messages.Request], Inspection]
     note_fault: abc.Callable[[int], None]
     note_error: abc.Callable[[BaseException], None]
 
@@ -149,7 +177,8 @@
     ) -> None:
         """Create a connection of a listener, which has its bounds.
 
-        ``closing`` means that the next answer announces the end.
+        ``closing`` means that the next answer announces the end. ``is_ahead``
+        means that more is unsent than memory allows.
         """
         self._listener = listener
         self._handle = handle
@@ -176,10 +205,19 @@
         self._has_ended = False
         self._has_left = False
         self._is_unframed = False
+        self._account = listener.account
+        self._queued_bytes = 0
+        self._running_bytes = 0
+        self._kernel_bytes = 0
+        self._waits = False
+        self._waits_since_s = float(0)
+        self._refused: messages.Request | None = None
+        self.charge = self._account.open()
         self.state_since_s = clock.read_monotonic()
         self.closing = False
         self.is_end_announced = False
         self.knows_chunks = True
+        self.is_ahead = False
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
     @property
@@ -206,7 +244,7 @@
 
         So it is after the loop was blocked or the process suspended.
         """
-        if self._transport is None:
+        if self._transport is None or self._waits:
             return False
         poll = select.poll()
         poll.register(
@@ -219,16 +257,33 @@
         """Return whether a part of a request has been received."""
         return self._task is None and self._reading
 
+    @property
+    def waits_for_memory(self) -> bool:
+        """Return whether an upload is not read on for want of memory."""
+        return self._waits
+
+    @property
+    def missing_bytes(self) -> int:
+        """Return how much of the body has not been read, at most."""
+        return max(1, self._find_declared_bytes() - len(self._body))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport of an accepted connection."""
+        """Store the transport of an accepted connection.
+
+        With a limit on memory, the account tells how much may be unsent.
+        """
         assert isinstance(transport, asyncio.Transport)
-        transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
+        transport.set_write_buffer_limits(
+            high=0 if self._account.is_limited else _HIGH_WATER_BYTES
+        )
         self._transport = transport
         self._listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
         self._listener.connections.discard(self)
+        self._account.leave(self)
+        self.charge.close()
         if self._is_unframed and exc is None and self._task is None:
             # Not earlier: until now, buffered bytes may have been unsent.
             self._set_linger(_ORDERLY_CLOSE)
@@ -250,13 +305,17 @@
 
     def pause_writing(self) -> None:
         """Notify the producer to pause."""
-        self._set_writable(value=False)
+        if not self._account.is_limited:
+            self._set_writable(value=False)
 
     def resume_writing(self) -> None:
         """Notify the producer to resume; without one, idle time begins."""
         if self._task is None and not self._reading:
             self.state_since_s = self._clock.read_monotonic()
-        self._set_writable(value=True)
+        if self._account.is_limited:
+            self._note_unsent()
+        else:
+            self._set_writable(value=True)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, one request at a time."""
@@ -266,6 +325,7 @@
             self._pending += data
             if len(self._pending) > self._bounds.header_bytes:
                 self._pause()
+            self._update_charge()
             return
         if not self._reading:
             self._reading = True
@@ -309,11 +369,17 @@
             or self._parser.should_upgrade()
         ):
             self._fault = messages.BAD_REQUEST
+        elif not self._account.fits(self._count_declared()):
+            self._fault = messages.UNAVAILABLE
+            self._refused = self._build_request(b'')
+            self._account.note_refusal('body', self._count_declared())
         elif self._fields.find(b'expect'):
             self._must_continue = True
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; ``_feed`` then checks its size."""
+        if self._fault == messages.UNAVAILABLE:
+            return
         self._body += body
         self._part_count += 1
 
@@ -333,15 +399,15 @@
         if len(self._received) > _MAX_WAITING_REQUESTS:
             self._received[-1] = self._received[-1]._replace(is_last=True)
             return
-        request = messages.Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            fields=self._fields,
-            body=body,
-            received_s=self._clock.read_monotonic(),
-        )
+        size_bytes = self._size + len(self._target) + len(body)
+        self._queued_bytes += size_bytes
         self._received.append(
-            _Received(request, self._is_last, self._is_chunks_known)
+            _Received(
+                self._build_request(body),
+                self._is_last,
+                self._is_chunks_known,
+                size_bytes,
+            )
         )
 
     def begin_unframed(self) -> None:
@@ -358,6 +424,53 @@
         """Write to the client if it is still connected."""
         if self._transport is not None and not self._has_ended:
             self._transport.write(data)
+            self._note_unsent()
+
+    def hold(self, added_bytes: int) -> None:
+        """Add to what is held for the running request."""
+        self._running_bytes += added_bytes
+        self._update_charge()
+
+    def read_on(self, reserved_bytes: int) -> None:
+        """Read an upload on that waited; the wait is not its caller's."""
+        if not self._waits:
+            return
+        self._waits = False
+        self._kernel_bytes = 0
+        self.state_since_s += self._clock.read_monotonic() - self._waits_since_s
+        self.charge.reserve(reserved_bytes)
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def refresh(self) -> None:
+        """Update what is held, as the kernel and the client change it."""
+        transport = self._transport
+        if transport is None or not self._account.is_limited:
+            return
+        self._kernel_bytes = 0
+        raw_socket = transport.get_extra_info('socket')
+        if not transport.is_reading():
+            self._kernel_bytes += heldbytes.count_unread(raw_socket)
+        if self.has_unsent:
+            self._kernel_bytes += heldbytes.count_unacknowledged(raw_socket)
+        self._note_unsent()
+        self._update_charge()
+
+    def describe(self) -> memorybudget.Holding:
+        """Return what is held for the upload that is being read."""
+        rank = _UNKNOWN_RANK
+        if self._head_received:
+            rank = self._listener.inspect(self._build_request(b'')).rank
+        return memorybudget.Holding(
+            memorybudget.Kind.UPLOAD, rank, self.charge.size_bytes
+        )
+
+    def refuse_upload(self, reason: str) -> None:
+        """Refuse the upload that is being read for want of memory."""
+        self._account.note_refusal(reason, self.charge.size_bytes)
+        if self._head_received:
+            self._refused = self._build_request(b'')
+        self.refuse(messages.UNAVAILABLE)
 
     def abort(self) -> None:
         """Abort the connection at once."""
@@ -376,6 +489,9 @@
         """
         self._task = None
         self._reading = False
+        self._running_bytes = 0
+        self.is_ahead = False
+        self._update_charge()
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
         has_left = self._has_left or self._transport is None
@@ -390,10 +506,13 @@
         """Answer a request that can't be read, and close the connection."""
         self._fault = self._fault or status
         self.closing = True
+        fields: abc.Sequence[messages.Header] = ()
+        if self._refused is not None:
+            fields = self._listener.inspect(self._refused).fields
         self.write(
             messages.format_head(
                 status,
-                (),
+                fields,
                 framing=messages.Framing.LENGTH,
                 length=0,
                 close=True,
@@ -410,7 +529,15 @@
         self._has_ended = True
         self._reading = False
         self._pending = b''
+        self._body = bytearray()
         self._received.clear()
+        self._queued_bytes = 0
+        self._kernel_bytes = 0
+        self._size = 0
+        self._waits = False
+        self._account.leave(self)
+        self.charge.reserve(0)
+        self._update_charge()
         self.state_since_s = self._clock.read_monotonic()
         if self._transport is None:
             return
@@ -448,6 +575,25 @@
         )
         self._check_sizes()
         self._go_on()
+        self._update_charge()
+        self._check_memory()
+
+    def _check_memory(self) -> None:
+        """Let an upload wait if no more of it may be read now."""
+        is_upload = self.is_reading and self._is_partial and self._head_received
+        charge = self.charge
+        if charge.reserved_bytes:
+            left_bytes = charge.reserved_bytes - self._fed_bytes
+            charge.reserve(max(0, left_bytes) if is_upload else 0)
+        if (
+            is_upload
+            and not charge.reserved_bytes
+            and self._account.must_uploads_wait
+        ):
+            self._waits = True
+            self._waits_since_s = self._clock.read_monotonic()
+            self._pause()
+            self._account.wait(self)
 
     def _check_sizes(self) -> None:
         """Refuse a body over its bound, or too much beside head and body.
@@ -495,6 +641,8 @@
     def _begin(self, received: _Received) -> None:
         self.closing = self.closing or received.is_last
         self.knows_chunks = received.knows_chunks
+        self._queued_bytes -= received.size_bytes
+        self._running_bytes = received.size_bytes
         request = received.request
         reply = Reply(self, bodiless=request.method == b'HEAD')
         self._task = asyncio.get_running_loop().create_task(
@@ -516,6 +664,54 @@
         self.closing = True
         reply.send(messages.BAD_GATEWAY, (), b'')
 
+    def _build_request(self, body: bytes) -> messages.Request:
+        return messages.Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            fields=self._fields,
+            body=body,
+            received_s=self._clock.read_monotonic(),
+        )
+
+    def _count_declared(self) -> int:
+        """Return the declared size of a body, 0 if it is not declared."""
+        text = self._fields.find(b'content-length') or b''
+        declared_bytes = int(text) if text.isdigit() else 0
+        return min(declared_bytes, self._bounds.body_bytes)
+
+    def _find_declared_bytes(self) -> int:
+        if self._fields.find(b'content-length') is None:
+            return self._bounds.body_bytes
+        return self._count_declared()
+
+    def _update_charge(self) -> None:
+        unsent_bytes = 0
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        unread_bytes = len(self._body) + len(self._pending)
+        if self._is_partial:
+            unread_bytes += self._size + len(self._target)
+        request_bytes = self._queued_bytes + self._running_bytes
+        self.charge.replace(
+            unread_bytes + request_bytes + self._kernel_bytes + unsent_bytes,
+            unsent_bytes,
+        )
+
+    def _note_unsent(self) -> None:
+        """Charge what is not sent, and pause a producer too far ahead."""
+        assert self._transport is not None
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self.charge.unsent_bytes:
+            self._update_charge()
+        if not self._account.is_limited:
+            return
+        is_ahead = unsent_bytes > 0 and (
+            unsent_bytes > self._account.find_read_ahead()
+        )
+        if is_ahead != self.is_ahead:
+            self.is_ahead = is_ahead
+            self._set_writable(value=not is_ahead)
+
     def _set_linger(self, linger: bytes) -> None:
         if self._transport is not None:
             self._transport.get_extra_info('socket').setsockopt(
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -121,6 +121,7 @@
         self._parsed: headercodec.ParsedResponse | None = None
         self._is_relaying = False
         self._chunks: list[bytes] = []
+        self._buffered_bytes = 0
 
     @property
     def framing(self) -> messages.Framing | None:
@@ -175,6 +176,8 @@
             return
         self.last_progress_s = now_s
         self._chunks.append(body)
+        self._buffered_bytes += len(body)
+        self._relay.reply.hold(len(body))
         if self.size_bytes > _MAX_BUFFERED_BYTES:
             self._end_buffering()
 
@@ -188,6 +191,14 @@
         """Set the result of an attempt that has none yet."""
         if not self.done.done():
             self.done.set_result(result)
+        if self.buffered is None:
+            self.discard()
+
+    def discard(self) -> None:
+        """Release what is buffered of a response that is not used."""
+        self._chunks.clear()
+        self._relay.reply.hold(-self._buffered_bytes)
+        self._buffered_bytes = 0
 
     def _is_success(self) -> bool:
         assert self._head is not None
@@ -204,9 +215,9 @@
         if self._is_success():
             self._is_relaying = True
             self._relay_body(b''.join(self._chunks))
+            self.discard()
         else:
             self.end(Result.INVALID)
-        self._chunks.clear()
 
     def _relay_body(self, body: bytes) -> None:
         if self._is_stream:
@@ -251,6 +262,7 @@
             messages.list_end_to_end(self._head.fields),
             b''.join(self._chunks),
         )
+        self._chunks.clear()
         if self._is_success():
             self._make_progress()
             return Result.DELIVERED
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -10,7 +10,12 @@
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.http1 import client, messages, server
 from lavenderledge.peers import slotmessages
-from lavenderledge.policy import crashevidence, retrybudget, routes
+from lavenderledge.policy import (
+    crashevidence,
+    memorybudget,
+    retrybudget,
+    routes,
+)
 from lavenderledge.proxy import (
     attempts,
     headercodec,
@@ -182,7 +187,23 @@
         self.log(Ending(status, outcome, reason))
         self._relay.reply.send(status, fields, b'')
 
-    def abandon(self, reason: str) -> None:
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a replica may have started to process it."""
+        return self._record.may_have_run or bool(self._running)
+
+    def describe(self) -> memorybudget.Holding:
+        """Return what is held for the request."""
+        kinds = memorybudget.Kind
+        return memorybudget.Holding(
+            kinds.RUNNING if self.has_begun else kinds.WAITING,
+            self._record.rank or 0,
+            self._relay.reply.held_bytes,
+        )
+
+    def abandon(
+        self, reason: str, status: int = messages.GATEWAY_TIMEOUT
+    ) -> None:
         """End the request now; whether it has run is not known."""
         if self.is_finished:
             return
@@ -194,8 +215,8 @@
             self._parsed.request_id, None
         )
         self._deps.metrics.count('refusals', reason=reason, outcome='unknown')
-        self.log(Ending(messages.GATEWAY_TIMEOUT, 'unknown', reason))
-        self._relay.reply.send(messages.GATEWAY_TIMEOUT, fields, b'')
+        self.log(Ending(status, 'unknown', reason))
+        self._relay.reply.send(status, fields, b'')
 
     def _break_off(self, reason: str) -> None:
         """Abort a response that has begun and can't be completed."""
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -1,10 +1,26 @@
 """Serves callers' requests, one exchange for each."""
 
 import asyncio
+import functools
+import typing
+from collections import abc
 
 from lavenderledge.http1 import messages, server
+from lavenderledge.policy import memorybudget, routes
 from lavenderledge.proxy import exchange, headercodec
 
+# How long a caller should wait after a refusal for want of memory: uploads take
+# seconds.
+_RETRY_AFTER_S: typing.Final = 1.0
+_UNKNOWN_RANK: typing.Final = routes.ROUTE_TIERS
+
+
+class RunningRequest(typing.NamedTuple):
+    """A request without a complete answer; ``shed`` ends it now."""
+
+    holding: memorybudget.Holding
+    shed: abc.Callable[[], None]
+
 
 class Forwarder:
     """Serves callers' requests."""
@@ -13,7 +29,7 @@
         """Create a forwarder that accepts requests."""
         self._refuses_all = False
         self._deps = deps
-        self._running: set[exchange.Exchange] = set()
+        self._running: dict[exchange.Exchange, asyncio.Task[typing.Any]] = {}
 
     def set_age_limits(self, age_limits: exchange.AgeLimits) -> None:
         """Set the age limits for new requests."""
@@ -45,7 +61,9 @@
         if self._refuses_all:
             current.refuse(messages.UNAVAILABLE, 'stopping', 0)
             return
-        self._running.add(current)
+        task = asyncio.current_task()
+        assert task is not None
+        self._running[current] = task
         try:
             await current.run()
         except asyncio.CancelledError:
@@ -56,4 +74,47 @@
             current.abandon('handler_failed')
             raise
         finally:
-            self._running.discard(current)
+            self._running.pop(current)
+
+    def list_running(self) -> list[RunningRequest]:
+        """Return the requests that have no complete answer yet."""
+        return [
+            RunningRequest(
+                current.describe(), functools.partial(self._shed, current, task)
+            )
+            for current, task in self._running.items()
+            if not current.is_finished
+        ]
+
+    def inspect(self, request: messages.Request) -> server.Inspection:
+        """Return what the head of a request tells before it is handled."""
+        codec = self._deps.header_codec
+        parsed = codec.parse_request(request)
+        if isinstance(parsed, headercodec.MalformedRequest):
+            return server.Inspection(
+                _UNKNOWN_RANK, ((b'Retry-After', b'%.3f' % _RETRY_AFTER_S),)
+            )
+        fields = codec.build_local_fields(parsed.request_id, _RETRY_AFTER_S)
+        return server.Inspection(self._find_rank(parsed), fields)
+
+    def _find_rank(self, parsed: headercodec.ParsedRequest) -> int:
+        current = self._deps.configuration.current
+        if current is None:
+            return _UNKNOWN_RANK
+        found = routes.match_request(
+            current, host=parsed.host, path=parsed.path, key=parsed.key
+        )
+        if isinstance(found, routes.Rejection):
+            return _UNKNOWN_RANK
+        return found.rank
+
+    def _shed(
+        self, current: exchange.Exchange, task: asyncio.Task[typing.Any]
+    ) -> None:
+        """End a request; one that may have run gets no status "not run"."""
+        if current.has_begun:
+            current.abandon('memory', messages.BAD_GATEWAY)
+        else:
+            current.refuse(messages.UNAVAILABLE, 'memory', _RETRY_AFTER_S)
+        # Its body is held until its task has ended.
+        task.cancel()
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -60,6 +60,7 @@
         done = run.attempt.done
         if not done.done():
             run.connection.abort()
+            run.attempt.discard()
         elif done.result() in _UNSOUND_RESULTS:
             run.connection.prevent_reuse()
         if not run.attempt.is_identified:
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -17,16 +17,24 @@
 )
 from lavenderledge.daemon import metrics as meters
 from lavenderledge.daemon import tasks as background
-from lavenderledge.http1 import bounds, client, listener, messages, server
+from lavenderledge.http1 import (
+    bounds,
+    client,
+    heldbytes,
+    listener,
+    messages,
+    server,
+)
 from lavenderledge.peers import keys, link, slotmessages
 from lavenderledge.peers import messages as peermessages
 from lavenderledge.policy import (
+    memorybudget,
     retrybudget,
     routes,
     tokenbuckets,
     upstreamnotices,
 )
-from lavenderledge.proxy import exchange, forwarding, watching
+from lavenderledge.proxy import exchange, forwarding, shedding, watching
 from lavenderledge.proxy import settings as proxysettings
 from lavenderledge.registry import timedstore
 
@@ -81,8 +89,11 @@
         self._clock = clock
         self._metrics = meters.Metrics()
         self._tasks = background.Tasks(clock=clock, count=self._metrics.count)
+        self._account = heldbytes.Account(
+            limit_bytes=memorybudget.compute_limit(settings.memory_mb)
+        )
         self._pool = client.ConnectionPool(
-            clock=clock, count=self._metrics.count
+            clock=clock, count=self._metrics.count, account=self._account
         )
         self._store = timedstore.TimedStore(
             store=platform.open_store(str(settings.store), self._pool),
@@ -186,9 +197,21 @@
                 count_instances=self._registration.count_alive,
             ),
         )
-        self._caller_listener = self._build_listener(self._forwarder.serve)
+        self._caller_listener = self._build_listener(
+            self._forwarder.serve,
+            account=self._account,
+            inspect=self._forwarder.inspect,
+        )
         self._ready_listener = self._build_listener(self._serve_ready)
         self._metrics_listener = self._build_listener(self._serve_metrics)
+        self._shedder = shedding.Shedder(
+            instance=settings.instance,
+            account=self._account,
+            callers=self._caller_listener,
+            forwarder=self._forwarder,
+            metrics=self._metrics,
+        )
+        self._shedder.start()
         self._stop_requested = asyncio.Event()
 
     def handle_signals(
@@ -377,6 +400,7 @@
             self._ready_listener.enforce_timeouts()
             self._metrics_listener.enforce_timeouts()
             self._pool.close_expired()
+            self._shedder.sweep()
             due_s = (
                 self._clock.read_monotonic() + _SWEEP_INTERVAL.total_seconds()
             )
@@ -402,9 +426,18 @@
             on_change=self._update_links,
         )
 
-    def _build_listener(self, handle: server.Handle) -> listener.Listener:
+    def _build_listener(
+        self,
+        handle: server.Handle,
+        *,
+        account: heldbytes.Account | None = None,
+        inspect: abc.Callable[[messages.Request], server.Inspection]
+        | None = None,
+    ) -> listener.Listener:
         return listener.Listener(
             handle=handle,
+            account=account,
+            inspect=inspect,
             clock=self._clock,
             bounds=_INITIAL_BOUNDS,
             note_fault=lambda status: self._metrics.count(
@@ -441,6 +474,7 @@
             'configuration_age_seconds',
             min(self._watcher.configuration.age_s(), _MAX_AGE_S),
         )
+        self._shedder.set_gauges()
         body, _ = self._metrics.render(())
         reply.send(messages.OK, ((b'Content-Type', b'text/plain'),), body)
 
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -39,6 +39,7 @@
     quota_window_s: float
     quota_overrun: float
     quota_slack: float
+    memory_mb: float
     log_level: str
 
     @property
@@ -57,6 +58,11 @@
         return self.drain_ms / _MILLISECONDS
 
 
+def _parse_optional_number(text: str) -> float:
+    """Return 0 for a variable that the platform's template left empty."""
+    return _parse_number(text) if text else float(0)
+
+
 def _parse_number(text: str) -> float:
     number = float(text)
     if not 0 <= number < float('inf'):
@@ -196,6 +202,13 @@
         '0',
         'quota units that may be used in a window beyond that',
     ),
+    definition.declare(
+        '--memory-mb',
+        'MEGABYTES',
+        _parse_optional_number,
+        '0',
+        'memory that the process may use; 0 means no limit',
+    ),
     definition.declare(
         '--log-level',
         'LEVEL',
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -187,6 +187,7 @@
             quota_window_s=8,
             quota_overrun=0,
             quota_slack=0,
+            memory_mb=0,
             log_level='info',
         )._replace(**changes)
         running = instance.Instance(
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -275,6 +275,7 @@
                 quota_window_s=8,
                 quota_overrun=0,
                 quota_slack=0,
+                memory_mb=0,
                 log_level='error',
             ),
             platform=program.PLATFORM._replace(
