--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -73,8 +73,8 @@
         'peer_address_invalid': _list_fields('instance address error'),
         'peer_handler_failed': _list_fields('kind exception'),
         'peer_key_unknown': _list_fields('address'),
-        # Memory. ``level`` is that of the bytes held (policy/memorybudget).
-        'memory_level': _list_fields('instance level held_bytes waiting'),
+        # Memory. ``state`` is the level of the account (policy/memorybudget).
+        'memory_level': _list_fields('instance state held_bytes waiting'),
         'memory_refused': _list_fields('instance reason size_bytes held_bytes'),
         'memory_shed': _list_fields('instance kind rank size_bytes held_bytes'),
         # Start, reload, stop and internal failures.
--- a/lavenderledge/policy/memorybudget.py
+++ b/lavenderledge/policy/memorybudget.py
@@ -141,7 +141,8 @@
 
     Below the first threshold, each reads a part. Above it, an upload is read
     on only if its rest fits below the second one: otherwise many incomplete
-    uploads could wait for each other.
+    uploads could wait for each other. If none fits, the oldest one reads on up
+    to the limit: the rest of a chunked body is not known.
     """
     used_bytes = usage.held_bytes + usage.reserved_bytes
     is_below = used_bytes < thresholds.upload_bytes
@@ -158,6 +159,9 @@
         elif missing_bytes <= room_bytes:
             room_bytes -= missing_bytes
             chosen.append(Resumption(index, missing_bytes))
+    left_bytes = thresholds.limit_bytes - used_bytes
+    if missing and not chosen and left_bytes > 0 and not usage.reserved_bytes:
+        return [Resumption(0, min(missing[0], left_bytes))]
     return chosen
 
 
--- a/lavenderledge/proxy/shedding.py
+++ b/lavenderledge/proxy/shedding.py
@@ -54,7 +54,7 @@
             self._level = level
             self._log(
                 'memory_level',
-                level=level.name.lower(),
+                state=level.name.lower(),
                 waiting=self._account.waiting_count,
             )
 
--- a/tests/singleinstance.py
+++ b/tests/singleinstance.py
@@ -14,13 +14,15 @@
 from lavenderledge import clock as clocks
 from lavenderledge.controllers import caches, slotrequester
 from lavenderledge.daemon import metrics
-from lavenderledge.http1 import bounds, client, listener
+from lavenderledge.http1 import bounds as limits
+from lavenderledge.http1 import client, heldbytes, listener
 from lavenderledge.platform import __main__ as program
 from lavenderledge.policy import retrybudget
-from lavenderledge.proxy import exchange, forwarding
+from lavenderledge.proxy import exchange, forwarding, shedding
 from tests import platformfleet, rawreplica
 
 _READ_BYTES = 65536
+BOUNDS = limits.Bounds(16384, 65536, 5, 5)
 
 
 class Answer(typing.NamedTuple):
@@ -143,29 +145,52 @@
 
 
 class Instance:
-    """Serves callers from raw replicas; ``pool`` has their connections."""
+    """Serves callers from raw replicas; ``pool`` has their connections.
 
-    def __init__(self, replicas, *, clock=None):
+    ``limit_bytes`` is the limit of its account, 0 for none.
+    """
+
+    def __init__(self, replicas, *, clock=None, limit_bytes=0, bounds=BOUNDS):
         clock = clock or clocks.SystemClock()
         self.replicas = replicas
+        self.account = heldbytes.Account(limit_bytes=limit_bytes)
         self.pool = client.ConnectionPool(
-            clock=clock, count=lambda *args, **labels: None
+            clock=clock,
+            count=lambda *args, **labels: None,
+            account=self.account,
         )
         self.errors = []
         self.requester = GrantingRequester(replicas, clock)
+        self.metrics = metrics.Metrics()
+        forwarder = forwarding.Forwarder(deps=self._build(clock))
         self._listener = listener.Listener(
-            handle=forwarding.Forwarder(deps=self._build(clock)).serve,
+            handle=forwarder.serve,
             clock=clock,
-            bounds=bounds.Bounds(16384, 65536, 5, 5),
+            bounds=bounds,
             note_fault=lambda status: None,
             note_error=self.errors.append,
+            account=self.account,
+            inspect=forwarder.inspect,
         )
+        self.shedder = shedding.Shedder(
+            instance='a',
+            account=self.account,
+            callers=self._listener,
+            forwarder=forwarder,
+            metrics=self.metrics,
+        )
+        self.shedder.start()
 
     async def start(self):
         for replica in self.replicas.values():
             await replica.start()
         await self._listener.listen('127.0.0.1', 0)
 
+    def sweep(self):
+        """Do what an instance does twice a second."""
+        self._listener.enforce_timeouts()
+        self.shedder.sweep()
+
     async def stop(self):
         self._listener.stop()
         self.pool.close()
@@ -192,7 +217,7 @@
             configuration=configuration,
             requester=self.requester,
             pool=self.pool,
-            metrics=metrics.Metrics(),
+            metrics=self.metrics,
             age_limits=exchange.AgeLimits(1e6, 1e6),
             budgets=retrybudget.RetryBudgets(
                 budget=retrybudget.Budget(10, 1e6, 10)
@@ -219,8 +244,9 @@
     version=b'1.1',
     deadline_ms=3000,
     request_id=b'r-0',
+    framing=b'Content-Length: 0',
 ):
-    """Return the bytes of a request."""
+    """Return the bytes of a request's head."""
     return b'\r\n'.join(
         (
             b'%b %b HTTP/%b' % (method, path.encode(), version),
@@ -228,7 +254,7 @@
             b'Attempt-Id: ' + request_id,
             b'Deadline-Ms: %d' % deadline_ms,
             b'Authorization: Bearer ' + platformfleet.KEY.encode(),
-            b'Content-Length: 0',
+            framing,
             b'',
             b'',
         )
@@ -300,11 +326,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(*replicas, clock=None):
+async def running(*replicas, **options):
     """Run an instance with replicas ``i-0`` and so on."""
     instance = Instance(
         {f'i-{number}': replica for number, replica in enumerate(replicas)},
-        clock=clock,
+        **options,
     )
     await instance.start()
     try:
