Memory of an instance: bodies are sent in parts, and small ones have room

Cause: with hundreds of slow callers and a replica that reads 1 KB/s, the account was full of bodies, half of them copies in write buffers, and requests with a small body were refused.

Change: a large body is written to its replica in parts, without a copy. Large and chunked bodies are admitted up to three quarters of the limit.

--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -24,6 +24,9 @@
 _MAX_UNUSED_BYTES: typing.Final = 262_144
 # How many requests with an id are sent on a connection.
 _MAX_IDENTIFIED_REQUESTS: typing.Final = 256
+# A body is written in parts of this size if memory is limited.
+_PART_BYTES: typing.Final = 131_072
+_NOTHING: typing.Final = memoryview(b'')
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -92,6 +95,7 @@
         # Hashes of the ids, which may collide: that costs a connection.
         self._sent_ids = array.array('q')
         self._account = account or heldbytes.Account()
+        self._unwritten = _NOTHING
         self._charge = self._account.open()
         self.was_used = False
 
@@ -106,7 +110,9 @@
         if self._not_reusable or not self.is_open or self._receiver is not None:
             return False
         assert self._transport is not None
-        return not self._transport.get_write_buffer_size()
+        return not self._unwritten and (
+            not self._transport.get_write_buffer_size()
+        )
 
     def is_expired(self, now_s: float) -> bool:
         """Return whether the peer may have reached its idle timeout."""
@@ -123,10 +129,13 @@
         *,
         request_id: str | None = None,
         bodiless: bool = False,
+        body: bytes = b'',
     ) -> None:
         """Send a request; ``bodiless`` means a response without a body.
 
         ``request_id`` is what its response names, None if it names nothing.
+        ``body`` is the end of ``request``; it is held by the caller, and not
+        copied if memory is limited.
         """
         assert self._transport is not None
         self.was_used = True
@@ -138,18 +147,22 @@
         self._skipping = False
         self._unused_bytes = 0
         self._bodiless = bodiless
-        self._transport.write(request)
-        self.refresh()
-
-    def refresh(self) -> None:
-        """Update what is held, as the peer reads it."""
-        if self._transport is not None:
-            unsent_bytes = self._transport.get_write_buffer_size()
-            self._charge.replace(unsent_bytes, 0)
+        if self._account.is_limited and len(body) > _PART_BYTES:
+            self._unwritten = memoryview(body)
+            self._transport.write(request[: -len(body)])
+            self.resume_writing()
+        else:
+            self._transport.write(request)
+            self._update_charge()
 
     def resume_writing(self) -> None:
-        """Release what has been sent."""
-        self.refresh()
+        """Write the next part, and release what has been sent."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        while self._unwritten and not self._transport.get_write_buffer_size():
+            self._transport.write(self._unwritten[:_PART_BYTES])
+            self._unwritten = self._unwritten[_PART_BYTES:]
+        self._update_charge()
 
     def set_reading(self, *, value: bool) -> None:
         """Resume or pause reading from the peer."""
@@ -186,6 +199,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; an orderly close may complete a response."""
         self._transport = None
+        self._unwritten = _NOTHING
         self._charge.close()
         complete = exc is None and self._head_received and self._until_close
         if complete and not self._skipping:
@@ -260,6 +274,11 @@
             self._finish()
         self._head_received = False
 
+    def _update_charge(self) -> None:
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._charge.replace(unsent_bytes, 0)
+
     def _note_sent(self, request_id: str) -> None:
         self._sent_ids.append(hash(request_id))
         if len(self._sent_ids) >= _MAX_IDENTIFIED_REQUESTS:
--- a/lavenderledge/http1/heldbytes.py
+++ b/lavenderledge/http1/heldbytes.py
@@ -133,8 +133,8 @@
         """Add to the reserved bytes."""
         self._reserved_bytes += added_bytes
 
-    def fits(self, declared_bytes: int) -> bool:
-        """Return whether a body of this size may be read."""
+    def fits(self, declared_bytes: int | None) -> bool:
+        """Return whether a body may be read; None if its size is unknown."""
         return memorybudget.fits(declared_bytes, self.usage, self.thresholds)
 
     def find_read_ahead(self) -> int:
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -265,7 +265,10 @@
     @property
     def missing_bytes(self) -> int:
         """Return how much of the body has not been read, at most."""
-        return max(1, self._find_declared_bytes() - len(self._body))
+        declared_bytes = self._find_declared()
+        if declared_bytes is None:
+            declared_bytes = self._bounds.body_bytes
+        return max(1, declared_bytes - len(self._body))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of an accepted connection.
@@ -369,10 +372,10 @@
             or self._parser.should_upgrade()
         ):
             self._fault = messages.BAD_REQUEST
-        elif not self._account.fits(self._count_declared()):
+        elif not self._account.fits(self._find_declared()):
             self._fault = messages.UNAVAILABLE
             self._refused = self._build_request(b'')
-            self._account.note_refusal('body', self._count_declared())
+            self._account.note_refusal('body', self._find_declared() or 0)
         elif self._fields.find(b'expect'):
             self._must_continue = True
 
@@ -673,17 +676,17 @@
             received_s=self._clock.read_monotonic(),
         )
 
-    def _count_declared(self) -> int:
-        """Return the declared size of a body, 0 if it is not declared."""
+    def _find_declared(self) -> int | None:
+        """Return the declared size of a body, None if it is chunked.
+
+        A larger one than is allowed is refused for its size when it is read.
+        """
+        if self._fields.find(b'transfer-encoding') is not None:
+            return None
         text = self._fields.find(b'content-length') or b''
         declared_bytes = int(text) if text.isdigit() else 0
         return min(declared_bytes, self._bounds.body_bytes)
 
-    def _find_declared_bytes(self) -> int:
-        if self._fields.find(b'content-length') is None:
-            return self._bounds.body_bytes
-        return self._count_declared()
-
     def _update_charge(self) -> None:
         unsent_bytes = 0
         if self._transport is not None:
--- a/lavenderledge/policy/memorybudget.py
+++ b/lavenderledge/policy/memorybudget.py
@@ -18,6 +18,8 @@
 # Shares of the limit from which uploads and responses are not read on.
 _UPLOAD_RATIO: typing.Final = 0.5
 _RESPONSE_RATIO: typing.Final = 0.75
+# Up to this share, one upload is read on if no other one can be.
+_LAST_UPLOAD_RATIO: typing.Final = 0.875
 # All that is read ahead for slow callers stays below this share, so that
 # callers that read nothing leave room for uploads.
 _AHEAD_RATIO: typing.Final = 0.4
@@ -25,6 +27,9 @@
 _AHEAD_PART: typing.Final = 0.25
 # Read ahead for each caller in any case below the response threshold.
 _MIN_AHEAD_BYTES: typing.Final = 65_536
+# Larger bodies leave room for requests with a small one, up to the response
+# threshold.
+_SMALL_BODY_BYTES: typing.Final = 65_536
 # What a connection may read before it is checked again.
 _READ_BYTES: typing.Final = 131_072
 
@@ -115,12 +120,22 @@
     return Level.NORMAL
 
 
-def fits(declared_bytes: int, usage: Usage, thresholds: Thresholds) -> bool:
-    """Return whether a body of the declared size still fits."""
+def fits(
+    declared_bytes: int | None, usage: Usage, thresholds: Thresholds
+) -> bool:
+    """Return whether a body of the declared size still fits.
+
+    None means that the size is not declared, as of a chunked body.
+    """
     if not thresholds.limit_bytes:
         return True
     used_bytes = usage.held_bytes + usage.reserved_bytes
-    return used_bytes + declared_bytes <= thresholds.limit_bytes
+    if declared_bytes is None:
+        return used_bytes < thresholds.response_bytes
+    used_bytes += declared_bytes
+    if declared_bytes > _SMALL_BODY_BYTES:
+        return used_bytes <= thresholds.response_bytes
+    return used_bytes <= thresholds.limit_bytes
 
 
 def find_read_ahead(usage: Usage, thresholds: Thresholds) -> int:
@@ -141,8 +156,8 @@
 
     Below the first threshold, each reads a part. Above it, an upload is read
     on only if its rest fits below the second one: otherwise many incomplete
-    uploads could wait for each other. If none fits, the oldest one reads on up
-    to the limit: the rest of a chunked body is not known.
+    uploads could wait for each other. If none fits, the oldest one reads on a
+    bit further: the rest of a chunked body is not known.
     """
     used_bytes = usage.held_bytes + usage.reserved_bytes
     is_below = used_bytes < thresholds.upload_bytes
@@ -159,7 +174,8 @@
         elif missing_bytes <= room_bytes:
             room_bytes -= missing_bytes
             chosen.append(Resumption(index, missing_bytes))
-    left_bytes = thresholds.limit_bytes - used_bytes
+    last_bytes = int(thresholds.limit_bytes * _LAST_UPLOAD_RATIO)
+    left_bytes = last_bytes - used_bytes
     if missing and not chosen and left_bytes > 0 and not usage.reserved_bytes:
         return [Resumption(0, min(missing[0], left_bytes))]
     return chosen
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -543,6 +543,7 @@
             attempt,
             request_id=self._parsed.request_id,
             bodiless=bodiless,
+            body=self._request.body,
         )
         return run
 
