--- a/lavenderledge/http1/heldbytes.py
+++ b/lavenderledge/http1/heldbytes.py
@@ -135,7 +135,9 @@
 
     def fits(self, declared_bytes: int | None) -> bool:
         """Return whether a body may be read; None if its size is unknown."""
-        return memorybudget.fits(declared_bytes, self.usage, self.thresholds)
+        return not self.is_limited or memorybudget.fits(
+            declared_bytes, self.usage, self.thresholds
+        )
 
     def find_read_ahead(self) -> int:
         """Return how many bytes may wait for a caller to read them."""
--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -373,6 +373,7 @@
         ):
             self._fault = messages.BAD_REQUEST
         elif not self._account.fits(self._find_declared()):
+            # Nothing of the body is kept.
             self._fault = messages.UNAVAILABLE
             self._refused = self._build_request(b'')
             self._account.note_refusal('body', self._find_declared() or 0)
@@ -536,7 +537,7 @@
         self._received.clear()
         self._queued_bytes = 0
         self._kernel_bytes = 0
-        self._size = 0
+        self._is_partial = False
         self._waits = False
         self._account.leave(self)
         self.charge.reserve(0)
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -178,6 +178,8 @@
         await platformfleet.wait_until(lambda: read_held(instance) > 9000)
         exceed(instance)
         check_refusal(await singleinstance.receive(reader))
+        # Also while its caller keeps the connection open.
+        await wait_until_released(instance)
         writer.write(data[9000:])
         writer.close()
         assert not instance.replicas['i-0'].heads
@@ -200,6 +202,10 @@
         await platformfleet.wait_until(lambda: read_held(instance) > len(BODY))
         exceed(instance)
         check_refusal(await singleinstance.receive(reader))
+        # Its task, which has the body, ends before a slot is granted.
+        await platformfleet.wait_until(
+            lambda: not instance.shedder._forwarder._running
+        )
         granted.set()
         await wait_until_released(instance)
         await asyncio.sleep(0.05)
@@ -284,6 +290,60 @@
         await wait_until_released(instance)
 
 
+class LateReplica(singleinstance.Replica):
+    """Reads a request only when it may; ``bodies`` has what it has read."""
+
+    def __init__(self, build):
+        super().__init__(build)
+        self.may_read = asyncio.Event()
+        self.bodies = []
+
+    async def _answer(self, reader, number):
+        await self.may_read.wait()
+        await reader.readuntil(b'\r\n\r\n')
+        self.bodies.append(await reader.readexactly(len(LARGE)))
+        return self.build(b'r-0', 0, number)
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+async def test_a_large_body_is_held_once_for_a_replica_that_reads_late(leaves):
+    replica = LateReplica(answer)
+    limits = BOUNDS._replace(body_bytes=len(LARGE))
+    async with singleinstance.running(
+        replica, limit_bytes=ROOMY, bounds=limits
+    ) as instance:
+        framing, data = frame(LARGE, is_chunked=False)
+        reader, writer = await send(instance, data, framing=framing)
+        await platformfleet.wait_until(
+            lambda: read_held(instance) > len(LARGE) + 10_000
+        )
+        assert read_held(instance) < len(LARGE) + 200_000
+        if leaves:
+            rawreplica.reset(writer)
+            await wait_until_released(instance)
+        replica.may_read.set()
+        if not leaves:
+            assert (await singleinstance.receive(reader)).status == 200
+            assert replica.bodies == [LARGE]
+            writer.close()
+            await wait_until_released(instance)
+
+
+async def test_a_buffered_part_is_released_when_its_attempt_ends():
+    def cut(request_id, last_event_id, number):
+        fields = b'Content-Length: %d' % len(BODY)
+        head = rawreplica.build_head(request_id, fields)
+        return singleinstance.Answer(head + BODY[:200_000], 'close')
+
+    replicas = [singleinstance.Replica(build) for build in (cut, hang)]
+    async with singleinstance.running(*replicas, limit_bytes=LIMIT) as instance:
+        _, writer = await send(instance, b'')
+        await platformfleet.wait_until(lambda: replicas[1].heads)
+        assert read_held(instance) < 10_000
+        writer.close()
+        await wait_until_released(instance)
+
+
 async def leave_upload(instance):
     framing, data = frame(BODY, is_chunked=False)
     _, writer = await send(instance, data[:200_000], framing=framing)
--- a/tests/test_slowpeers.py
+++ b/tests/test_slowpeers.py
@@ -221,7 +221,6 @@
         store = formats.Address('127.0.0.1', fleet._store_listener.port)
         async with running_process(store, ports) as process:
             await wait_until_ready(ports[0])
-            idle_mb = read_peak_mb(process.pid)
             tasks = [
                 *(read_slowly(ports[0], number) for number in range(READERS)),
                 *(
