--- a/lavenderledge/http1/client.py
+++ b/lavenderledge/http1/client.py
@@ -11,7 +11,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, messages, receipt
+from lavenderledge.http1 import bounds, heldbytes, messages, receipt
 
 # The kernel ends a connection when data is unacknowledged for this long.
 _USER_TIMEOUT_MS: typing.Final = 5000
@@ -24,6 +24,9 @@
 _MAX_UNUSED_BYTES: typing.Final = 262_144
 # How many requests with an id are sent on a connection.
 _MAX_IDENTIFIED_REQUESTS: typing.Final = 256
+# A body is written in parts of this size if memory is limited.
+_PART_BYTES: typing.Final = 131_072
+_NOTHING: typing.Final = memoryview(b'')
 _KEEP_ALIVE: typing.Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -60,8 +63,17 @@
     and a response with too much framing is malformed.
     """
 
-    def __init__(self, *, address: str, clock: clocks.Clock) -> None:
-        """Create a connection to ``host:port`` that is not open yet."""
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: clocks.Clock,
+        account: heldbytes.Account | None = None,
+    ) -> None:
+        """Create a connection to ``host:port`` that is not open yet.
+
+        ``account`` is charged with what is not yet sent.
+        """
         self.address = address
         self.idle_since_s = clock.read_monotonic()
         self.idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
@@ -82,6 +94,9 @@
         self._peer_closes = False
         # Hashes of the ids, which may collide: that costs a connection.
         self._sent_ids = array.array('q')
+        self._account = account or heldbytes.Account()
+        self._unwritten = _NOTHING
+        self._charge = self._account.open()
         self.was_used = False
 
     @property
@@ -95,7 +110,9 @@
         if self._not_reusable or not self.is_open or self._receiver is not None:
             return False
         assert self._transport is not None
-        return not self._transport.get_write_buffer_size()
+        return not self._unwritten and (
+            not self._transport.get_write_buffer_size()
+        )
 
     def is_expired(self, now_s: float) -> bool:
         """Return whether the peer may have reached its idle timeout."""
@@ -112,10 +129,13 @@
         *,
         request_id: str | None = None,
         bodiless: bool = False,
+        body: bytes = b'',
     ) -> None:
         """Send a request; ``bodiless`` means a response without a body.
 
         ``request_id`` is what its response names, None if it names nothing.
+        ``body`` is the end of ``request``; it is held by the caller, and not
+        copied if memory is limited.
         """
         assert self._transport is not None
         self.was_used = True
@@ -127,7 +147,22 @@
         self._skipping = False
         self._unused_bytes = 0
         self._bodiless = bodiless
-        self._transport.write(request)
+        if self._account.is_limited and len(body) > _PART_BYTES:
+            self._unwritten = memoryview(body)
+            self._transport.write(request[: -len(body)])
+            self.resume_writing()
+        else:
+            self._transport.write(request)
+            self._update_charge()
+
+    def resume_writing(self) -> None:
+        """Write the next part, and release what has been sent."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        while self._unwritten and not self._transport.get_write_buffer_size():
+            self._transport.write(self._unwritten[:_PART_BYTES])
+            self._unwritten = self._unwritten[_PART_BYTES:]
+        self._update_charge()
 
     def set_reading(self, *, value: bool) -> None:
         """Resume or pause reading from the peer."""
@@ -156,6 +191,10 @@
         raw_socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
         )
+        if self._account.is_limited:
+            heldbytes.limit_buffers(raw_socket)
+            # ``resume_writing`` is called once everything has been sent.
+            transport.set_write_buffer_limits(high=0)
 
     def eof_received(self) -> bool:
         """Return whether the connection stays open for the request's rest.
@@ -172,7 +211,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; an orderly close may complete a response."""
         self._transport = None
-        if exc is None and self._is_ended_by_close:
+        is_ended = self._is_ended_by_close
+        self._unwritten = _NOTHING
+        self._charge.close()
+        if exc is None and is_ended:
             self._end(messages.Ending.COMPLETE)
         elif exc is None:
             self._end(messages.Ending.CLOSED)
@@ -252,7 +294,14 @@
     def _is_ended_by_close(self) -> bool:
         """Return whether an orderly close completes the response."""
         is_unframed = self._head_received and self._until_close
-        return self._receiver is not None and is_unframed and not self._skipping
+        is_sent = not self._unwritten
+        is_awaited = self._receiver is not None and not self._skipping
+        return is_awaited and is_unframed and is_sent
+
+    def _update_charge(self) -> None:
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._charge.replace(unsent_bytes, 0)
 
     def _note_sent(self, request_id: str) -> None:
         self._sent_ids.append(hash(request_id))
@@ -311,10 +360,18 @@
     """Opens connections and keeps idle ones for reuse, by address."""
 
     def __init__(
-        self, *, clock: clocks.Clock, count: abc.Callable[..., None]
+        self,
+        *,
+        clock: clocks.Clock,
+        count: abc.Callable[..., None],
+        account: heldbytes.Account | None = None,
     ) -> None:
-        """Start empty; ``count`` counts attempts to open a connection."""
+        """Start empty; ``count`` counts attempts to open a connection.
+
+        ``account`` is charged with what connections hold.
+        """
         self._clock = clock
+        self._account = account
         self._count = count
         self._idle: dict[str, list[Connection]] = {}
 
@@ -338,7 +395,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(address=address, clock=self._clock),
+                    lambda: Connection(
+                        address=address,
+                        clock=self._clock,
+                        account=self._account,
+                    ),
                     host,
                     int(port),
                 )
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -41,6 +41,7 @@
     quota_window_s: float
     quota_overrun: float
     quota_slack: float
+    memory_mb: float
     log_level: str
     exposure_share: float | None = None
     exposure_slack: float | None = None
@@ -76,6 +77,11 @@
         return self.drain_ms / _MILLISECONDS
 
 
+def _parse_optional_number(text: str) -> float:
+    """Return 0 for a variable that the platform's template left empty."""
+    return _parse_number(text) if text else float(0)
+
+
 def _parse_number(text: str) -> float:
     number = float(text)
     if not 0 <= number < float('inf'):
@@ -243,6 +249,13 @@
         'time after the 50th bad answer of a version until it gets no more '
         'requests',
     ),
+    definition.declare(
+        '--memory-mb',
+        'MEGABYTES',
+        _parse_optional_number,
+        '0',
+        'memory that the process may use; 0 means no limit',
+    ),
     definition.declare(
         '--log-level',
         'LEVEL',
