Roll-outs: speeds are compared over three replicas, without a time span

Bursts give a replica its answers within a tenth of a second, so that the span of 0.65 s delayed the rejection of a slow version to 96 bad answers in the model.

--- a/lavenderledge/policy/rolloutevidence.py
+++ b/lavenderledge/policy/rolloutevidence.py
@@ -24,7 +24,7 @@
 _PRIOR_TRIALS: typing.Final = 10.0
 # Fewer failures are never evidence.
 _MIN_FAILURES: typing.Final = 3
-_MIN_SLOW: typing.Final = 5
+_MIN_SLOW: typing.Final = 4
 # A rate is evidence only if it exceeds the old version's by this factor and
 # margin: large samples make differences significant that do not matter.
 _RATE_FACTOR: typing.Final = 1.5
@@ -43,9 +43,6 @@
 # Readings after which a replica's speed is known, and how many are kept.
 _MIN_READINGS: typing.Final = 4
 _MAX_READINGS: typing.Final = 48
-# Replicas are slow for 0.6 s for reasons of their own: a replica's speed is
-# not known from readings within less than about that.
-_MIN_SPAN_S: typing.Final = 0.65
 # All answers of a version are slow if the mean of its replicas' medians
 # exceeds the old version's by this ratio and number of standard errors.
 _MIN_SLOW_RATIO: typing.Final = 2.2
@@ -54,8 +51,8 @@
 # replicas take 0.68 to 3 times as long as the average.
 _MIN_DEVIATION: typing.Final = 0.47
 _MIN_OLD_REPLICAS: typing.Final = 3
-# A single one of several may be slow hardware.
-_MIN_NEW_REPLICAS: typing.Final = 2
+# A single one of several may be slow hardware, or slow for 0.6 s.
+_MIN_NEW_REPLICAS: typing.Final = 3
 # So many bad answers are near the 50 that the bound on exposure allows. Then
 # weaker evidence is enough. Crashes alone may cause as many.
 _MAX_BAD: typing.Final = 25
@@ -114,9 +111,6 @@
         """Return the quantiles of the ratios, None if they are not known."""
         if len(self.readings) < _MIN_READINGS:
             return None
-        span_s = self.readings[-1].at_s - self.readings[0].at_s
-        if span_s < _MIN_SPAN_S:
-            return None
         ratios = sorted(reading.ratio for reading in self.readings)
         return Speed(
             ratios[int(len(ratios) * _QUARTILE)], statistics.median(ratios)
