Memory: refusals name their request, answers being read are not cut

Cause: heads after a fault were still judged; the connection's unsent bytes were taken for the running request's.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -12,7 +12,7 @@
 import httptools
 
 from lavenderledge import clock as clocks
-from lavenderledge.http1 import bounds, heldbytes, messages
+from lavenderledge.http1 import bounds, heldbytes, messages, socketbuffers
 from lavenderledge.policy import memorybudget
 
 # Buffered writes beyond this pause the producer of the answer, so that a
@@ -47,6 +47,11 @@
         self.started = False
         self.ended = False
 
+    @property
+    def is_behind_another(self) -> bool:
+        """Return whether an earlier answer is still being sent."""
+        return self._connection.has_unsent_answer
+
     @property
     def held_bytes(self) -> int:
         """Return how much is held for the connection."""
@@ -218,6 +223,7 @@
         self.is_end_announced = False
         self.knows_chunks = True
         self.is_ahead = False
+        self.has_unsent_answer = False
         self.notify_writable: abc.Callable[[bool], None] | None = None
 
     @property
@@ -313,6 +319,7 @@
 
     def resume_writing(self) -> None:
         """Notify the producer to resume; without one, idle time begins."""
+        self.has_unsent_answer = self.has_unsent_answer and self.has_unsent
         if self._task is None and not self._reading:
             self.state_since_s = self._clock.read_monotonic()
         if self._account.is_limited:
@@ -348,7 +355,7 @@
         """Append a part of the request target."""
         self._target += url
         if len(self._target) > _MAX_TARGET_BYTES:
-            self._fault = messages.HEADERS_TOO_LARGE
+            self._fault = self._fault or messages.HEADERS_TOO_LARGE
 
     def on_header(self, name: bytes, text: bytes | None) -> None:
         """Store a header field, and no trailer."""
@@ -357,7 +364,7 @@
         text = text or b''
         self._size += len(name) + len(text) + 4
         if self._size > self._bounds.header_bytes:
-            self._fault = messages.HEADERS_TOO_LARGE
+            self._fault = self._fault or messages.HEADERS_TOO_LARGE
             return
         self._fields.add(name, text.strip(b' \t'))
 
@@ -367,6 +374,9 @@
         # The parser no longer has this when the message is complete.
         self._is_last = not self._parser.should_keep_alive()
         self._is_chunks_known = self._parser.get_http_version() != '1.0'
+        if self._fault:
+            # An earlier request in the same bytes is refused.
+            return
         if (
             not is_framing_unambiguous(self._fields)
             or self._parser.should_upgrade()
@@ -457,9 +467,9 @@
         self._kernel_bytes = 0
         raw_socket = transport.get_extra_info('socket')
         if not transport.is_reading():
-            self._kernel_bytes += heldbytes.count_unread(raw_socket)
+            self._kernel_bytes += socketbuffers.count_unread(raw_socket)
         if self.has_unsent:
-            self._kernel_bytes += heldbytes.count_unacknowledged(raw_socket)
+            self._kernel_bytes += socketbuffers.count_unacknowledged(raw_socket)
         self._note_unsent()
         self._update_charge()
 
@@ -498,6 +508,7 @@
         self._reading = False
         self._running_bytes = 0
         self.is_ahead = False
+        self.has_unsent_answer = self.has_unsent
         self._update_charge()
         self.notify_writable = None
         self.state_since_s = self._clock.read_monotonic()
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -189,6 +189,11 @@
         self.log(Ending(status, outcome, reason))
         self._relay.reply.send(status, fields, b'')
 
+    @property
+    def is_behind_another(self) -> bool:
+        """Return whether its caller still reads an earlier answer."""
+        return self._relay.reply.is_behind_another
+
     @property
     def has_begun(self) -> bool:
         """Return whether a replica may have started to process it."""
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -77,13 +77,17 @@
             self._running.pop(current)
 
     def list_running(self) -> list[RunningRequest]:
-        """Return the requests that have no complete answer yet."""
+        """Return the requests that have no complete answer yet.
+
+        One whose caller still reads an earlier answer on the same connection is
+        left out: to end it would cut that answer.
+        """
         return [
             RunningRequest(
                 current.describe(), functools.partial(self._shed, current, task)
             )
             for current, task in self._running.items()
-            if not current.is_finished
+            if not (current.is_finished or current.is_behind_another)
         ]
 
     def inspect(self, request: messages.Request) -> server.Inspection:
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -405,3 +405,37 @@
     async with running(build, limit_bytes=LIMIT) as instance:
         await act(instance)
         await wait_until_released(instance)
+
+
+async def test_a_refusal_names_the_request_that_is_refused():
+    """Later heads in the same bytes must not replace the first fault."""
+    async with running(answer) as instance:
+        charge = fill(instance, LIMIT - 1)
+        framing, data = frame(b'x' * 2000, is_chunked=True)
+        first = singleinstance.build_request('/safe/x', framing=framing)
+        reader, writer = await instance.connect()
+        writer.write(first + data + first.replace(b'r-0', b'r-1') + data)
+        check_refusal(await singleinstance.receive(reader))
+        writer.close()
+        charge.close()
+        await wait_until_released(instance)
+
+
+async def test_what_waits_behind_an_unsent_answer_is_not_shed():
+    """To end it would cut the complete answer that its caller still reads."""
+    steps = iter((answer_large, begin))
+
+    def build(*args):
+        return next(steps)(*args)
+
+    async with running(build, limit_bytes=ROOMY) as instance:
+        reader, writer = await instance.connect(limit=1024)
+        request = singleinstance.build_request('/stream/x')
+        writer.write(request + request.replace(b'r-0', b'r-1'))
+        replica = instance.replicas['i-0']
+        await platformfleet.wait_until(lambda: len(replica.heads) == 2)
+        assert not instance.shedder._list_entries()
+        exceed(instance)
+        received = await singleinstance.receive(reader, timeout_s=30)
+        assert received.body == LARGE
+        writer.close()
