Roll-outs: no service without replicas, no reverts for gaps in lists

Found by the review, each shown in virtual time: an order for the version in use closed all replicas (3,564 of 3,564 requests while the store refused writes), as did an outdated view of the orders (1,812 requests to the end); a gap of 0.3 s in the list of replicas reverted a shifted good version; an instance that had not read the orders for a while took one for removed; replaced replicas got requests again after a gap; the last old replicas had to serve all while others were replaced without an order; failed writes were repeated five times a second. Change: if the orders leave no listed version, trusted ones are used, and after a second a target that is alone and that nobody judges; a version is gone after a second without it; a controller acts only on orders and records confirmed within 5 s; replaced versions stay so while they are listed; with less than a quarter of trusted replicas and no order, all versions are trusted; pauses double up to 1.6 s. Measured: the four new tests of test_rollouts fail before; the model of 200 roll-outs and all other tests of test_rollouts pass (24 s).

--- a/lavenderledge/controllers/rolloutboard.py
+++ b/lavenderledge/controllers/rolloutboard.py
@@ -14,6 +14,12 @@
 # The orders are read within milliseconds of the list of replicas. If the store
 # answers only the latter for this long, replicas are used without orders.
 _MAX_LOADING_S: typing.Final = 5.0
+# Orders and records are watched for 3 s at a time, and a call that is not
+# answered ends after a second. What was read longer ago may be outdated.
+_MAX_READ_AGE_S: typing.Final = 5.0
+# If fewer of a service's replicas have a trusted version, they are being
+# replaced without an order.
+_MIN_TRUSTED_RATIO: typing.Final = 0.25
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -93,6 +99,8 @@
         outcome = self.find_outcome(record.order)
         if record.phase.is_final:
             self.finished = (record.order, outcome or record.phase)
+        if record.phase is rollouts.Phase.COMPLETED:
+            self.gate.replaced = self.gate.listed - record.trusted
         if record.phase is (outcome or record.phase):
             self.gate.trusted = record.trusted or self.gate.trusted
             self.gate.barred = record.barred
@@ -127,6 +135,22 @@
         self._rollouts: dict[str, Rollout] = {}
         self._unread = {formats.orders_prefix, formats.records_prefix}
         self._needed_s: float | None = None
+        self._confirmed_s: dict[str, float] = {}
+
+    @property
+    def is_current(self) -> bool:
+        """Return whether orders and records were read a short time ago."""
+        now_s = self._clock.read_monotonic()
+        prefixes = (self.formats.orders_prefix, self.formats.records_prefix)
+        return self.is_loaded and all(
+            now_s - self._confirmed_s.get(prefix, float('-inf'))
+            <= _MAX_READ_AGE_S
+            for prefix in prefixes
+        )
+
+    def confirm(self, prefix: str, requested_s: float) -> None:
+        """Record that what is known of a prefix was right at that time."""
+        self._confirmed_s[prefix] = requested_s
 
     @property
     def is_loaded(self) -> bool:
@@ -149,6 +173,9 @@
         versions = frozenset(info.version for info in infos)
         if self.is_loaded:
             rollout.gate.learn(versions)
+            trusted = [info.version in rollout.gate.trusted for info in infos]
+            if sum(trusted) < _MIN_TRUSTED_RATIO * len(trusted):
+                rollout.gate.trust_listed()
         else:
             rollout.gate.listed = versions
             if self._needed_s is None:
--- a/lavenderledge/controllers/rolloutcontroller.py
+++ b/lavenderledge/controllers/rolloutcontroller.py
@@ -25,6 +25,7 @@
 # answer fits into the margin before a deadline.
 _CALL_TIMEOUT_S: typing.Final = 0.4
 _RETRY_S: typing.Final = 0.2
+_MAX_RETRY_S: typing.Final = 1.6
 # After a restart of all instances, the wall clock tells how long the record
 # was without a controller. A greater difference is taken for a wrong clock.
 _MAX_GAP_S: typing.Final = 60.0
@@ -70,6 +71,16 @@
         self.is_new = True
         self.record: rollouts.Record | None = None
         self.sent_s = float('-inf')
+        self._pause_s = _RETRY_S
+
+    def back_off(self, now_s: float) -> None:
+        """Repeat a failed call later, at first soon enough for a deadline."""
+        self.retry_s = now_s + self._pause_s
+        self._pause_s = min(2 * self._pause_s, _MAX_RETRY_S)
+
+    def note_saved(self) -> None:
+        """Begin with short pauses again."""
+        self._pause_s = _RETRY_S
 
 
 class RolloutController:
@@ -102,7 +113,7 @@
     async def update(self) -> None:
         """Take the next step of each roll-out."""
         self._board.check_loading()
-        if not self._board.is_loaded:
+        if not self._board.is_current:
             return
         pending = self._board.list_rollouts()
         if pending:
@@ -222,7 +233,8 @@
         if held.verdict:
             is_settled = now_s - held.verdict_s >= rollout.gate.settle_s
             return rollouts.Phase.REVERTED if is_settled else control.phase
-        is_first = held.is_new and control.phase is rollouts.Phase.CANARY
+        is_known = held.is_new or control.target in rollout.gate.trusted
+        is_first = is_known and control.phase is rollouts.Phase.CANARY
         outcome = rollout.find_outcome(control.order)
         is_over = outcome is rollouts.Phase.COMPLETED
         if is_over or (is_first and rollout.gate.has_only_target):
@@ -254,8 +266,8 @@
             phase_s=now_s - control.since_s,
             elapsed_s=now_s - control.started_s,
             duration_s=control.order.duration_s,
-            has_replicas=any(
-                replica.info.version == target for replica in replicas
+            has_replicas=control.has_target(
+                {replica.info.version for replica in replicas}, now_s
             ),
             seen=control.seen,
             granted=control.granted,
@@ -301,7 +313,7 @@
         )
         if written.is_error():
             held.is_doubtful = written.error.fault is not stores.Fault.REFUSED
-            held.retry_s = self._clock.read_monotonic() + _RETRY_S
+            held.back_off(self._clock.read_monotonic())
             return
         held.revision = written.ok
         self._apply_written(rollout, held, record, sent_s)
@@ -317,6 +329,7 @@
         now_s = self._clock.read_monotonic()
         held.is_new = False
         held.is_doubtful = False
+        held.note_saved()
         held.renewed_s = sent_s
         if record.phase is not control.phase or record.phase.is_final:
             self._count('rollout_phases', phase=record.phase.value)
@@ -349,7 +362,7 @@
         key = f'{self._board.formats.records_prefix}{rollout.service}'
         listed = await self._call(self._store.list_keys(key))
         if listed.is_error():
-            held.retry_s = self._clock.read_monotonic() + _RETRY_S
+            held.back_off(self._clock.read_monotonic())
             return
         found = [change for change in listed.ok.changes if change.key == key]
         watched = None
--- a/lavenderledge/policy/rollouts.py
+++ b/lavenderledge/policy/rollouts.py
@@ -36,6 +36,10 @@
 _MIN_SHIFTED_S: typing.Final = 0.6
 # Answers after which the canary counts as tested.
 _MIN_ANSWERS: typing.Final = 10
+# A version is taken for the only one left, or for gone, after this time without
+# another one, or without it: lists have gaps of some tenths of a second when
+# the allocator changes or the store is restored.
+_SETTLED_S: typing.Final = 1.0
 # Canary requests are concentrated on the next new replicas after this time.
 _ROTATION_S: typing.Final = 1.0
 _SETTLE_S: typing.Final = 0.2
@@ -212,8 +216,11 @@
         self.barred: frozenset[str] = frozenset()
         self.targets: frozenset[str] = frozenset()
         self.listed: frozenset[str] = frozenset()
+        # Versions that a completed roll-out replaced, while they are listed.
+        self.replaced: frozenset[str] = frozenset()
         self.control: Control | None = None
         self._limits = limits
+        self._alone_since_s = float('inf')
 
     def learn(self, versions: abc.Set[str]) -> None:
         """Take note of the versions of the service's replicas.
@@ -222,14 +229,23 @@
         trusted is left, unless an order is in progress. A replica that names
         no version can't be told from the trusted ones.
         """
+        former = self.listed
         self.listed = frozenset(versions)
-        known = self.listed - self.barred - self.targets
+        self.replaced &= self.listed
+        known = self.listed - self.barred - self.targets - self.replaced
         if not self.trusted or (
             not self.targets and self.trusted.isdisjoint(versions)
         ):
             self.trusted |= known
         elif not self.targets:
-            self.trusted |= known & {''}
+            self.trusted |= (known - former) & {''}
+        if not self.has_only_target:
+            self._alone_since_s = float('inf')
+
+    def trust_listed(self) -> None:
+        """Trust all versions of the list, as without any order."""
+        if not self.targets:
+            self.trusted |= self.listed - self.barred - self.replaced
 
     @property
     def has_only_target(self) -> bool:
@@ -239,7 +255,25 @@
         return is_known and bool(usable) and usable <= self.targets
 
     def is_open(self, version: str, now_s: float) -> bool:
-        """Return whether replicas of a version may get requests now."""
+        """Return whether replicas of a version may get requests now.
+
+        If the orders leave no version of the list, trusted ones get them, and
+        a target that is the only version left.
+        """
+        if any(self._is_allowed(listed, now_s) for listed in self.listed):
+            return self._is_allowed(version, now_s)
+        if version in self.barred:
+            return False
+        return version in self.trusted or self._is_alone(now_s)
+
+    def _is_alone(self, now_s: float) -> bool:
+        """Return whether there is only a target, which nobody judges here."""
+        if self.control is not None or not self.has_only_target:
+            return False
+        self._alone_since_s = min(self._alone_since_s, now_s)
+        return now_s - self._alone_since_s >= _SETTLED_S
+
+    def _is_allowed(self, version: str, now_s: float) -> bool:
         control = self._find_control(now_s)
         if version in self.targets:
             return control is not None and version == control.target
@@ -396,6 +430,7 @@
         self.since_s = now_s
         self.started_s = now_s
         self.held_until_s = float('-inf')
+        self._listed_s = now_s
         self.evidence = rolloutevidence.Evidence(
             None if record is None else record.counts
         )
@@ -419,6 +454,12 @@
             self._phase_seen = 0
             self._phase_granted = 0
 
+    def has_target(self, versions: abc.Iterable[str], now_s: float) -> bool:
+        """Return whether the version has replicas, or had a moment ago."""
+        if self.target in versions:
+            self._listed_s = now_s
+        return now_s - self._listed_s < _SETTLED_S
+
     def find_ceiling(self, now_s: float) -> int:
         """Return how many requests the canary may have got by now."""
         canary_s = find_canary_end_s(self.order.duration_s)
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -1,5 +1,6 @@
 """Keeps an instance's cached state up to date from the store and peers."""
 
+import functools
 import logging
 import random
 import typing
@@ -325,7 +326,7 @@
                 read_pause_s=_find_rollouts_pause_s,
                 on_list=on_list,
                 on_changes=on_changes,
-                on_confirmed=_ignore_confirmation,
+                on_confirmed=functools.partial(board.confirm, prefix),
                 is_needed=self._allocates,
                 is_large=_is_never_large,
             )
--- a/tests/simulatedrollouts.py
+++ b/tests/simulatedrollouts.py
@@ -116,12 +116,31 @@
             delay_s = self.rng.uniform(0.01, 0.1)
             loop.call_later(delay_s, self._deliver, board)
 
+    def confirm(self):
+        """Answer the watches that have nothing new."""
+        if self.is_silent:
+            return
+        now_s = asyncio.get_running_loop().time()
+        for board in self.boards:
+            for prefix in ('op/rollout/', 'lavenderledge/rollouts/'):
+                board.confirm(prefix, now_s)
+
     def _deliver(self, board):
         if not self.is_silent:
             board.replace_orders(self.list('op/rollout/'), 0)
             board.replace_records(self.list('lavenderledge/rollouts/'), 0)
 
 
+def make_board():
+    """Return a board that has read that there is nothing."""
+    board = rolloutboard.RolloutBoard(
+        instance='a', clock=virtualtime.Clock(), limits=LIMITS, formats=FORMATS
+    )
+    board.replace_orders((), 0)
+    board.replace_records((), 0)
+    return board
+
+
 class Instance:
     """One instance that may allocate."""
 
@@ -219,6 +238,7 @@
         for at_s, action in disturb:
             loop.call_later(1 + at_s, action)
         while self.now_s < end_s:
+            self.store.confirm()
             self.arrive()
             await asyncio.sleep(self.rng.expovariate(self.rate))
         for task in self.tasks:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -326,3 +326,69 @@
         if option.flag == '--exposure-share'
     )
     assert option.parse(text) == expected
+
+
+def make_gate(*lists, targets=(), barred=()):
+    """Return a gate that has seen these lists of versions."""
+    gate = rollouts.Gate(rollouts.Limits(0.1, 50, 5))
+    gate.learn(frozenset(('v1',)))
+    gate.targets = frozenset(targets)
+    gate.barred = frozenset(barred)
+    for versions in lists:
+        gate.learn(frozenset(versions))
+    return gate
+
+
+@pytest.mark.parametrize(
+    ('gate', 'expected'),
+    [
+        # An order for the version in use, which nobody controls yet.
+        (make_gate(('v1',), targets=('v1',)), {'v1'}),
+        (make_gate(('v1', 'v2'), targets=('v2',)), {'v1'}),
+        # An instance that has not heard of the end of a roll-out.
+        (make_gate(('v2',), targets=('v2',)), {'v2'}),
+        (make_gate(('v2',), barred=('v2',)), set()),
+    ],
+)
+def test_a_service_keeps_a_version_that_may_serve(gate, expected):
+    """Requests found no replica although sound ones were listed."""
+    versions = gate.listed
+    assert {v for v in versions if gate.is_open(v, 10)} <= expected
+    assert {v for v in versions if gate.is_open(v, 11.5)} == expected
+
+
+def test_a_gap_in_the_list_does_not_revert_a_shifted_version():
+    """A restored store lists the new replicas some tenths of a second late."""
+    order = rollouts.Order('v2', 12)
+    gate = rollouts.Gate(rollouts.Limits(0.1, 50, 5))
+    control = gate.start_control(order, now_s=0, record=None)
+    assert control.has_target({'v1', 'v2'}, 5)
+    assert control.has_target({'v1'}, 5.9)
+    assert not control.has_target({'v1'}, 6.1)
+
+
+def test_replaced_replicas_are_not_trusted_again_while_they_are_listed():
+    """Old replicas got requests after `completed`, after a gap in the list."""
+    gate = make_gate(('v1', 'v2'), targets=())
+    gate.trusted = frozenset(('v2',))
+    gate.replaced = frozenset(('v1',))
+    for versions in (('v1', 'v2'), ('v1',), ('v1', 'v2')):
+        gate.learn(frozenset(versions))
+    assert not gate.is_open('v1', 0)
+    assert gate.is_open('v2', 0)
+
+
+def test_most_replicas_are_used_when_they_are_replaced_without_an_order():
+    """The last old replicas had to serve everything."""
+    board = simulatedrollouts.make_board()
+    names = ['v1'] * 4, ['v1', 'v2', 'v2', 'v2'], ['v1'] + ['v2'] * 4
+    gates = [
+        board.open_gate('desk', [FakeInfo(version) for version in versions])
+        for versions in names
+    ]
+    assert gates[-1].is_open('v2', 0)
+
+
+class FakeInfo:
+    def __init__(self, version):
+        self.version = version
