Placement by pauses: log and count the replicas that are avoided

Cause: an operator could see a limit only by asking for an explanation. Change: pause_limit and pause_limits_total when a limit is set or lifted.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -70,6 +70,10 @@
     list_age_s: float
 
 
+def _note_nothing(state: slots.SlotState, now_s: float) -> None:
+    """Note no limits."""
+
+
 class StateReader(typing.NamedTuple):
     """Functions that read cached state of the store.
 
@@ -79,6 +83,7 @@
     others. ``build_update`` gets the version that an instance has.
     ``read_token_capacities`` returns the memory of each service's replicas,
     ``note_memory_waits`` gets the requests that begin to wait for it.
+    ``note_pause_limits`` gets the state at each tick.
     """
 
     list_replicas: abc.Callable[[], abc.Sequence[slots.ReplicaInfo]]
@@ -92,6 +97,9 @@
     note_memory_waits: abc.Callable[
         [abc.Iterable[replicamemory.Wait]], object
     ] = tuple
+    note_pause_limits: abc.Callable[[slots.SlotState, float], object] = (
+        _note_nothing
+    )
 
 
 class _Sender:
@@ -167,6 +175,7 @@
         self.slot_state.set_replicas(self._state_reader.list_replicas(), now_s)
         self._buckets.drop_idle(now_s)
         self._judge_crashes(now_s)
+        self._state_reader.note_pause_limits(self.slot_state, now_s)
         self._decide()
         if now_s - self._beats_sent_s < BEAT_INTERVAL_S:
             return
--- a/lavenderledge/logevents.py
+++ b/lavenderledge/logevents.py
@@ -46,6 +46,10 @@
         'memory_waited': _list_fields(
             'instance id service replica tokens free_tokens'
         ),
+        # Streams avoid some slots of a replica, or use all of them again.
+        'pause_limit': _list_fields(
+            'instance service replica sound_slots slots'
+        ),
         'prompt_quarantined': _list_fields('instance service parts replicas'),
         'request_quarantined': _list_fields('instance digest replicas for_s'),
         'request_released': _list_fields('instance digest'),
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -10,6 +10,7 @@
 from lavenderledge import logs, timing
 from lavenderledge.controllers import (
     memorywaits,
+    pauselimits,
     peersecret,
     quarantinestore,
     registration,
@@ -181,6 +182,9 @@
                 note_memory_waits=memorywaits.build_recorder(
                     settings.instance, self._metrics.count
                 ),
+                note_pause_limits=pauselimits.build_recorder(
+                    settings.instance, self._metrics.count
+                ),
             ),
             count_alive=self._registration.count_alive,
             tolerance=tokenbuckets.Tolerance(
--- a/tests/test_pauserisk.py
+++ b/tests/test_pauserisk.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lavenderledge.controllers import pauselimits
 from lavenderledge.peers import slotmessages as messages
 from lavenderledge.policy import pauserisk, slotgrants
 from tests import test_slots
@@ -146,3 +147,15 @@
 def test_a_reading_without_a_pause_is_accepted():
     """Instances of the version before send none."""
     assert messages.Reading(0, 0.1, 1).longest_pause_s == 0
+
+
+def test_a_limit_is_counted_when_it_is_set_and_when_it_is_lifted():
+    """An operator must see which replicas are avoided, and no line a tick."""
+    counted = []
+    record = pauselimits.build_recorder(
+        'e', lambda name, change: counted.append(change)
+    )
+    state = make_state()
+    for now_s in (0, 0.1, 60, 60.1):
+        record(state, now_s)
+    assert counted == ['set', 'lifted']
