Admission: sizes are not used any more

Cause: the share of large requests was kept by their estimated work; what callers are owed goes by the size of prompts and outputs.

--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -39,10 +39,9 @@
     charged to the customer's quota, 0 if it was charged before. ``excluded``
     names replicas that must not be granted, ``parts`` those parts of the prompt
     that other requests may share. ``output_tokens`` are those that there has to
-    be memory for, ``hint_tokens`` its caller's estimate, 0 if there is none.
-    ``pause_target_s`` is the longest pause between two events for which its
-    answer is in time, 0 if there is none. ``is_repeat`` tells later attempts at
-    the caller's request from the first.
+    be memory for. ``pause_target_s`` is the longest pause between two events
+    for which its answer is in time, 0 if there is none. ``is_repeat`` tells
+    later attempts at the caller's request from the first.
     """
 
     request_id: bounds.Name
@@ -58,7 +57,6 @@
     ] = ()
     parts: PromptParts = ()
     output_tokens: bounds.Count = 0
-    hint_tokens: bounds.Count = 0
     pause_target_s: bounds.NonNegative = 0
     availability_zone: bounds.Name = ''
     route: bounds.Name = ''
--- a/lavenderledge/policy/slotgrants.py
+++ b/lavenderledge/policy/slotgrants.py
@@ -23,6 +23,10 @@
 _MIN_RETRY_S: typing.Final = 0.3
 _MAX_RETRY_S: typing.Final = 5.0
 _RETRY_JITTER: typing.Final = 0.4
+# While the demand exceeds the slots, a request counts as timely only if it is
+# expected to wait for at most this fraction of the time that it has: the first
+# byte of half of the requests takes longer than estimated.
+_WAIT_RATIO: typing.Final = 0.5
 # Requests of one priority without a suitable free replica, after which the
 # rest of that priority is skipped.
 _MAX_UNPLACED: typing.Final = 6
@@ -83,9 +87,7 @@
             spec.customer,
             spec.cost,
         )
-    work_s = service.estimate_request_work_s(
-        spec.tier, spec.prompt_tokens, spec.hint_tokens
-    )
+    work_s = service.estimate_work_s(spec.tier)
     waiting = slotqueue.WaitingRequest(
         sender,
         spec,
@@ -113,9 +115,7 @@
 ) -> tuple[Refused | None, bool]:
     """Return a new request's refusal, if any, and whether it is late."""
     spec = waiting.spec
-    is_timely = _is_expected_in_time(state, service, waiting, now_s)
-    service.find_sizes(spec.tier).note(waiting.work_s, is_accepted=is_timely)
-    if is_timely:
+    if _is_expected_in_time(state, service, waiting, now_s):
         return None, False
     refused = _refuse_if_expiring(state, service, waiting, now_s)
     is_exceeded = service.demand.is_exceeding(spec.tier)
@@ -205,7 +205,7 @@
         return waiting.due_s > now_s and not service.queue
     wait_s = estimate_wait_s(state, service, waiting, now_s)
     if service.demand.is_exceeding(spec.tier):
-        left_s *= service.find_sizes(spec.tier).find_wait_ratio(waiting.work_s)
+        left_s *= _WAIT_RATIO
     return wait_s <= left_s
 
 
@@ -393,7 +393,6 @@
             frozenset(spec.parts),
             spec.tier,
             tokens=replicamemory.count_tokens(spec),
-            hint_tokens=spec.hint_tokens,
             pause_target_s=spec.pause_target_s,
             load=replica.held + 1,
             route=spec.route,
--- a/lavenderledge/policy/slots.py
+++ b/lavenderledge/policy/slots.py
@@ -11,10 +11,8 @@
     replicamemory,
     requestpace,
     rollouts,
-    sizeadmission,
     slotqueue,
     upstreamnotices,
-    workestimates,
 )
 
 # How long a slot is assumed to be held until requests have ended.
@@ -60,11 +58,10 @@
 
     ``prefill_wait_s`` is the estimated wait for other prompts before its own,
     ``parts`` are those of its prompt that other requests may share. ``tier`` is
-    None if the request was granted by another allocator. ``hint_tokens`` is its
-    caller's estimate of the output, ``load`` how many requests its replica ran
-    when it was granted, with this one. ``tokens`` are those of the replica's
-    memory that it is expected to take. ``is_repeat`` tells later attempts from
-    the first.
+    None if the request was granted by another allocator. ``load`` is how many
+    requests its replica ran when it was granted, with this one. ``tokens`` are
+    those of the replica's memory that it is expected to take. ``is_repeat``
+    tells later attempts from the first.
     """
 
     sender: str
@@ -76,7 +73,6 @@
     parts: frozenset[str] = frozenset()
     tier: int | None = None
     tokens: int = 0
-    hint_tokens: int = 0
     pause_target_s: float = 0
     load: int = 1
     route: str = ''
@@ -149,8 +145,6 @@
         self.queue = slotqueue.SlotQueue()
         self.hold_s = replicahealth.MovingAverage()
         self.first_byte = replicahealth.FirstByteEstimator()
-        self.work = workestimates.WorkEstimator()
-        self.sizes: dict[int, sizeadmission.SizeAdmission] = {}
         self.error_ratio = replicahealth.MovingAverage(weight=_ERRORS_WEIGHT)
         self.demand = demand.Demand()
         # The ratio of the fastest replica, at the last update of the capacity.
@@ -214,20 +208,6 @@
             else rank_work_s.read(service_work_s)
         )
 
-    def estimate_request_work_s(
-        self, tier: int, prompt_tokens: int, hint_tokens: int
-    ) -> float:
-        """Return for how many seconds a request holds a slot."""
-        return self.work.estimate(
-            hint_tokens,
-            first_s=self.first_byte.estimate(prompt_tokens),
-            mean_s=self.estimate_work_s(tier),
-        )
-
-    def find_sizes(self, tier: int) -> sizeadmission.SizeAdmission:
-        """Return the sizes of a rank's requests."""
-        return self.sizes.setdefault(tier, sizeadmission.SizeAdmission())
-
     def note_work(self, tier: int | None, hold_s: float) -> None:
         """Record for how long an answered request held its slot."""
         self._work_s.note(hold_s)
@@ -444,7 +424,6 @@
         health.hold_s.note(now_s - slot.since_s)
         service.hold_s.note(now_s - slot.since_s)
         service.note_work(slot.tier, now_s - slot.since_s)
-        service.work.note(slot.hint_tokens, now_s - slot.since_s - first_s)
         service.error_ratio.note(0)
 
     def note_failure(self, slot: HeldSlot, now_s: float) -> None:
--- a/lavenderledge/policy/targetviews.py
+++ b/lavenderledge/policy/targetviews.py
@@ -135,7 +135,6 @@
         copied_service.demand = copy.deepcopy(service.demand)
         copied_service.queue = service.queue.copy()
         copied_service.gate = copy.deepcopy(service.gate)
-        copied_service.sizes = copy.deepcopy(service.sizes)
         copied_service.replicas = {
             replica_name: _copy_replica(replica)
             for replica_name, replica in service.replicas.items()
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -360,7 +360,6 @@
                 self._parsed.hint_tokens,
                 self._parsed.output_tokens if self._parsed.has_tokens else None,
             ),
-            hint_tokens=self._parsed.expected_output_tokens,
             pause_target_s=match.route.pause_target_s,
             availability_zone=self._deps.availability_zone,
             route=record.route[: bounds.MAX_CHARACTERS],
--- a/lavenderledge/proxy/headercodec.py
+++ b/lavenderledge/proxy/headercodec.py
@@ -6,9 +6,6 @@
 from lavenderledge.http1 import messages
 from lavenderledge.policy import upstreamnotices
 
-# Upper bound of a caller's estimate, as messages have 64-bit integers.
-_MAX_HINT_TOKENS: typing.Final = 1_000_000_000
-
 
 class ParsedRequest(typing.NamedTuple):
     """A caller's request, parsed.
@@ -31,14 +28,6 @@
     last_event_id: str | None
     hint_tokens: float | None = None
 
-    @property
-    def expected_output_tokens(self) -> int:
-        """Return how many output tokens are expected, 0 if not known."""
-        if self.hint_tokens is None:
-            return 0
-        hint = min(max(1, round(self.hint_tokens)), _MAX_HINT_TOKENS)
-        return min(hint, self.output_tokens) if self.output_tokens else hint
-
 
 class MalformedRequest(typing.NamedTuple):
     """A request that can't be forwarded, and the status to respond with."""
