Roll-outs: a version that follows a completed one without an order is used

What was seen on reading the change: an instance that reads the record of a completed roll-out after its replicas were replaced without an order finds no replica for the service, as long as it runs. Cause: took all listed versions that the record does not trust for replaced ones, whichever came first, and its fallback opened only trusted ones. Change: replaced are the versions that this instance trusted before; without an order, a version that was not reverted is used when no other is left. Measured: the new test of test_rollouts fails before; test_rollouts (with the model of 200), test_explanation and test_slots pass after.

--- a/lavenderledge/controllers/rolloutboard.py
+++ b/lavenderledge/controllers/rolloutboard.py
@@ -99,9 +99,9 @@
         outcome = self.find_outcome(record.order)
         if record.phase.is_final:
             self.finished = (record.order, outcome or record.phase)
-        if record.phase is rollouts.Phase.COMPLETED:
-            self.gate.replaced = self.gate.listed - record.trusted
         if record.phase is (outcome or record.phase):
+            if record.phase is rollouts.Phase.COMPLETED:
+                self.gate.replaced = self.gate.trusted - record.trusted
             self.gate.trusted = record.trusted or self.gate.trusted
             self.gate.barred = record.barred
 
--- a/lavenderledge/policy/rollouts.py
+++ b/lavenderledge/policy/rollouts.py
@@ -257,14 +257,15 @@
     def is_open(self, version: str, now_s: float) -> bool:
         """Return whether replicas of a version may get requests now.
 
-        If the orders leave no version of the list, trusted ones get them, and
-        a target that is the only version left.
+        If that leaves no version of the list, trusted ones get them, all that
+        were not reverted if there is no order, and a target that is alone.
         """
         if any(self._is_allowed(listed, now_s) for listed in self.listed):
             return self._is_allowed(version, now_s)
         if version in self.barred:
             return False
-        return version in self.trusted or self._is_alone(now_s)
+        is_left = not self.targets or self._is_alone(now_s)
+        return version in self.trusted or is_left
 
     def _is_alone(self, now_s: float) -> bool:
         """Return whether there is only a target, which nobody judges here."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -378,6 +378,31 @@
     assert gate.is_open('v2', 0)
 
 
+def test_a_version_that_replaced_a_completed_one_without_an_order_is_used():
+    """An instance that reads an old record found no replica at all."""
+    board = simulatedrollouts.make_board()
+    infos = [FakeInfo('v3')] * 4
+    board.open_gate('desk', infos)
+    (rollout,) = board._rollouts.values()
+    rollout.apply_record(
+        rollouts.Record(
+            rollouts.Order('v2', 12, 5),
+            Phase.COMPLETED,
+            'a',
+            1,
+            9,
+            0,
+            0,
+            0,
+            frozenset(('v2',)),
+            frozenset(),
+            {},
+        )  # fmt: skip
+    )
+    rollout.sync()
+    assert board.open_gate('desk', infos).is_open('v3', 0)
+
+
 def test_most_replicas_are_used_when_they_are_replaced_without_an_order():
     """The last old replicas had to serve everything."""
     board = simulatedrollouts.make_board()
