--- a/review/procfleet.py
+++ b/review/procfleet.py
@@ -193,6 +193,12 @@
         return path.read_text(errors='replace')
 
 
+def _note_error(loop, context):
+    """Report errors of stand-ins, but not that they end with the script."""
+    if not isinstance(context.get('exception'), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 class Fleet:
     """A store, replicas and instances; all of it ends with the context."""
 
@@ -207,6 +213,7 @@
         self._listeners = []
 
     async def __aenter__(self):
+        asyncio.get_running_loop().set_exception_handler(_note_error)
         await self.store_listener.listen('127.0.0.1', 0)
         return self
 
