A configuration without customers admits nobody

What callers saw: after a version with an empty list of tenants, every request ran, with the key that was taken away and with any other (CONFIG, ROUTE). Cause: whether requests need a key was read from whether the list of customers had entries, so that the removal of the last one opened all routes. Change: a configuration with the field requires keys, also if it is empty or null, and so does one without the field where the deployment has keys (--features, from the platform's template). A customer's keys may be null: that made the version unreadable, and the old keys stayed. An empty key matched requests without a key.

--- a/lavenderledge/platform/documents.py
+++ b/lavenderledge/platform/documents.py
@@ -2,6 +2,7 @@
 
 import re
 import typing
+from collections import abc
 
 import expression
 import msgspec
@@ -19,6 +20,9 @@
 STATUS_PREFIX: typing.Final = 'status/rollout/'
 RECORDS_PREFIX: typing.Final = 'lavenderledge/rollouts/'
 
+# The feature of deployments whose requests carry keys.
+_KEYS_FEATURE: typing.Final = 'tenants'
+
 _MILLISECONDS: typing.Final = 1000
 # Callers leave a stream that is silent for the longest of these: a minimum, a
 # multiple of the objective and a multiple of the target pause between events.
@@ -90,7 +94,7 @@
 
 class _Tenant(msgspec.Struct):
     name: str
-    api_keys: list[str] = []
+    api_keys: list[str] | None = None
     priority: int | None = None
     unit: str | None = None
     # Tokens charged for a request without a token count.
@@ -109,7 +113,8 @@
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route] = []
-    tenants: list[_Tenant] | None = None
+    # A list that became empty may be written as null.
+    tenants: list[_Tenant] | msgspec.UnsetType | None = msgspec.UNSET
     limits: _Limits = msgspec.field(default_factory=_Limits)
     services: msgspec.Raw = msgspec.Raw(b'[]')
 
@@ -175,18 +180,21 @@
 
 
 def read_configuration(
-    content: bytes,
+    content: bytes, features: abc.Collection[str] = ()
 ) -> expression.Result[routes.Configuration, InvalidDocument]:
-    """Return the parsed configuration, or why it is invalid."""
+    """Return the parsed configuration, or why it is invalid.
+
+    ``features`` are the names of those that the deployment has.
+    """
     decoded = _decode(content, _Configuration)
     if decoded.is_error():
         return expression.Error(decoded.error)
     document = decoded.ok
-    tenants = document.tenants or []
+    is_listed = document.tenants is not msgspec.UNSET
     customers = {
         key: _build_customer(tenant)
-        for tenant in tenants
-        for key in tenant.api_keys
+        for tenant in document.tenants or ()
+        for key in tenant.api_keys or ()
     }
     return expression.Ok(
         routes.Configuration(
@@ -198,7 +206,8 @@
             quotas={
                 customer.name: customer.quota for customer in customers.values()
             },
-            has_customers=document.tenants is not None and bool(tenants),
+            # Without its last key a deployment must not be open to everyone.
+            requires_keys=is_listed or _KEYS_FEATURE in features,
             limits=bounds.Bounds(
                 header_bytes=document.limits.max_header_bytes,
                 body_bytes=document.limits.max_body_bytes,
--- a/lavenderledge/policy/routes.py
+++ b/lavenderledge/policy/routes.py
@@ -116,15 +116,16 @@
     """One version of the operators' configuration.
 
     ``routes_by_host`` holds each host's routes, the longest prefix first, and
-    ``quotas`` the quotas by customer name. Without customers no request needs
-    a key. ``services`` holds the limits by service, for those that have any.
+    ``quotas`` the quotas by customer name. If ``requires_keys``, requests of
+    routes that are not public need a key, also while no customer has one.
+    ``services`` holds the limits by service, for those that have any.
     """
 
     version: int
     routes_by_host: abc.Mapping[str, tuple[Route, ...]]
     customers_by_key: abc.Mapping[str, Customer]
     quotas: abc.Mapping[str, Quota]
-    has_customers: bool
+    requires_keys: bool
     limits: bounds.Bounds
     services: abc.Mapping[str, ServiceLimits] = types.MappingProxyType({})
 
@@ -199,9 +200,9 @@
     route = match_route(configuration, host, path)
     if route is None:
         return Rejection.NO_ROUTE
-    if not configuration.has_customers:
+    if not configuration.requires_keys:
         return RouteMatch(route, None)
-    customer = configuration.customers_by_key.get(key or '')
+    customer = configuration.customers_by_key.get(key) if key else None
     if customer is None and not route.public:
         return Rejection.UNKNOWN_KEY
     return RouteMatch(route, customer)
--- a/lavenderledge/proxy/instance.py
+++ b/lavenderledge/proxy/instance.py
@@ -140,6 +140,7 @@
             ),
         )
         self._watcher.rollouts = self._rollouts
+        self._watcher.features = settings.features
         self._requester = slotrequester.SlotRequester(
             instance=settings.instance,
             address=str(settings.peer_listen),
--- a/lavenderledge/proxy/settings.py
+++ b/lavenderledge/proxy/settings.py
@@ -46,6 +46,7 @@
     exposure_share: float | None = None
     exposure_slack: float | None = None
     rollback_ms: float | None = None
+    features: frozenset[str] = frozenset()
 
     @property
     def revocation_s(self) -> float:
@@ -94,6 +95,11 @@
     return _parse_number(text) if text.strip() else None
 
 
+def _parse_names(text: str) -> frozenset[str]:
+    """Return the names in a list that is separated by commas."""
+    return frozenset(name.strip() for name in text.split(',') if name.strip())
+
+
 OPTIONS: typing.Final = (
     definition.declare(
         '--instance', 'NAME', formats.parse_name, None, 'name of this instance'
@@ -256,6 +262,14 @@
         '0',
         'memory that the process may use; 0 means no limit',
     ),
+    definition.declare(
+        '--features',
+        'NAMES',
+        _parse_names,
+        '',
+        'features that the deployment has, by the platform, separated by '
+        'commas',
+    ),
     definition.declare(
         '--log-level',
         'LEVEL',
--- a/lavenderledge/proxy/watching.py
+++ b/lavenderledge/proxy/watching.py
@@ -73,11 +73,16 @@
 _MILLISECONDS: typing.Final = 1000
 _LOGGER = logging.getLogger(__name__)
 
-ReadConfiguration: typing.TypeAlias = abc.Callable[[bytes], typing.Any]
+ReadConfiguration: typing.TypeAlias = abc.Callable[
+    [bytes, abc.Collection[str]], typing.Any
+]
 
 
 class Platform(typing.NamedTuple):
-    """What a platform's adapter provides: formats, names and a store."""
+    """What a platform's adapter provides: formats, names and a store.
+
+    ``read_configuration`` gets a document and the deployment's features.
+    """
 
     header_codec: headercodec.HeaderCodec
     configuration_key: str
@@ -137,6 +142,7 @@
         self._clock = clock
         self._metrics = metrics
         self._callbacks = callbacks
+        self.features: abc.Collection[str] = ()
         # Gets the orders of roll-outs; without it they are not read.
         self.rollouts: rolloutboard.RolloutBoard | None = None
         self._rng = random.Random(instance)
@@ -468,7 +474,7 @@
     def _parse_configuration(
         self, content: bytes
     ) -> routes.Configuration | None:
-        parsed = self._platform.read_configuration(content)
+        parsed = self._platform.read_configuration(content, self.features)
         if parsed.is_error():
             self._metrics.count('configurations_unreadable')
             self._log('configuration_unreadable', detail=parsed.error.detail)
