A request whose key is gone names no customer on a public route

What replicas saw: a request of a public route that waits while its key is taken away arrived with the name of the customer that had held it (UNASKED). Cause: the customer of a request was set by a version that has one for its key, and kept by a later version that has none. Change: each version in force sets the customer, also to none. Result: the two new cases of test_lastkeys failed before (the customer's name was sent) and pass now.

--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -285,8 +285,8 @@
         record.service = routes.pick_service(
             match.route, self._parsed.request_id
         )
-        if match.customer is not None:
-            record.customer = match.customer.name
+        # An earlier version may have had another customer for the key.
+        record.customer = '' if match.customer is None else match.customer.name
         if not self._digest:
             self._digest = identity.compute_digest(
                 self._request, host=self._parsed.host, customer=record.customer
--- a/tests/test_lastkeys.py
+++ b/tests/test_lastkeys.py
@@ -105,6 +105,26 @@
     assert not runs
 
 
+@pytest.mark.parametrize('customers', [[], [{**DEALER, 'api_keys': ['new']}]])
+async def test_a_public_request_names_no_customer_once_its_key_is_gone(
+    customers,
+):
+    """A waiting request kept the customer of the earlier version."""
+    async with platformfleet.running(replicas=0) as fleet:
+        running = fleet.instances['entry-0']
+        fleet.store.write('op/config', make_document(2))
+        await wait_for_version(fleet, 2)
+        response, _ = await fleet.begin('/public/x')
+        await platformfleet.wait_until(lambda: running._forwarder._running)
+        fleet.store.write('op/config', make_document(3, {'tenants': customers}))
+        await wait_for_version(fleet, 3)
+        replica = await fleet.add_replica('i-0')
+        await asyncio.wait_for(response.done, platformfleet.TIMEOUT_S)
+    (received,) = replica.received
+    assert response.status == messages.OK
+    assert received.fields.find(b'tenant') is None
+
+
 def test_a_deployment_without_keys_needs_none():
     content = json.dumps(make_document(1, {})).encode()
     configuration = documents.read_configuration(
