Crashes after a part of the answer are evidence against a request

Cause: a run that was lost counted as evidence only before its first byte. That condition keeps the victims of a crash from being taken for its cause where parts of prompts are judged; it was applied to whole requests as well. Behind it, the rest of a stream that a second replica completed cleared the request. Change: runs that end with their connection are reported and say whether a body had begun. The rest of a stream clears nothing. For parts of prompts, runs that had begun accuse only parts that were never answered, once the allocator has seen the service's answers. A stand-in replica that is down refuses connections; accepting and resetting them was evidence by itself.

--- a/lavenderledge/controllers/slotallocator.py
+++ b/lavenderledge/controllers/slotallocator.py
@@ -310,7 +310,10 @@
         self, holding: slots.HeldSlot, reading: messages.Reading, now_s: float
     ) -> None:
         if reading.outcome == ANSWERED:
-            self._evidence.note_answered(holding.service, holding.parts, now_s)
+            if not reading.is_continuation:
+                self._evidence.note_answered(
+                    holding.service, holding.parts, now_s
+                )
             self.slot_state.note_answer(
                 holding,
                 first_s=reading.first_s,
@@ -414,6 +417,7 @@
                     run.replica,
                     frozenset(run.parts),
                     now_s - run.age_s,
+                    has_begun=run.has_begun,
                 )
             )
             if run.digest:
--- a/lavenderledge/controllers/slotrequester.py
+++ b/lavenderledge/controllers/slotrequester.py
@@ -207,7 +207,7 @@
         return self._allocator
 
     def note_lost(self, run: crashevidence.LostRun) -> None:
-        """Report a run that was lost before its first byte."""
+        """Report a run that was lost with its connection."""
         self._lost_runs.append(run)
         self._report(self._clock.read_monotonic())
 
@@ -537,6 +537,7 @@
                 tuple(sorted(run.parts)),
                 now_s - run.at_s,
                 run.digest,
+                run.has_begun,
             )
             for run in self._lost_runs
             if now_s - run.at_s < within_s
--- a/lavenderledge/peers/slotmessages.py
+++ b/lavenderledge/peers/slotmessages.py
@@ -69,12 +69,14 @@
     ``first_s`` is the time from dispatch to the first byte. ``slowness`` is
     reported by the replica: 1 is normal speed, 0 if it reported none.
     ``longest_pause_s`` is that between two events of a stream.
+    ``is_continuation`` tells that only the rest of a stream was asked for.
     """
 
     outcome: bounds.Count
     first_s: bounds.NonNegative
     slowness: bounds.NonNegative
     longest_pause_s: bounds.NonNegative = 0
+    is_continuation: bool = False
 
 
 class HeldSlot(typing.NamedTuple):
@@ -90,10 +92,11 @@
 
 
 class LostRun(typing.NamedTuple):
-    """A run that was lost before its first byte, ``age_s`` before the report.
+    """A run that ended with its connection, ``age_s`` before the report.
 
     ``parts`` are those of its prompt that other requests may share. ``digest``
-    is the same for the same request.
+    is the same for the same request. ``has_begun`` tells that a part of the
+    answer's body was received.
     """
 
     request_id: bounds.Name
@@ -102,6 +105,7 @@
     parts: PromptParts
     age_s: bounds.NonNegative
     digest: bounds.Name = ''
+    has_begun: bool = False
 
 
 class Quarantine(typing.NamedTuple):
--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -1,7 +1,8 @@
 """Finds the parts of prompts that crash the replicas that answer them.
 
-A prompt that crashes replicas never gets a byte of its answer, while the other
-requests that a crash breaks off share their parts with requests that do.
+A prompt that crashes replicas is never answered, while the other requests that
+a crash breaks off share their parts with requests that are. It mostly gets no
+byte of an answer, while these mostly have.
 """
 
 import itertools
@@ -26,15 +27,21 @@
 _CRASH_SPAN_S: typing.Final = 10.0
 _MIN_BLAME: typing.Final = 1.5
 _MIN_REPLICAS: typing.Final = 2
+# A run that was lost after its first byte is evidence only if its service had
+# this number of answers before, with gaps of this many seconds at most:
+# then parts that were never answered are new.
+_MIN_OBSERVED: typing.Final = 8
+_MAX_OBSERVATION_GAP_S: typing.Final = 60.0
 _MAX_LOST_RUNS: typing.Final = 64
 _MAX_ANSWERED: typing.Final = 4096
 
 
 class LostRun(typing.NamedTuple):
-    """A run that ended with its connection before the first byte of a body.
+    """A run that ended with its connection.
 
     ``parts`` are those of its prompt that other requests may share, ``at_s``
-    is monotonic. ``digest`` is the same for the same request.
+    is monotonic. ``digest`` is the same for the same request. ``has_begun``
+    tells that a part of the answer's body was received.
     """
 
     request_id: str
@@ -43,6 +50,26 @@
     parts: frozenset[str]
     at_s: float
     digest: str = ''
+    has_begun: bool = False
+
+
+class _Observation(typing.NamedTuple):
+    """How many answers of a service were noted without a long gap.
+
+    ``since_s`` is when there were enough to tell known parts from new ones.
+    """
+
+    answers: int = 0
+    last_s: float = float('-inf')
+    since_s: float = float('inf')
+
+    def note(self, now_s: float) -> '_Observation':
+        """Return the observation after one more answer."""
+        if now_s - self.last_s > _MAX_OBSERVATION_GAP_S:
+            return _Observation(1, now_s)
+        answers = self.answers + 1
+        since_s = now_s if answers == _MIN_OBSERVED else self.since_s
+        return _Observation(answers, now_s, since_s)
 
 
 class Quarantine(typing.NamedTuple):
@@ -69,6 +96,7 @@
         """Start without evidence."""
         self._lost: dict[tuple[str, str], LostRun] = {}
         self._answered_s: dict[tuple[str, str], float] = {}
+        self._observations: dict[str, _Observation] = {}
         self._quarantines: dict[tuple[str, frozenset[str]], Quarantine] = {}
         self._merged: set[tuple[str, frozenset[str]]] = set()
         self._withdrawn_s: dict[tuple[str, frozenset[str]], float] = {}
@@ -77,7 +105,7 @@
     def note_lost(self, run: LostRun) -> None:
         """Add a run; one that is reported again changes nothing."""
         key = (run.request_id, run.replica)
-        if not run.parts or key in self._lost:
+        if not run.parts or key in self._lost or not self._is_evidence(run):
             return
         if len(self._lost) >= _MAX_LOST_RUNS:
             self._lost.pop(next(iter(self._lost)))
@@ -88,7 +116,9 @@
     def note_answered(
         self, service: str, parts: frozenset[str], now_s: float
     ) -> None:
-        """Clear the parts of an answered request."""
+        """Clear the parts of a request that was answered by one run."""
+        observation = self._observations.get(service, _Observation())
+        self._observations[service] = observation.note(now_s)
         for part in parts:
             self._answered_s.pop((service, part), None)
             self._answered_s[(service, part)] = now_s
@@ -252,12 +282,27 @@
         found = [parts for parts in suspects if parts]
         return len([parts for parts in found if part in parts]) / len(found)
 
+    def _is_evidence(self, run: LostRun) -> bool:
+        """Return whether a run may tell which parts crash replicas.
+
+        Most that are lost after their first byte are victims of a crash.
+        """
+        if not run.has_begun:
+            return True
+        observation = self._observations.get(run.service, _Observation())
+        is_observed = observation.since_s <= run.at_s
+        return is_observed and bool(self._find_unknown(run))
+
     def _find_suspects(self, run: LostRun) -> frozenset[str]:
         """Return the parts that no request with them was answered since.
 
-        Parts that were never answered are suspected before all others.
+        Parts that were never answered are suspected before all others, and
+        alone if the run had begun to answer.
         """
-        return self._find_unknown(run) or frozenset(
+        unknown = self._find_unknown(run)
+        if unknown or run.has_begun:
+            return unknown
+        return frozenset(
             part
             for part in run.parts
             if self._read_answered_s(run.service, part) < run.at_s
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -13,6 +13,9 @@
 # a request whose response breaks off can be retried.
 _MAX_BUFFERED_BYTES: typing.Final = 262_144
 _SUCCESS_CLASS: typing.Final = 2
+_DISCONNECTED: typing.Final = frozenset(
+    (messages.Ending.CLOSED, messages.Ending.RESET)
+)
 
 
 @enum.unique
@@ -113,6 +116,8 @@
         self._request = request
         self._header_codec = header_codec
         self._relay = relay
+        # Only the rest of an answer is asked for.
+        self.is_continuation = is_stream and relay.last_event_id is not None
         self._is_stream = is_stream
         self._bodiless = bodiless
         self._clock = clock
@@ -130,6 +135,16 @@
         """Return how the response is framed, None before its head."""
         return None if self._head is None else self._head.framing
 
+    @property
+    def was_disconnected(self) -> bool:
+        """Return whether the connection ended before the answer was known to.
+
+        An unframed answer ends with its connection, whether it is whole or not.
+        """
+        if self.ending is messages.Ending.COMPLETE:
+            return self.framing is messages.Framing.CLOSE
+        return self.ending in _DISCONNECTED
+
     @property
     def is_identified(self) -> bool:
         """Return whether the response names the request that it belongs to."""
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -674,6 +674,7 @@
                 attempt.first_byte_delay_s,
                 attempt.slowness,
                 attempt.longest_pause_s,
+                attempt.is_continuation,
             )
         record.exclude(run.replica, outcome.value)
         if attempt.fault:
@@ -684,8 +685,8 @@
                 last_id=self._relay.last_event_id or '',
                 body_bytes=attempt.size_bytes,
             )
-        if outcome is attempts.Result.LOST and not attempt.has_body:
-            self._note_lost(run.replica)
+        if outcome is attempts.Result.LOST and attempt.was_disconnected:
+            self._note_lost(run)
         if outcome is attempts.Result.FAILED:
             self._buffered = attempt.buffered
             self._note_failed(attempt)
@@ -706,16 +707,17 @@
         if attempt.status < messages.INTERNAL_ERROR:
             self._deps.requester.note_answered(self._digest)
 
-    def _note_lost(self, replica: str) -> None:
+    def _note_lost(self, run: hedging.Run) -> None:
         """Report a run whose request may have crashed its replica."""
         self._deps.requester.note_lost(
             crashevidence.LostRun(
                 self._record.request_id,
                 self._record.service,
-                replica,
+                run.replica,
                 self._shared_parts,
                 self._deps.clock.read_monotonic(),
                 self._digest,
+                has_begun=run.attempt.has_body,
             )
         )
 
@@ -727,7 +729,9 @@
                 record.first_byte_s - record.started_s,
                 tier=record.rank,
             )
-        self._deps.requester.note_answered(self._digest)
+        # A run that goes on behind the point of a crash shows nothing of it.
+        if not attempt.is_continuation:
+            self._deps.requester.note_answered(self._digest)
         self.log(Ending(attempt.status, 'answered', ''))
         if attempt.buffered is not None:
             self._relay.reply.send(*attempt.buffered)
--- a/tests/platformreplica.py
+++ b/tests/platformreplica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
 from tests import platformstore
@@ -22,6 +23,21 @@
     seconds: float
 
 
+class CrashPoint(typing.NamedTuple):
+    """What a replica has sent of an answer when it crashes.
+
+    After the head, these are ``events`` and, with ``is_cut``, a part of the
+    next one, also as a part of a plain body.
+    """
+
+    events: int = 0
+    is_cut: bool = False
+    has_head: bool = True
+
+
+NO_ANSWER = CrashPoint(has_head=False)
+
+
 class Replica:
     """One replica; ``script`` holds its actions for the next requests.
 
@@ -35,9 +51,10 @@
     "not run"), or a ``Pause``. With an empty script it does
     ``default_action``; ``choose``, if set, gets each request that could run
     and returns its action instead of both. A prompt with ``poison_part``, or a
-    request for which ``is_poison`` is true, crashes it when it begins to run;
-    it is back after ``DOWN_S``. ``notices`` are header fields that it adds to
-    its answers, and ``padding`` ends its plain bodies.
+    request for which ``is_poison`` is true, crashes it when it begins to run,
+    or at another ``crash_point``; it is back after ``DOWN_S``. ``notices`` are
+    header fields that it adds to its answers, and ``padding`` ends its plain
+    bodies.
     """
 
     def __init__(
@@ -65,8 +82,9 @@
         self.cancelled_s = {}
         self.poison_part = b'(none)'
         self.is_poison = self._has_poison_part
+        self.crash_point = NO_ANSWER
         self.poison_runs_s = []
-        self.is_down = False
+        self.restart = None
         self.padding = b''
         self.notices = ()
         self.address = ''
@@ -94,9 +112,6 @@
     async def handle(self, request, reply):
         self.received.append(request)
         self.arrivals_s.append(asyncio.get_running_loop().time())
-        if self.is_down:
-            reply.abort()
-            return
         fields = request.fields
         echoed_id = (b'Attempt-Id', fields.find(b'attempt-id'))
         expected = (fields.find(b'expect-instance') or b'').decode()
@@ -145,6 +160,8 @@
         if isinstance(action, Pause) and not action.after:
             await asyncio.sleep(action.seconds)
         if self.is_poison(request):
+            if self.crash_point.has_head:
+                await self._begin_answer(request, reply, response_fields)
             self._crash()
             return
         if action == 'reset':
@@ -166,13 +183,38 @@
         prefix = request.fields.find(b'prompt-prefix') or b''
         return self.poison_part in prefix
 
+    async def _begin_answer(self, request, reply, response_fields):
+        """Send the part of an answer that precedes a crash."""
+        point = self.crash_point
+        first = int(request.fields.find(b'last-event-id') or b'0') + 1
+        body = b''.join(
+            b'id: %d\ndata: %d\n\n' % (number, number)
+            for number in range(first, first + point.events)
+        )
+        if point.is_cut:
+            body += b'id: '
+        reply.start(200, response_fields, length=None)
+        if body:
+            reply.write(body)
+        await asyncio.sleep(0.02)
+
     def _crash(self):
-        loop = asyncio.get_running_loop()
-        self.poison_runs_s.append(loop.time())
-        self.is_down = True
-        loop.call_later(DOWN_S, setattr, self, 'is_down', False)
+        self.poison_runs_s.append(asyncio.get_running_loop().time())
         for connection in tuple(self.listener.connections):
             connection.abort()
+        self.listener.stop()
+        self.restart = asyncio.create_task(self._restart())
+
+    async def _restart(self):
+        """Listen again; a connection may use the port at this moment."""
+        port = int(self.address.rpartition(':')[2])
+        is_listening = False
+        await asyncio.sleep(DOWN_S)
+        while not is_listening:
+            with contextlib.suppress(OSError):
+                await self.listener.listen('127.0.0.1', port)
+                is_listening = True
+            await asyncio.sleep(0.02)
 
     async def _respond(self, action, reply, response_fields, request_id):
         body = f'{self.name} ran {request_id}'.encode() + self.padding
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -8,14 +8,28 @@
 SERVICE = 'model'
 
 
-def lose(evidence, request_id, replica, parts, at_s=0.0):
+def lose(evidence, request_id, replica, parts, at_s=0.0, *, has_begun=False):
     evidence.note_lost(
         crashevidence.LostRun(
-            request_id, SERVICE, replica, frozenset(parts.split()), at_s
+            request_id,
+            SERVICE,
+            replica,
+            frozenset(parts.split()),
+            at_s,
+            has_begun=has_begun,
         )
     )
 
 
+def observe(*parts, at_s=-1.0):
+    """Return evidence with answers to requests with these parts."""
+    evidence = crashevidence.CrashEvidence()
+    for _ in range(10):
+        for part in parts:
+            evidence.note_answered(SERVICE, frozenset({part}), at_s)
+    return evidence
+
+
 def list_parts(evidence, now_s=1.0):
     evidence.judge(now_s)
     return [
@@ -162,6 +176,67 @@
     assert list_parts(evidence, later_s + 1) == []
 
 
+def test_a_part_that_crashes_after_the_first_byte_is_quarantined():
+    """Such runs were no evidence."""
+    evidence = observe('first', 'second')
+    for crash, replica in enumerate(('i-1', 'i-2')):
+        lose(evidence, f'p-{crash}', replica, 'first dead', has_begun=True)
+        lose(evidence, f's-{crash}', replica, 'first', has_begun=True)
+        lose(evidence, f't-{crash}', replica, 'first second', has_begun=True)
+    assert list_parts(evidence) == [{'dead'}]
+
+
+def test_answered_parts_are_not_blamed_for_running_answers_that_are_lost():
+    evidence = observe('first')
+    for crash in range(4):
+        for request in range(6):
+            lose(
+                evidence,
+                f'{crash}-{request}',
+                f'i-{crash}',
+                'first',
+                crash * 0.3,
+                has_begun=True,
+            )
+        assert list_parts(evidence, crash * 0.3 + 0.2) == []
+
+
+def test_new_parts_of_several_running_answers_share_the_blame():
+    evidence = observe('first')
+    for crash in ('1', '2'):
+        for victim in ('a', 'b'):
+            lose(
+                evidence,
+                f'{victim}-{crash}',
+                f'i-{crash}',
+                f'first part-{victim}',
+                has_begun=True,
+            )
+    assert list_parts(evidence) == []
+
+
+def test_a_new_allocator_does_not_take_parts_for_new():
+    """It is told what was lost before it has seen any answers."""
+    evidence = crashevidence.CrashEvidence()
+    for crash in range(3):
+        lose(evidence, f's-{crash}', f'i-{crash}', 'first', has_begun=True)
+    assert list_parts(evidence) == []
+    for _ in range(10):
+        evidence.note_answered(SERVICE, frozenset({'other'}), 1.0)
+    for crash in range(3):
+        lose(evidence, f's-{crash}', f'i-{crash}', 'first', has_begun=True)
+    assert list_parts(evidence, 2.0) == []
+
+
+def test_answers_of_long_ago_do_not_tell_which_parts_are_new():
+    evidence = observe('first')
+    lose(evidence, 'r-1', 'i-1', 'dead', 100.0, has_begun=True)
+    evidence.note_answered(SERVICE, frozenset({'first'}), 110.0)
+    lose(evidence, 'r-2', 'i-2', 'dead', 120.0, has_begun=True)
+    lose(evidence, 'r-3', 'i-3', 'dead', 121.0, has_begun=True)
+    assert list_parts(evidence, 122.0) == []
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -12,6 +12,19 @@
 PATHS = ['/safe/x', '/once/x', '/stream/x', '/stream/resumable/x']
 POISON = b'poison'
 OTHER_KEY = 'key-of-other'
+NO_ANSWER = platformreplica.NO_ANSWER
+# Crashes at any point of an answer, on each kind of route.
+CRASHES = [
+    *itertools.product(PATHS, [NO_ANSWER], [False, True]),
+    ('/safe/x', platformreplica.CrashPoint(is_cut=True), False),
+    ('/once/x', platformreplica.CrashPoint(is_cut=True), True),
+    ('/stream/x', platformreplica.CrashPoint(is_cut=True), False),
+    ('/stream/x', platformreplica.CrashPoint(events=1), True),
+    ('/stream/x', platformreplica.CrashPoint(events=6), False),
+    ('/stream/resumable/x', platformreplica.CrashPoint(), True),
+    ('/stream/resumable/x', platformreplica.CrashPoint(events=1), False),
+    ('/stream/resumable/x', platformreplica.CrashPoint(2, is_cut=True), True),
+]
 PAUSE_S = 0.3
 # The rule counts requests that are sent this long after the third crash.
 CONTACT_S = 3.0
@@ -27,6 +40,12 @@
     return [dealer, other]
 
 
+def is_fresh_poison(request):
+    """Return whether a poison request is run from its beginning."""
+    is_resumed = request.fields.find(b'last-event-id') is not None
+    return is_poison(request) and not is_resumed
+
+
 def is_poison(request):
     """Return whether a request at a replica is the one that crashes it."""
     customer = request.fields.find(b'tenant')
@@ -51,6 +70,13 @@
         self._instances = itertools.cycle(fleet.instances)
         self._stopped = False
 
+    async def leave(self, instance):
+        """Send nothing more to an instance; wait for its answers."""
+        others = [name for name in self._fleet.instances if name != instance]
+        self._instances = itertools.cycle(others)
+        listener = self._fleet.instances[instance]._caller_listener
+        await platformfleet.wait_until(lambda: listener.is_idle)
+
     def stop(self):
         self._stopped = True
 
@@ -89,10 +115,11 @@
         )
 
 
-async def start(fleet, path, *, has_prompt=False):
+async def start(fleet, path, *, point=NO_ANSWER, has_prompt=False):
     """Let replicas crash by the poison request; return callers and tasks."""
     for replica in fleet.replicas.values():
         replica.is_poison = is_poison
+        replica.crash_point = point
         replica.work_s = 0.03
     callers = Callers(fleet, path, has_prompt=has_prompt)
     sends = (
@@ -112,6 +139,21 @@
     )
 
 
+async def find_allocator(fleet):
+    """Wait until all instances have the same allocator; return its name."""
+    found = set()
+
+    def is_agreed():
+        found.clear()
+        found.update(
+            running._requester.allocator for running in fleet.instances.values()
+        )
+        return len(found) == 1
+
+    await platformfleet.wait_until(is_agreed)
+    return found.pop()
+
+
 async def wait_for_quarantine(fleet):
     """Let all instances refuse the request; return the crashes until then."""
     callers, tasks = await start(fleet, '/once/x')
@@ -135,26 +177,58 @@
     return {response.status for response in responses}
 
 
-@pytest.mark.parametrize('has_prompt', [False, True])
-@pytest.mark.parametrize('path', PATHS)
+async def check_containment(fleet, callers, tasks):
+    """Check that late runs are few, and that other requests are served."""
+    await platformfleet.wait_until(lambda: len(list_crashes(fleet)) > 2)
+    await asyncio.sleep(CONTACT_S)
+    callers.served.clear()
+    await asyncio.sleep(OBSERVED_S)
+    callers.stop()
+    await asyncio.gather(*tasks)
+    crashes_s = list_crashes(fleet)
+    late = [at_s for at_s in crashes_s if at_s > crashes_s[2] + CONTACT_S]
+    assert len(late) <= MAX_LATE_RUNS
+    assert callers.served[True] >= MIN_SERVED * callers.served.total()
+    assert callers.refused[-1].fields.find(b'retry-after') is not None
+
+
+@pytest.mark.parametrize(('path', 'point', 'has_prompt'), CRASHES)
 async def test_a_request_does_not_crash_one_replica_after_the_other(
-    path, has_prompt
+    path, point, has_prompt
 ):
+    """A run that was lost after a part of its answer was no evidence."""
     async with platformfleet.running(
         replicas=3, instances=3, tenants=make_tenants()
     ) as fleet:
-        callers, tasks = await start(fleet, path, has_prompt=has_prompt)
-        await platformfleet.wait_until(lambda: len(list_crashes(fleet)) > 2)
-        await asyncio.sleep(CONTACT_S)
-        callers.served.clear()
-        await asyncio.sleep(OBSERVED_S)
-        callers.stop()
-        await asyncio.gather(*tasks)
-        crashes_s = list_crashes(fleet)
-    late = [at_s for at_s in crashes_s if at_s > crashes_s[2] + CONTACT_S]
-    assert len(late) <= MAX_LATE_RUNS
-    assert callers.served[True] >= MIN_SERVED * callers.served.total()
-    assert callers.refused[-1].fields.find(b'retry-after') is not None
+        callers, tasks = await start(
+            fleet, path, point=point, has_prompt=has_prompt
+        )
+        await check_containment(fleet, callers, tasks)
+
+
+async def test_the_rest_of_an_answer_does_not_clear_a_request():
+    """It was released each time a second replica completed its stream."""
+    async with platformfleet.running(
+        replicas=4, instances=3, tenants=make_tenants()
+    ) as fleet:
+        point = platformreplica.CrashPoint(events=2)
+        callers, tasks = await start(fleet, '/stream/resumable/x', point=point)
+        for replica in fleet.replicas.values():
+            replica.is_poison = is_fresh_poison
+        await check_containment(fleet, callers, tasks)
+
+
+async def test_crashes_after_a_part_count_beside_a_lost_allocator():
+    async with platformfleet.running(
+        replicas=3, instances=3, tenants=make_tenants()
+    ) as fleet:
+        point = platformreplica.CrashPoint(events=1)
+        callers, tasks = await start(fleet, '/stream/x', point=point)
+        await platformfleet.wait_until(lambda: len(list_crashes(fleet)) > 1)
+        allocator = await find_allocator(fleet)
+        await callers.leave(allocator)
+        await fleet.stop_instance(allocator)
+        await check_containment(fleet, callers, tasks)
 
 
 async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
@@ -162,9 +236,7 @@
         replicas=3, instances=3, tenants=make_tenants()
     ) as fleet:
         crashes = await wait_for_quarantine(fleet)
-        (allocator,) = {
-            running._requester.allocator for running in fleet.instances.values()
-        }
+        allocator = await find_allocator(fleet)
         await fleet.stop_instance(allocator)
         await fleet.add_instance('entry-new')
         await asyncio.sleep(platformreplica.DOWN_S)
--- a/tests/test_poisonprompts.py
+++ b/tests/test_poisonprompts.py
@@ -4,8 +4,10 @@
 import collections
 import itertools
 
+import pytest
+
 from lavenderledge.http1 import messages
-from tests import platformfleet
+from tests import platformfleet, platformreplica
 
 POISON = 'dead0001'
 # Requests that may still reach replicas this long after the fifth crash.
@@ -23,9 +25,10 @@
 class Callers:
     """Sound and poison requests at all instances, until ``stop``."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, path='/stream/resumable/x'):
         self.sound = collections.Counter()
         self._fleet = fleet
+        self._path = path
         self._numbers = itertools.count()
         self._stopped = False
         self._instances = itertools.cycle(fleet.instances)
@@ -51,7 +54,7 @@
 
     async def _send(self, *shared, own):
         return await self._fleet.send(
-            '/stream/resumable/x',
+            self._path,
             instance=next(self._instances),
             fields=format_prompt(*shared, own=own),
         )
@@ -72,12 +75,26 @@
     }
 
 
-async def test_a_poison_prompt_does_not_crash_one_replica_after_the_other():
+@pytest.mark.parametrize(
+    'point',
+    [
+        platformreplica.NO_ANSWER,
+        platformreplica.CrashPoint(is_cut=True),
+        platformreplica.CrashPoint(events=1),
+        platformreplica.CrashPoint(events=3),
+    ],
+)
+@pytest.mark.parametrize('path', ['/stream/x', '/stream/resumable/x'])
+async def test_a_poison_prompt_does_not_crash_one_replica_after_the_other(
+    path, point
+):
+    """A run that was lost after a part of its answer was no evidence."""
     async with platformfleet.running(replicas=5, instances=3) as fleet:
         for replica in fleet.replicas.values():
             replica.poison_part = POISON.encode()
+            replica.crash_point = point
             replica.work_s = 0.03
-        callers = Callers(fleet)
+        callers = Callers(fleet, path)
         tasks = [
             asyncio.create_task(send())
             for send in (callers.send_poison, *[callers.send_sound] * 4)
