Free an ended request at once, with its body

What callers saw: at a customer's burst of large uploads a process passed its memory and was killed, with requests of kept connections at replicas (LOST). Cause: an ended exchange was in reference cycles, so that Python's collector freed its bodies, late; the account of held bytes counted them as released. The references: a function of the exchange in its relay, the relay's attempt, the current task in frames of a task that is cancelled, and between a closed connection and its parser, with what was read of uploads. Evidence: without the collector, an exchange was alive after each of 52 pairs of a route and a replica's action. Change: the first three references are gone, and a closed connection drops what it has read.

--- a/lavenderledge/http1/server.py
+++ b/lavenderledge/http1/server.py
@@ -298,6 +298,11 @@
             self._set_linger(_ORDERLY_CLOSE)
         self._transport = None
         self.notify_writable = None
+        # The parser and the connection refer to each other, so that it may be
+        # long until they are collected.
+        self._body = bytearray()
+        self._pending = b''
+        self._received.clear()
         if self._task is not None:
             self._task.cancel()
 
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -57,7 +57,6 @@
         self.is_alone = is_alone
         self.is_resumable = False
         self.last_event_id: str | None = None
-        self.source: Attempt | None = None
 
     def begin(self, head: messages.ResponseHead, *, is_stream: bool) -> None:
         """Relay the head of the first attempt.
@@ -269,7 +268,6 @@
             pause_s = now_s - self.last_progress_s
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_progress_s = now_s
-        self._relay.source = self
         self._on_progress(self)
 
     def _classify(self, ending: messages.Ending) -> Result:
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -116,9 +116,11 @@
         self._record = requestrecord.RequestRecord(
             request_id=parsed.request_id, started_s=request.received_s
         )
-        self._running = hedging.RunningAttempts(clock=deps.clock)
+        running = hedging.RunningAttempts(clock=deps.clock)
+        self._running = running
+        # A reference to the exchange would keep its body until a collection.
         self._relay = attempts.ResponseRelay(
-            reply=reply, is_alone=lambda: len(self._running) == 1
+            reply=reply, is_alone=lambda: len(running) == 1
         )
         self._hedges = hedging.Hedges()
         self._match: routes.RouteMatch | None = None
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -61,9 +61,7 @@
         if self._refuses_all:
             current.refuse(messages.UNAVAILABLE, 'stopping', 0)
             return
-        task = asyncio.current_task()
-        assert task is not None
-        self._running[current] = task
+        self._running[current] = _find_task()
         try:
             await current.run()
         except asyncio.CancelledError:
@@ -122,3 +120,13 @@
             current.refuse(messages.UNAVAILABLE, 'memory', _RETRY_AFTER_S)
         # Its body is held until its task has ended.
         task.cancel()
+
+
+def _find_task() -> asyncio.Task[typing.Any]:
+    """Return the current task.
+
+    A frame that keeps it is kept by it if it is cancelled, with all it holds.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    return task
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -138,10 +138,10 @@
         self, done: 'asyncio.Future[attempts.Result]', *, timeout_s: float
     ) -> None:
         """Wait until an attempt is done, or another one has ended."""
-        own = asyncio.current_task()
-        awaited: set[asyncio.Future[typing.Any]] = {done, *self._tasks}
+        others = self._list_others()
+        awaited: set[asyncio.Future[typing.Any]] = {done, *others}
         await asyncio.wait(
-            {future for future in awaited if future is not own},
+            awaited,
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -157,6 +157,15 @@
             task.cancel()
         await self.finish()
 
+    def _list_others(self) -> list[asyncio.Task[None]]:
+        """Return the tasks but the current one.
+
+        A frame that keeps it is kept by it if it is cancelled, with all it
+        holds.
+        """
+        own = asyncio.current_task()
+        return [task for task in self._tasks if task is not own]
+
     def _note_end(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if self._preparing is task:
