Test that a lost allocator does not let crashes after a part go on

Cause: the tests of parts of prompts lost their allocator only after a crash before the first byte. Change: two cases with crashes after the first event, the allocator stopped after one crash and after three.

--- a/tests/test_poisonprompts.py
+++ b/tests/test_poisonprompts.py
@@ -33,6 +33,11 @@
         self._stopped = False
         self._instances = itertools.cycle(fleet.instances)
 
+    def leave(self, instance):
+        """Send nothing to an instance."""
+        others = [name for name in self._fleet.instances if name != instance]
+        self._instances = itertools.cycle(others)
+
     def stop(self):
         self._stopped = True
 
@@ -111,6 +116,40 @@
     assert callers.sound[True] > callers.sound[False]
 
 
+@pytest.mark.parametrize('crashes', [1, 3])
+async def test_a_lost_allocator_does_not_let_crashes_after_a_part_go_on(
+    crashes,
+):
+    """A new one is told of earlier crashes, but of no answers."""
+    async with platformfleet.running(replicas=5, instances=3) as fleet:
+        for replica in fleet.replicas.values():
+            replica.poison_part = POISON.encode()
+            replica.crash_point = platformreplica.CrashPoint(events=1)
+            replica.work_s = 0.03
+        await platformfleet.wait_until(lambda: len(list_allocators(fleet)) == 1)
+        (allocator,) = list_allocators(fleet)
+        callers = Callers(fleet)
+        callers.leave(allocator)
+        tasks = [
+            asyncio.create_task(send())
+            for send in (callers.send_poison, *[callers.send_sound] * 4)
+        ]
+        await platformfleet.wait_until(
+            lambda: len(list_crashes(fleet)) >= crashes
+        )
+        await fleet.stop_instance(allocator)
+        await asyncio.sleep(7)
+        callers.sound.clear()
+        await asyncio.sleep(3)
+        callers.stop()
+        await asyncio.gather(*tasks)
+        crashes_s = list_crashes(fleet)
+    fifth_s = crashes_s[:MAX_CRASHES][-1]
+    late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
+    assert len(late) <= MAX_LATE_RUNS
+    assert callers.sound[True] > callers.sound[False]
+
+
 async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
     async with platformfleet.running(replicas=5, instances=3) as fleet:
         for replica in fleet.replicas.values():
