Test of messages: name the new flag of a reading

Cause: the test lists the fields that have no bound, and added a flag, as which any value is valid. Change: the list has the flag; it stays complete and exact. Result: test_codec passes.

--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -49,6 +49,7 @@
         ('RunningRequest', 'preemptible'),
         ('RunningRequest', 'started'),
         ('Member', 'leaving'),
+        ('Reading', 'is_continuation'),
         ('TableCopy', 'body'),
         # The fields of these types are checked separately.
         ('Ask', 'spec'),
