The rest of a stream that a replica refuses clears no request

Cause: lets no rest of a stream that is completed clear a request; one that another replica refuses, such as with 404, still did. Change: one check for both.

--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -707,6 +707,14 @@
         One that fails may be about to crash.
         """
         if attempt.status < messages.INTERNAL_ERROR:
+            self._note_answered(attempt)
+
+    def _note_answered(self, attempt: attempts.Attempt) -> None:
+        """Note that a replica has survived a request.
+
+        A run that goes on behind the point of a crash shows nothing of it.
+        """
+        if not attempt.is_continuation:
             self._deps.requester.note_answered(self._digest)
 
     def _note_lost(self, run: hedging.Run) -> None:
@@ -731,9 +739,7 @@
                 record.first_byte_s - record.started_s,
                 tier=record.rank,
             )
-        # A run that goes on behind the point of a crash shows nothing of it.
-        if not attempt.is_continuation:
-            self._deps.requester.note_answered(self._digest)
+        self._note_answered(attempt)
         self.log(Ending(attempt.status, 'answered', ''))
         if attempt.buffered is not None:
             self._relay.reply.send(*attempt.buffered)
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -206,8 +206,9 @@
         await check_containment(fleet, callers, tasks)
 
 
-async def test_the_rest_of_an_answer_does_not_clear_a_request():
-    """It was released each time a second replica completed its stream."""
+@pytest.mark.parametrize('rest', ['ok', 'absent'])
+async def test_the_rest_of_an_answer_does_not_clear_a_request(rest):
+    """It was released when a second replica completed or refused the rest."""
     async with platformfleet.running(
         replicas=4, instances=3, tenants=make_tenants()
     ) as fleet:
@@ -215,6 +216,9 @@
         callers, tasks = await start(fleet, '/stream/resumable/x', point=point)
         for replica in fleet.replicas.values():
             replica.is_poison = is_fresh_poison
+            replica.choose = lambda request: (
+                rest if is_poison(request) else 'ok'
+            )
         await check_containment(fleet, callers, tasks)
 
 
