Find a part of a prompt whose requests crash both replicas of two

Cause: took the latest loss of each replica, then counted those of one request once. With two replicas, each request crashes both, so the latest losses were always one request's, and the part was never quarantined. Change: of each replica, the latest loss that is not one with another's counts. The case on a new allocator had its losses at one moment, which alone cleared it since; they are 0.3 s apart now, and it fails without the check that it is about.

--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -356,17 +356,17 @@
 
 
 def _select_crashes(runs: list[LostRun]) -> list[LostRun]:
-    """Return the latest run of each replica without those that add nothing.
+    """Return one run of each replica, the latest that differs from the others.
 
     A running answer that is lost, and lost again where it goes on, is one loss,
     as are those at the same moment.
     """
-    latest = {run.replica: run for run in runs}.values()
-    selected: list[LostRun] = []
-    for run in sorted(latest, key=lambda lost: lost.at_s):
-        if not any(_is_same_loss(run, other) for other in selected):
-            selected.append(run)
-    return selected
+    selected: dict[str, LostRun] = {}
+    for run in sorted(runs, key=lambda lost: lost.at_s, reverse=True):
+        others = selected.values()
+        if not any(_is_same_loss(run, other) for other in others):
+            selected.setdefault(run.replica, run)
+    return list(selected.values())
 
 
 def _is_same_loss(run: LostRun, other: LostRun) -> bool:
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -204,6 +204,22 @@
     assert list_parts(evidence, 2.0) == []
 
 
+def test_requests_that_each_crash_both_replicas_accuse_a_part():
+    """The latest losses of both are one request's, which goes on."""
+    evidence = observe('first')
+    for request in range(3):
+        for number, replica in enumerate(('i-1', 'i-2')):
+            lose(
+                evidence,
+                f'r-{request}',
+                replica,
+                'first dead',
+                2 * request + 0.2 * number,
+                has_begun=True,
+            )
+    assert list_parts(evidence, 5.0) == [{'dead'}]
+
+
 def test_replicas_that_are_lost_together_accuse_no_part_of_running_answers():
     evidence = observe('first')
     for crash in range(4):
@@ -251,13 +267,23 @@
 def test_a_new_allocator_does_not_take_parts_for_new():
     """It is told what was lost before it has seen any answers."""
     evidence = crashevidence.CrashEvidence()
-    for crash in range(3):
-        lose(evidence, f's-{crash}', f'i-{crash}', 'first', has_begun=True)
+
+    def tell():
+        for crash in range(3):
+            lose(
+                evidence,
+                f's-{crash}',
+                f'i-{crash}',
+                'first',
+                crash * 0.3,
+                has_begun=True,
+            )
+
+    tell()
     assert list_parts(evidence) == []
     for _ in range(10):
         evidence.note_answered(SERVICE, frozenset({'other'}), 1.0)
-    for crash in range(3):
-        lose(evidence, f's-{crash}', f'i-{crash}', 'first', has_begun=True)
+    tell()
     assert list_parts(evidence, 2.0) == []
 
 
