--- a/lavenderledge/policy/crashevidence.py
+++ b/lavenderledge/policy/crashevidence.py
@@ -27,9 +27,9 @@
 _CRASH_SPAN_S: typing.Final = 10.0
 _MIN_BLAME: typing.Final = 1.5
 _MIN_REPLICAS: typing.Final = 2
-# A run that was lost after its first byte is evidence only if its service had
-# this number of answers before, with gaps of this many seconds at most: then
-# parts that were never answered are new.
+# A run that was lost after its first byte is evidence only if the allocator had
+# noted this number of answers of its service before, with gaps of this many
+# seconds at most. Else a part may have been answered without its knowledge.
 _MIN_OBSERVED: typing.Final = 2
 _MAX_OBSERVATION_GAP_S: typing.Final = 5.0
 # Such losses at several replicas within this time, in seconds, have one cause,
@@ -370,6 +370,7 @@
 
 
 def _is_same_loss(run: LostRun, other: LostRun) -> bool:
+    """Return whether two losses, one after a first byte, have one cause."""
     if not (run.has_begun or other.has_begun):
         return False
     is_close = abs(run.at_s - other.at_s) < _SAME_CAUSE_S
--- a/lavenderledge/proxy/attempts.py
+++ b/lavenderledge/proxy/attempts.py
@@ -136,7 +136,7 @@
 
     @property
     def was_disconnected(self) -> bool:
-        """Return whether the connection ended before the answer was known to.
+        """Return whether the connection ended, perhaps before the answer did.
 
         An unframed answer ends with its connection, whether it is whole or not.
         """
--- a/lavenderledge/proxy/exchange.py
+++ b/lavenderledge/proxy/exchange.py
@@ -118,7 +118,7 @@
         )
         running = hedging.RunningAttempts(clock=deps.clock)
         self._running = running
-        # A reference to the exchange would keep its body until a collection.
+        # With a reference to the exchange, its body is kept until a collection.
         self._relay = attempts.ResponseRelay(
             reply=reply, is_alone=lambda: len(running) == 1
         )
--- a/lavenderledge/proxy/forwarding.py
+++ b/lavenderledge/proxy/forwarding.py
@@ -123,9 +123,10 @@
 
 
 def _find_task() -> asyncio.Task[typing.Any]:
-    """Return the current task.
+    """Return the current task, which no frame of it should refer to.
 
-    A frame that keeps it is kept by it if it is cancelled, with all it holds.
+    A cancelled task keeps its exception, and with it the frames and all that
+    they hold, until a collection.
     """
     task = asyncio.current_task()
     assert task is not None
--- a/lavenderledge/proxy/hedging.py
+++ b/lavenderledge/proxy/hedging.py
@@ -158,10 +158,9 @@
         await self.finish()
 
     def _list_others(self) -> list[asyncio.Task[None]]:
-        """Return the tasks but the current one.
+        """Return the tasks but the current one, which the caller must not keep.
 
-        A frame that keeps it is kept by it if it is cancelled, with all it
-        holds.
+        A cancelled task keeps its exception, and with it the caller's frame.
         """
         own = asyncio.current_task()
         return [task for task in self._tasks if task is not own]
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -40,6 +40,13 @@
     return [dealer, other]
 
 
+def run_fleet(*, replicas=3):
+    """Run a fleet with two customers for the duration of a test."""
+    return platformfleet.running(
+        replicas=replicas, instances=3, tenants=make_tenants()
+    )
+
+
 def is_fresh_poison(request):
     """Return whether a poison request is run from its beginning."""
     is_resumed = request.fields.find(b'last-event-id') is not None
@@ -197,9 +204,7 @@
     path, point, has_prompt
 ):
     """A run that was lost after a part of its answer was no evidence."""
-    async with platformfleet.running(
-        replicas=3, instances=3, tenants=make_tenants()
-    ) as fleet:
+    async with run_fleet() as fleet:
         callers, tasks = await start(
             fleet, path, point=point, has_prompt=has_prompt
         )
@@ -209,9 +214,7 @@
 @pytest.mark.parametrize('rest', ['ok', 'absent'])
 async def test_the_rest_of_an_answer_does_not_clear_a_request(rest):
     """It was released when a second replica completed or refused the rest."""
-    async with platformfleet.running(
-        replicas=4, instances=3, tenants=make_tenants()
-    ) as fleet:
+    async with run_fleet(replicas=4) as fleet:
         point = platformreplica.CrashPoint(events=2)
         callers, tasks = await start(fleet, '/stream/resumable/x', point=point)
         for replica in fleet.replicas.values():
@@ -223,9 +226,7 @@
 
 
 async def test_crashes_after_a_part_count_beside_a_lost_allocator():
-    async with platformfleet.running(
-        replicas=3, instances=3, tenants=make_tenants()
-    ) as fleet:
+    async with run_fleet() as fleet:
         point = platformreplica.CrashPoint(events=1)
         callers, tasks = await start(fleet, '/stream/x', point=point)
         await platformfleet.wait_until(lambda: len(list_crashes(fleet)) > 1)
@@ -236,9 +237,7 @@
 
 
 async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
-    async with platformfleet.running(
-        replicas=3, instances=3, tenants=make_tenants()
-    ) as fleet:
+    async with run_fleet() as fleet:
         crashes = await wait_for_quarantine(fleet)
         allocator = await find_allocator(fleet)
         await fleet.stop_instance(allocator)
@@ -251,9 +250,7 @@
 
 
 async def test_a_quarantine_outlasts_all_instances():
-    async with platformfleet.running(
-        replicas=3, instances=3, tenants=make_tenants()
-    ) as fleet:
+    async with run_fleet() as fleet:
         crashes = await wait_for_quarantine(fleet)
         await asyncio.sleep(platformreplica.DOWN_S)
         names = tuple(fleet.instances)
--- a/tests/test_poisonprompts.py
+++ b/tests/test_poisonprompts.py
@@ -76,6 +76,28 @@
     )
 
 
+def start(callers):
+    """Return the tasks of one caller with the part, and four without."""
+    return [
+        asyncio.create_task(send())
+        for send in (callers.send_poison, *[callers.send_sound] * 4)
+    ]
+
+
+async def check_containment(fleet, callers, tasks, *, after_s):
+    """Check late crashes, and the sound requests that come after a time."""
+    await asyncio.sleep(after_s)
+    callers.sound.clear()
+    await asyncio.sleep(3)
+    callers.stop()
+    await asyncio.gather(*tasks)
+    crashes_s = list_crashes(fleet)
+    fifth_s = crashes_s[:MAX_CRASHES][-1]
+    late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
+    assert len(late) <= MAX_LATE_RUNS
+    assert callers.sound[True] > callers.sound[False]
+
+
 def list_allocators(fleet):
     return {
         running._requester.allocator for running in fleet.instances.values()
@@ -102,20 +124,8 @@
             replica.crash_point = point
             replica.work_s = 0.03
         callers = Callers(fleet, path)
-        tasks = [
-            asyncio.create_task(send())
-            for send in (callers.send_poison, *[callers.send_sound] * 4)
-        ]
-        await asyncio.sleep(6)
-        callers.sound.clear()
-        await asyncio.sleep(3)
-        callers.stop()
-        await asyncio.gather(*tasks)
-        crashes_s = list_crashes(fleet)
-    fifth_s = crashes_s[:MAX_CRASHES][-1]
-    late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
-    assert len(late) <= MAX_LATE_RUNS
-    assert callers.sound[True] > callers.sound[False]
+        tasks = start(callers)
+        await check_containment(fleet, callers, tasks, after_s=6)
 
 
 @pytest.mark.parametrize('crashes', [1, 3])
@@ -132,24 +142,12 @@
         (allocator,) = list_allocators(fleet)
         callers = Callers(fleet)
         callers.leave(allocator)
-        tasks = [
-            asyncio.create_task(send())
-            for send in (callers.send_poison, *[callers.send_sound] * 4)
-        ]
+        tasks = start(callers)
         await platformfleet.wait_until(
             lambda: len(list_crashes(fleet)) >= crashes
         )
         await fleet.stop_instance(allocator)
-        await asyncio.sleep(7)
-        callers.sound.clear()
-        await asyncio.sleep(3)
-        callers.stop()
-        await asyncio.gather(*tasks)
-        crashes_s = list_crashes(fleet)
-    fifth_s = crashes_s[:MAX_CRASHES][-1]
-    late = [at_s for at_s in crashes_s if at_s > fifth_s + CONTACT_S]
-    assert len(late) <= MAX_LATE_RUNS
-    assert callers.sound[True] > callers.sound[False]
+        await check_containment(fleet, callers, tasks, after_s=7)
 
 
 async def test_a_quarantine_outlasts_the_allocator_that_imposed_it():
